--- /dev/null
+++ b/cmake/Package.cmake
@@ -0,0 +1,23 @@
+# Declares one library package: its sources, public headers and doctest tests.
+#
+#   monsoonward_package(NAME LINK lib ...)
+#
+# Every src/*.cpp that doesn't end in _test.cpp goes into the library `monsoonward_NAME`;
+# every *_test.cpp goes into the test program `NAME_test`, run by ctest.
+function(monsoonward_package name)
+  cmake_parse_arguments(arg "" "" "LINK" ${ARGN})
+  file(GLOB sources CONFIGURE_DEPENDS src/*.cpp)
+  file(GLOB tests CONFIGURE_DEPENDS src/*_test.cpp)
+  if(tests)
+    list(REMOVE_ITEM sources ${tests})
+  endif()
+  add_library(monsoonward_${name} STATIC ${sources})
+  target_include_directories(monsoonward_${name} PUBLIC include)
+  target_link_libraries(monsoonward_${name} PUBLIC ${arg_LINK})
+  if(tests AND NOT MONSOONWARD_FUZZ)
+    add_executable(${name}_test ${tests} ${PROJECT_SOURCE_DIR}/cmake/doctest_main.cpp)
+    target_include_directories(${name}_test PRIVATE src)
+    target_link_libraries(${name}_test PRIVATE monsoonward_${name} rapidcheck)
+    add_test(NAME ${name} COMMAND ${name}_test)
+  endif()
+endfunction()
--- /dev/null
+++ b/packages/control/include/monsoonward/control/control.h
@@ -0,0 +1,4 @@
+#pragma once
+
+/// The public header of the control package: declarations, plans and the distribution of the configuration.
+#include "monsoonward/control/controlnode.h"
--- /dev/null
+++ b/packages/control/src/placeholder.cpp
@@ -0,0 +1,1 @@
+#include "monsoonward/control/control.h"
--- /dev/null
+++ b/packages/daemon/include/monsoonward/daemon/daemon.h
@@ -0,0 +1,4 @@
+#pragma once
+
+/// The public header of the daemon package: settings, supervisor tree, callers' interface.
+#include "monsoonward/daemon/settings.h"
--- /dev/null
+++ b/packages/daemon/src/placeholder.cpp
@@ -0,0 +1,1 @@
+#include "monsoonward/daemon/daemon.h"
--- /dev/null
+++ b/packages/transport/include/monsoonward/transport/transport.h
@@ -0,0 +1,4 @@
+#pragma once
+
+/// The public header of the transport package: the encoding of messages and the streams between processes.
+#include "monsoonward/transport/codec.h"
--- /dev/null
+++ b/packages/values/include/monsoonward/values/configuration.h
@@ -0,0 +1,177 @@
+#pragma once
+
+#include "monsoonward/values/name.h"
+#include "monsoonward/values/time.h"
+
+#include <cstdint>
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+/// The configuration in force: plain values, compared field by field. Written by monsoonctl declarations only.
+namespace monsoonward
+{
+
+/// @brief Number of an accepted configuration; a daemon adopts only higher ones.
+using Revision = std::uint64_t;
+
+/// @brief IP number and TCP port.
+struct Address
+{
+    std::string ip;
+    std::uint16_t port = 0;
+    MONSOONWARD_FIELDS(ip, port)
+};
+
+struct RegionSpec
+{
+    RegionName name;
+    MONSOONWARD_FIELDS(name)
+};
+
+struct DataCentreSpec
+{
+    DataCentreName name;
+    RegionName region;
+    MONSOONWARD_FIELDS(name, region)
+};
+
+enum class HostRole { Entry, Target };
+
+/// @brief Whether something gets new work.
+enum class ServingState {
+    InService,
+    Draining, ///< no new work; requests in progress finish
+};
+
+struct HostSpec
+{
+    HostName name;
+    DataCentreName dataCentre;
+    HostRole role = HostRole::Target;
+    Address peerAddress; ///< where other daemons reach it
+    Address adminAddress; ///< metrics, dump and operators
+    ServingState state = ServingState::InService;
+    MONSOONWARD_FIELDS(name, dataCentre, role, peerAddress, adminAddress, state)
+};
+
+struct TierSpec
+{
+    Tier tier;
+    std::string name;
+    Duration defaultDeadline {};
+    MONSOONWARD_FIELDS(tier, name, defaultDeadline)
+};
+
+enum class ServiceKind { Model, Plain };
+
+/// @brief A call of a plain service that may be repeated: method and the beginning of its path.
+struct RepeatableCall
+{
+    std::string method;
+    std::string pathPrefix;
+    MONSOONWARD_FIELDS(method, pathPrefix)
+};
+
+struct ServiceSpec
+{
+    ServiceName name;
+    ServiceKind kind = ServiceKind::Model;
+    ModelName model;
+    std::string version;
+    std::vector<RepeatableCall> repeatableCalls;
+    MONSOONWARD_FIELDS(name, kind, model, version, repeatableCalls)
+};
+
+/// @brief What serves one service on one host: one or more engines, or one plain back end.
+struct TargetSpec
+{
+    TargetName name;
+    HostName host;
+    ServiceName service;
+    ServingState state = ServingState::InService;
+    bool checksFencing = false; ///< whether its engines refuse orders with an old fencing number
+    MONSOONWARD_FIELDS(name, host, service, state, checksFencing)
+};
+
+struct EngineSpec
+{
+    EngineName name;
+    TargetName target;
+    Address address;
+    std::string generation; ///< hardware generation
+    std::uint32_t maxBatch = 0; ///< requests it decodes at once
+    std::uint64_t cacheTokens = 0; ///< size of its prefix cache
+    MONSOONWARD_FIELDS(name, target, address, generation, maxBatch, cacheTokens)
+};
+
+/// @brief A customer's limits over all entries; 0 means no limit.
+struct CustomerLimits
+{
+    std::uint32_t requestsInProgress = 0;
+    std::uint32_t tokensInProgress = 0;
+    double requestsPerSecond = 0;
+    double tokensPerSecond = 0;
+    MONSOONWARD_FIELDS(requestsInProgress, tokensInProgress, requestsPerSecond, tokensPerSecond)
+};
+
+struct CustomerSpec
+{
+    CustomerName name;
+    std::vector<std::string> keyHashes; ///< SHA-256 of each key, hexadecimal
+    std::vector<Tier> tiers; ///< tiers it may use
+    double weight = 1; ///< its share within a tier
+    CustomerLimits limits;
+    MONSOONWARD_FIELDS(name, keyHashes, tiers, weight, limits)
+};
+
+enum class OperatorRight { Read, Plan, Confirm };
+
+struct OperatorSpec
+{
+    std::string name;
+    std::string tokenHash; ///< SHA-256 of the token, hexadecimal
+    std::vector<OperatorRight> rights;
+    MONSOONWARD_FIELDS(name, tokenHash, rights)
+};
+
+/// @brief Everything that operators declare, at one revision. Each list is sorted by name.
+struct Configuration
+{
+    Revision revision = 0;
+    std::vector<RegionSpec> regions;
+    std::vector<DataCentreSpec> dataCentres;
+    std::vector<HostSpec> hosts;
+    std::vector<TierSpec> tiers;
+    std::vector<ServiceSpec> services;
+    std::vector<TargetSpec> targets;
+    std::vector<EngineSpec> engines;
+    std::vector<CustomerSpec> customers;
+    std::vector<OperatorSpec> operators;
+    MONSOONWARD_FIELDS(revision, regions, dataCentres, hosts, tiers, services, targets, engines, customers, operators)
+};
+
+using ConfigurationPtr = std::shared_ptr<const Configuration>;
+
+/// @return the entry of @p list named @p name, or null. @p list is sorted by name.
+template<class Spec, class Key>
+const Spec *find(const std::vector<Spec> &list, const Key &name)
+{
+    std::size_t low = 0;
+    std::size_t high = list.size();
+    while (low < high) {
+        const std::size_t middle = low + (high - low) / 2;
+        if (list[middle].name < name) {
+            low = middle + 1;
+        } else {
+            high = middle;
+        }
+    }
+    return low < list.size() && list[low].name == name ? &list[low] : nullptr;
+}
+
+/// @return the region of the host, or an empty name when the host or its data centre is unknown
+RegionName regionOf(const Configuration &configuration, const HostName &host);
+
+} // namespace monsoonward
--- /dev/null
+++ b/packages/values/include/monsoonward/values/eventlog.h
@@ -0,0 +1,49 @@
+#pragma once
+
+#include <string>
+
+/// Numbered events for operators. docs/EVENTS.md is their catalogue.
+namespace monsoonward
+{
+
+/// @brief Number of a log event. Numbers are stable: never reused, never renumbered.
+enum class Event : int {
+    // 1000: daemon and its supervisor
+    DaemonStarted = 1001,
+    DaemonStopping = 1002,
+    DaemonStopped = 1003,
+    ChildRestarted = 1004,
+    InvariantViolated = 1005,
+    // 2000: hand-over, membership, idempotency
+    PeerUp = 2001,
+    PeerDown = 2002,
+    RequestLost = 2003,
+    // 3000: policy
+    TiersClosed = 3001,
+    TiersReopened = 3002,
+    // 4000: configuration and plans
+    ConfigurationAdopted = 4001,
+    // 5000: platform services
+    StoreUnavailable = 5001,
+    StoreRecovered = 5002,
+};
+
+enum class Severity { Info, Warning, Error };
+
+/// @brief Receives events; the daemon's writes them through log4cplus.
+class EventLog
+{
+public:
+    virtual ~EventLog() = default;
+    /// @param text the values concerned, in one line
+    virtual void record(Event event, Severity severity, const std::string &text) = 0;
+};
+
+/// @brief Drops every event.
+class NullEventLog : public EventLog
+{
+public:
+    void record(Event event, Severity severity, const std::string &text) override;
+};
+
+} // namespace monsoonward
--- /dev/null
+++ b/packages/values/include/monsoonward/values/values.h
@@ -0,0 +1,14 @@
+#pragma once
+
+/// The public header of the values package: names, IDs, time, verdicts, errors, messages and the configuration.
+#include "monsoonward/values/configuration.h"
+#include "monsoonward/values/error.h"
+#include "monsoonward/values/eventlog.h"
+#include "monsoonward/values/invariant.h"
+#include "monsoonward/values/messages.h"
+#include "monsoonward/values/name.h"
+#include "monsoonward/values/random.h"
+#include "monsoonward/values/requestid.h"
+#include "monsoonward/values/tied.h"
+#include "monsoonward/values/time.h"
+#include "monsoonward/values/verdict.h"
--- /dev/null
+++ b/packages/values/src/invariant.cpp
@@ -0,0 +1,29 @@
+#include "monsoonward/values/invariant.h"
+
+#include <atomic>
+
+namespace monsoonward
+{
+
+namespace
+{
+std::atomic<InvariantHandler *> installedHandler {nullptr};
+} // namespace
+
+void setInvariantHandler(InvariantHandler *handler)
+{
+    installedHandler = handler;
+}
+
+void checkInvariant(bool holds, const char *name, const std::string &detail)
+{
+    if (holds) {
+        return;
+    }
+    if (auto *handler = installedHandler.load()) {
+        handler->violated(name, detail);
+    }
+    throw InvariantViolation(std::string(name) + ": " + detail);
+}
+
+} // namespace monsoonward
