--- /dev/null
+++ b/packages/ini/src/parse.cpp
@@ -0,0 +1,120 @@
+#include "monsoonward/ini/ini.h"
+
+#include <cxxtools/iniparser.h>
+
+#include <cstring>
+#include <fstream>
+#include <sstream>
+
+namespace monsoonward
+{
+
+namespace
+{
+
+/// Collects what the library's parser reports, with the line that is being read.
+class Collector : public cxxtools::IniParser::Event
+{
+public:
+    explicit Collector(IniFile &file)
+        : m_file(file)
+    {
+        m_file.sections.push_back({});
+    }
+
+    using Event::onKey;
+    using Event::onSection;
+    using Event::onValue;
+
+    bool onSection(const std::string &section) override
+    {
+        m_file.sections.push_back({section, line, {}});
+        return false;
+    }
+
+    bool onKey(const std::string &key) override
+    {
+        m_file.sections.back().entries.push_back({key, "", line});
+        return false;
+    }
+
+    bool onValue(const std::string &value) override
+    {
+        m_file.sections.back().entries.back().value = value;
+        return false;
+    }
+
+    bool onError() override
+    {
+        failed = true;
+        return true;
+    }
+
+    unsigned line = 1;
+    bool failed = false;
+
+private:
+    IniFile &m_file;
+};
+
+void feed(cxxtools::IniParser &parser, Collector &collector, const std::string &text)
+{
+    for (const char it : text) {
+        if (parser.parse(cxxtools::Char(static_cast<unsigned char>(it)))) {
+            return;
+        }
+        if (it == '\n') {
+            ++collector.line;
+        }
+    }
+    parser.end();
+}
+
+} // namespace
+
+IniFile parseIni(const std::string &file, const std::string &text)
+{
+    IniFile result;
+    if (text.size() > maxIniBytes) {
+        result.errors.push_back({file, 0, "", "larger than " + std::to_string(maxIniBytes) + " bytes"});
+        return result;
+    }
+    Collector collector(result);
+    try {
+        cxxtools::IniParser parser(collector);
+        feed(parser, collector, text + "\n");
+    } catch (const std::exception &) {
+        collector.failed = true;
+    }
+    if (collector.failed) {
+        result.errors.push_back({file, collector.line, "", "not a section, a \"key = value\" line or a comment"});
+    }
+    return result;
+}
+
+IniFile loadIni(const std::string &file)
+{
+    std::ifstream in(file, std::ios::binary);
+    if (!in) {
+        IniFile result;
+        result.errors.push_back({file, 0, "", "can't be read: " + std::string(std::strerror(errno))});
+        return result;
+    }
+    std::ostringstream text;
+    text << in.rdbuf();
+    return parseIni(file, text.str());
+}
+
+std::string textOf(const IniError &error)
+{
+    std::string text = error.file;
+    if (error.line != 0) {
+        text += ":" + std::to_string(error.line);
+    }
+    if (!error.key.empty()) {
+        text += ": " + error.key;
+    }
+    return text + ": " + error.message;
+}
+
+} // namespace monsoonward
--- /dev/null
+++ b/packages/ini/src/parse_test.cpp
@@ -0,0 +1,48 @@
+#include "monsoonward/ini/ini.h"
+
+#include <doctest/doctest.h>
+
+using namespace monsoonward;
+
+TEST_CASE("sections and keys know their lines")
+{
+    const auto file = parseIni("a.ini", "; comment\n[one two]\nkey = some value\n\n[three]\nx=1\ny = \"a = b\"");
+    REQUIRE(file.errors.empty());
+    REQUIRE(file.sections.size() == 3);
+    CHECK(file.sections[1].name == "one two");
+    CHECK(file.sections[1].line == 2);
+    CHECK(file.sections[1].entries == std::vector<IniEntry> {{"key", "some value", 3}});
+    CHECK(file.sections[2].entries == std::vector<IniEntry> {{"x", "1", 6}, {"y", "a = b", 7}});
+}
+
+TEST_CASE("a line that is no entry is an error with its line")
+{
+    const auto file = parseIni("a.ini", "[one]\nx = 1\njust words\n");
+    REQUIRE(file.errors.size() == 1);
+    CHECK(file.errors[0].line == 3);
+}
+
+TEST_CASE("durations need a known unit and must fit")
+{
+    CHECK(parseDuration("250 ms").value() == std::chrono::milliseconds(250));
+    CHECK(parseDuration("2min").value() == std::chrono::minutes(2));
+    CHECK_FALSE(parseDuration("250"));
+    CHECK_FALSE(parseDuration("ms"));
+    CHECK_FALSE(parseDuration("-1 s"));
+    CHECK_FALSE(parseDuration("99999999999999 d"));
+}
+
+TEST_CASE("addresses are IP numbers with a port")
+{
+    CHECK(parseAddress("127.0.0.1:80").value() == Address {"127.0.0.1", 80});
+    CHECK(parseAddress("[::1]:80").value() == Address {"::1", 80});
+    CHECK_FALSE(parseAddress("localhost:80"));
+    CHECK_FALSE(parseAddress("127.0.0.1"));
+    CHECK_FALSE(parseAddress("127.0.0.1:65536"));
+}
+
+TEST_CASE("lists are split at commas")
+{
+    CHECK(splitList(" a, b ,,c ") == std::vector<std::string> {"a", "b", "c"});
+    CHECK(splitList("").empty());
+}
--- /dev/null
+++ b/packages/ini/src/typedvalues.cpp
@@ -0,0 +1,105 @@
+#include "monsoonward/ini/ini.h"
+
+#include <boost/algorithm/string/trim.hpp>
+#include <boost/asio/ip/address.hpp>
+
+#include <array>
+#include <charconv>
+#include <limits>
+
+namespace monsoonward
+{
+
+namespace
+{
+
+struct Unit
+{
+    const char *name;
+    Duration length;
+};
+
+const std::array<Unit, 7> units {{{"ns", std::chrono::nanoseconds(1)},
+                                  {"us", std::chrono::microseconds(1)},
+                                  {"ms", std::chrono::milliseconds(1)},
+                                  {"s", std::chrono::seconds(1)},
+                                  {"min", std::chrono::minutes(1)},
+                                  {"h", std::chrono::hours(1)},
+                                  {"d", std::chrono::hours(24)}}};
+
+Error invalid(const std::string &text, const char *allowed)
+{
+    return {ErrorCode::Invalid, "\"" + text + "\" is not " + allowed};
+}
+
+} // namespace
+
+Result<std::uint64_t> parseNumber(const std::string &text, std::uint64_t last)
+{
+    std::uint64_t n = 0;
+    const char *end = text.data() + text.size();
+    const auto [stop, ec] = std::from_chars(text.data(), end, n);
+    if (ec != std::errc() || stop != end || n > last) {
+        return invalid(text, ("a whole number up to " + std::to_string(last)).c_str());
+    }
+    return n;
+}
+
+Result<Duration> parseDuration(const std::string &text)
+{
+    constexpr const char *allowed = "a whole number with a unit (ns, us, ms, s, min, h, d)";
+    const auto digits = text.find_first_not_of("0123456789");
+    if (digits == std::string::npos || digits == 0) {
+        return invalid(text, allowed);
+    }
+    const auto name = boost::trim_copy(text.substr(digits));
+    for (const auto &it : units) {
+        if (name != it.name) {
+            continue;
+        }
+        const auto last = static_cast<std::uint64_t>(Duration::max().count() / it.length.count());
+        const auto n = parseNumber(text.substr(0, digits), last);
+        if (!n) {
+            return n.error();
+        }
+        return it.length * static_cast<Duration::rep>(n.value());
+    }
+    return invalid(text, allowed);
+}
+
+Result<Address> parseAddress(const std::string &text)
+{
+    constexpr const char *allowed = "an IP number and a port, as in 127.0.0.1:8080";
+    const auto colon = text.rfind(':');
+    if (colon == std::string::npos || colon == 0) {
+        return invalid(text, allowed);
+    }
+    auto ip = text.substr(0, colon);
+    if (ip.front() == '[' && ip.back() == ']') {
+        ip = ip.substr(1, ip.size() - 2);
+    }
+    boost::system::error_code ec;
+    boost::asio::ip::make_address(ip, ec);
+    const auto port = parseNumber(text.substr(colon + 1), std::numeric_limits<std::uint16_t>::max());
+    if (ec || !port) {
+        return invalid(text, allowed);
+    }
+    return Address {ip, static_cast<std::uint16_t>(port.value())};
+}
+
+std::vector<std::string> splitList(const std::string &text)
+{
+    std::vector<std::string> parts;
+    std::size_t begin = 0;
+    while (begin <= text.size()) {
+        const auto comma = std::min(text.find(',', begin), text.size());
+        const auto part = boost::trim_copy(text.substr(begin, comma - begin));
+        if (!part.empty()) {
+            parts.push_back(part);
+        }
+        begin = comma + 1;
+    }
+    return parts;
+}
+
+} // namespace monsoonward
