--- a/packages/daemon/include/monsoonward/daemon/settings.h
+++ b/packages/daemon/include/monsoonward/daemon/settings.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <monsoonward/ini/ini.h>
 #include <monsoonward/values/values.h>
 
 #include <string>
@@ -39,23 +40,35 @@
     Duration storeTimeout {};
     // [log]
     std::string logLevel;
-};
-
-/// @brief One thing wrong with a settings file.
-struct SettingsError
-{
-    std::string file;
-    unsigned line = 0; ///< 0: the file as a whole
-    std::string key; ///< section.key
-    std::string message; ///< what is wrong and what is allowed
-    MONSOONWARD_FIELDS(file, line, key, message)
+    MONSOONWARD_FIELDS(role,
+                       host,
+                       region,
+                       dataCentre,
+                       shutdownBound,
+                       peerListen,
+                       sharedSecret,
+                       entries,
+                       heartbeatInterval,
+                       heartbeatTimeout,
+                       callerListen,
+                       streamListen,
+                       maxBodyBytes,
+                       maxOpenRequests,
+                       maxThreads,
+                       adminListen,
+                       bootstrapTokenHash,
+                       table,
+                       objects,
+                       hostList,
+                       storeTimeout,
+                       logLevel)
 };
 
 /// @brief Settings, or every error of the file.
 struct SettingsResult
 {
     Settings settings;
-    std::vector<SettingsError> errors;
+    std::vector<IniError> errors;
 };
 
 /// @param file name for error messages
@@ -63,7 +76,7 @@
 SettingsResult parseSettings(const std::string &file, const std::string &text);
 /// Reads and parses the file; an unreadable file is one error.
 SettingsResult loadSettings(const std::string &file);
-/// @return "file:line: section.key: message"
-std::string textOf(const SettingsError &error);
+/// @return the page docs/SETTINGS.md, made from the same table that the parser uses
+std::string settingsPage();
 
 } // namespace monsoonward
--- /dev/null
+++ b/packages/daemon/src/settingskeys.cpp
@@ -0,0 +1,301 @@
+#include "settingskeys.h"
+
+#include <algorithm>
+
+namespace monsoonward
+{
+
+namespace
+{
+
+using Read = std::function<Result<void>(const std::string &, Settings &)>;
+
+constexpr std::size_t minSecretCharacters = 16;
+constexpr std::size_t sha256HexDigits = 64;
+
+Error notAllowed(const std::string &text)
+{
+    return {ErrorCode::Invalid, "\"" + text + "\" is not allowed"};
+}
+
+Read readName(std::function<void(Settings &, const std::string &)> set)
+{
+    return [set = std::move(set)](const std::string &text, Settings &settings) -> Result<void> {
+        const auto isNameCharacter = [](unsigned char it) {
+            return std::isalnum(it) != 0 || it == '-' || it == '.' || it == '_';
+        };
+        if (text.empty() || !std::all_of(text.begin(), text.end(), isNameCharacter)) {
+            return notAllowed(text);
+        }
+        set(settings, text);
+        return boost::outcome_v2::success();
+    };
+}
+
+Read readDuration(Duration Settings::*member, Duration first, Duration last)
+{
+    return [=](const std::string &text, Settings &settings) -> Result<void> {
+        const auto value = parseDuration(text);
+        if (!value) {
+            return value.error();
+        }
+        if (value.value() < first || value.value() > last) {
+            return notAllowed(text);
+        }
+        settings.*member = value.value();
+        return boost::outcome_v2::success();
+    };
+}
+
+Read readNumber(std::uint32_t Settings::*member, std::uint32_t first, std::uint32_t last)
+{
+    return [=](const std::string &text, Settings &settings) -> Result<void> {
+        const auto value = parseNumber(text, last);
+        if (!value) {
+            return value.error();
+        }
+        if (value.value() < first) {
+            return notAllowed(text);
+        }
+        settings.*member = static_cast<std::uint32_t>(value.value());
+        return boost::outcome_v2::success();
+    };
+}
+
+Read readAddress(Address Settings::*member)
+{
+    return [=](const std::string &text, Settings &settings) -> Result<void> {
+        const auto value = parseAddress(text);
+        if (!value) {
+            return value.error();
+        }
+        settings.*member = value.value();
+        return boost::outcome_v2::success();
+    };
+}
+
+Result<void> readRole(const std::string &text, Settings &settings)
+{
+    if (text != "entry" && text != "target") {
+        return notAllowed(text);
+    }
+    settings.role = text == "entry" ? HostRole::Entry : HostRole::Target;
+    return boost::outcome_v2::success();
+}
+
+Result<void> readSecret(const std::string &text, Settings &settings)
+{
+    if (text.size() < minSecretCharacters) {
+        return Error {ErrorCode::Invalid, "the secret is too short"}; // never repeats the secret
+    }
+    settings.sharedSecret = text;
+    return boost::outcome_v2::success();
+}
+
+Result<void> readEntries(const std::string &text, Settings &settings)
+{
+    for (const auto &it : splitList(text)) {
+        const auto value = parseAddress(it);
+        if (!value) {
+            return value.error();
+        }
+        settings.entries.push_back(value.value());
+    }
+    return boost::outcome_v2::success();
+}
+
+Result<void> readTokenHash(const std::string &text, Settings &settings)
+{
+    const auto isHex = [](unsigned char it) { return std::isxdigit(it) != 0 && std::isupper(it) == 0; };
+    if (!text.empty() && (text.size() != sha256HexDigits || !std::all_of(text.begin(), text.end(), isHex))) {
+        return notAllowed(text);
+    }
+    settings.bootstrapTokenHash = text;
+    return boost::outcome_v2::success();
+}
+
+Result<void> readLogLevel(const std::string &text, Settings &settings)
+{
+    if (text != "info" && text != "warning" && text != "error") {
+        return notAllowed(text);
+    }
+    settings.logLevel = text;
+    return boost::outcome_v2::success();
+}
+
+std::vector<SettingsKey> makeKeys()
+{
+    using std::chrono::hours;
+    using std::chrono::milliseconds;
+    using std::chrono::minutes;
+    using std::chrono::seconds;
+    const std::string name = "letters, digits, '-', '.', '_'";
+    const std::string address = "IP number:port";
+    return {
+        {"daemon", "role", Needed::Always, "", "", "entry or target", "What this process is.", readRole},
+        {"daemon",
+         "host",
+         Needed::Always,
+         "",
+         "",
+         name,
+         "The host's name, as declared.",
+         readName([](Settings &it, const std::string &text) { it.host = HostName(text); })},
+        {"daemon",
+         "region",
+         Needed::Always,
+         "",
+         "",
+         name,
+         "The host's region, as declared.",
+         readName([](Settings &it, const std::string &text) { it.region = RegionName(text); })},
+        {"daemon",
+         "data-centre",
+         Needed::Always,
+         "",
+         "",
+         name,
+         "The host's data centre, as declared.",
+         readName([](Settings &it, const std::string &text) { it.dataCentre = DataCentreName(text); })},
+        {"daemon",
+         "shutdown-bound",
+         Needed::Optional,
+         "0 s",
+         "time",
+         "0 s to 24 h",
+         "A graceful shutdown cuts what is left after this; 0 waits for every request.",
+         readDuration(&Settings::shutdownBound, Duration {}, hours(24))},
+        {"peer",
+         "listen",
+         Needed::Always,
+         "",
+         "",
+         address,
+         "Where other daemons reach this one.",
+         readAddress(&Settings::peerListen)},
+        {"peer",
+         "secret",
+         Needed::Always,
+         "",
+         "",
+         "16 characters or more",
+         "Shared by all daemons; one without it can neither give nor take work.",
+         readSecret},
+        {"peer",
+         "entries",
+         Needed::Optional,
+         "",
+         "",
+         "addresses separated by commas",
+         "Entries to connect to before a configuration is known.",
+         readEntries},
+        {"peer",
+         "heartbeat-interval",
+         Needed::Optional,
+         "300 ms",
+         "time",
+         "50 ms to 10 s",
+         "Time between heartbeats.",
+         readDuration(&Settings::heartbeatInterval, milliseconds(50), seconds(10))},
+        {"peer",
+         "heartbeat-timeout",
+         Needed::Optional,
+         "1500 ms",
+         "time",
+         "100 ms to 60 s",
+         "A peer that is silent for this long is taken for dead.",
+         readDuration(&Settings::heartbeatTimeout, milliseconds(100), minutes(1))},
+        {"callers",
+         "listen",
+         Needed::Entry,
+         "",
+         "",
+         address,
+         "HTTP/1.1 for callers.",
+         readAddress(&Settings::callerListen)},
+        {"callers",
+         "stream-listen",
+         Needed::Optional,
+         "127.0.0.1:0",
+         "",
+         address + "; port 0: none",
+         "HTTP/2 for callers that want tokens as they come.",
+         readAddress(&Settings::streamListen)},
+        {"callers",
+         "max-body-bytes",
+         Needed::Optional,
+         "4194304",
+         "bytes",
+         "1024 to 15728640",
+         "Largest request body; a larger one is refused with 413.",
+         readNumber(&Settings::maxBodyBytes, 1024, 15U * 1024U * 1024U)},
+        {"callers",
+         "max-open-requests",
+         Needed::Optional,
+         "4096",
+         "requests",
+         "1 to 100000",
+         "Requests in progress at once; one more is refused with 503.",
+         readNumber(&Settings::maxOpenRequests, 1, 100000)},
+        {"callers",
+         "max-threads",
+         Needed::Optional,
+         "512",
+         "threads",
+         "4 to 10000",
+         "Threads of the HTTP/1.1 server: one for each request in progress there.",
+         readNumber(&Settings::maxThreads, 4, 10000)},
+        {"admin",
+         "listen",
+         Needed::Always,
+         "",
+         "",
+         address,
+         "Metrics, state dump and operators; separate from the callers.",
+         readAddress(&Settings::adminListen)},
+        {"admin",
+         "bootstrap-token-hash",
+         Needed::Optional,
+         "",
+         "",
+         "SHA-256 in 64 lower-case hexadecimal digits, or empty",
+         "Whose token may declare while no operator is configured.",
+         readTokenHash},
+        {"platform", "table", Needed::Always, "", "", address, "The table service.", readAddress(&Settings::table)},
+        {"platform", "objects", Needed::Always, "", "", address, "The object store.", readAddress(&Settings::objects)},
+        {"platform",
+         "host-list",
+         Needed::Always,
+         "",
+         "",
+         address,
+         "The list of live and leaving hosts.",
+         readAddress(&Settings::hostList)},
+        {"platform",
+         "timeout",
+         Needed::Optional,
+         "2 s",
+         "time",
+         "100 ms to 60 s",
+         "A call of the platform without an answer by then has failed.",
+         readDuration(&Settings::storeTimeout, milliseconds(100), minutes(1))},
+        {"log",
+         "level",
+         Needed::Optional,
+         "info",
+         "",
+         "info, warning or error",
+         "Least severity that is logged.",
+         readLogLevel},
+    };
+}
+
+} // namespace
+
+const std::vector<SettingsKey> &settingsKeys()
+{
+    static const std::vector<SettingsKey> keys = makeKeys();
+    return keys;
+}
+
+} // namespace monsoonward
