--- /dev/null
+++ b/tests/fuzz/scenario_fuzz.cpp
@@ -0,0 +1,14 @@
+#include <scenario.h>
+
+#include <stdexcept>
+#include <string>
+
+using namespace monsoonward;
+
+/// A scenario file: run against no fleet, so that only the language itself is met.
+extern "C" int LLVMFuzzerTestOneInput(const std::uint8_t *data, std::size_t size)
+{
+    const std::string text(reinterpret_cast<const char *>(data), size);
+    runScenario("fuzz.lua", text, []() -> std::unique_ptr<Fleet> { throw std::invalid_argument("no fleet"); });
+    return 0;
+}
--- /dev/null
+++ b/tests/fuzz/seeds.cpp
@@ -0,0 +1,40 @@
+#include <monsoonward/transport/transport.h>
+#include <sampleconfiguration.h>
+#include <samplemessages.h>
+
+#include <filesystem>
+#include <fstream>
+#include <iostream>
+
+using namespace monsoonward;
+
+namespace
+{
+
+void write(const std::filesystem::path &file, const std::string &bytes)
+{
+    std::filesystem::create_directories(file.parent_path());
+    std::ofstream(file, std::ios::binary) << bytes;
+}
+
+} // namespace
+
+/// Writes the seed corpora of binary formats below the directory given: one file for each kind of message, so that
+/// seeds always match the encoding.
+int main(int argc, char **argv)
+{
+    if (argc != 2) {
+        std::cerr << "usage: fuzz_seeds DIRECTORY\n";
+        return 2;
+    }
+    const std::filesystem::path directory = argv[1];
+    for (const auto &it : sampleMessages()) {
+        write(directory / "message" / it.kind, encode(it.message));
+    }
+    for (const unsigned customers : {0U, 1U, 5U}) {
+        ConfigurationSize size;
+        size.customers = customers;
+        write(directory / "configuration" / std::to_string(customers), encodeConfiguration(sampleConfiguration(size)));
+    }
+    return 0;
+}
