--- /dev/null
+++ b/bench/load/main.cpp
@@ -0,0 +1,98 @@
+// Sends a mix of requests through entries, or to an engine directly, and reports what each class got.
+#include "report.h"
+
+#include <boost/program_options.hpp>
+
+#include <future>
+#include <iostream>
+
+namespace po = boost::program_options;
+
+namespace
+{
+
+constexpr int exitWrongAnswer = 1;
+constexpr int exitUsage = 2;
+
+struct Options
+{
+    std::string mix;
+    std::vector<monsoonward::Address> entries;
+};
+
+/// @throws std::exception on wrong usage
+Options parseOptions(const po::variables_map &map)
+{
+    Options options;
+    options.mix = map["mix"].as<std::string>();
+    for (const auto &it : monsoonward::splitList(map["entries"].as<std::string>())) {
+        options.entries.push_back(monsoonward::parseAddress(it).value());
+    }
+    if (options.entries.empty()) {
+        throw std::invalid_argument("--entries names no address");
+    }
+    return options;
+}
+
+std::vector<load::ClassReport> run(const load::Mix &mix, const std::vector<monsoonward::Address> &entries)
+{
+    std::vector<load::ClassReport> reports;
+    std::vector<std::vector<std::future<std::vector<load::Sample>>>> callers;
+    unsigned threadNumber = 0;
+    for (const auto &it : mix.classes) {
+        auto &threads = callers.emplace_back();
+        for (unsigned n = 0; n < it.threads; ++n, ++threadNumber) {
+            const auto &entry = entries[threadNumber % entries.size()];
+            threads.push_back(std::async(std::launch::async, load::runCaller, it, entry, threadNumber));
+        }
+    }
+    for (std::size_t n = 0; n < callers.size(); ++n) {
+        auto &report = reports.emplace_back(load::ClassReport {mix.classes[n].name, mix.classes[n].tier, {}});
+        for (auto &it : callers[n]) {
+            const auto samples = it.get();
+            report.samples.insert(report.samples.end(), samples.begin(), samples.end());
+        }
+    }
+    return reports;
+}
+
+} // namespace
+
+int main(int argc, char **argv)
+{
+    po::options_description described("monsoonward_load");
+    auto add = described.add_options();
+    add("help", "print this text");
+    add("mix", po::value<std::string>()->required(), "INI file with [class NAME] sections");
+    add("entries", po::value<std::string>()->required(), "addresses, separated by commas");
+    Options options;
+    try {
+        po::variables_map map;
+        po::store(po::parse_command_line(argc, argv, described), map);
+        if (map.count("help") != 0) {
+            std::cout << described;
+            return 0;
+        }
+        po::notify(map);
+        options = parseOptions(map);
+    } catch (const std::exception &error) {
+        std::cerr << error.what() << "\n" << described;
+        return exitUsage;
+    }
+    const auto mix = load::loadMix(options.mix);
+    for (const auto &it : mix.errors) {
+        std::cerr << textOf(it) << "\n";
+    }
+    if (!mix.errors.empty()) {
+        return exitUsage;
+    }
+    const auto begin = std::chrono::steady_clock::now();
+    const auto reports = run(mix, options.entries);
+    const std::chrono::duration<double> length = std::chrono::steady_clock::now() - begin;
+    load::printReport(std::cout, reports, length.count());
+    if (!load::allOwnAndWhole(reports)) {
+        std::cerr << "an answer was not whole or not its caller's own\n";
+        return exitWrongAnswer;
+    }
+    return 0;
+}
