--- a/bench/load/mix.cpp
+++ b/bench/load/mix.cpp
@@ -11,7 +11,6 @@
 {
 
 using monsoonward::IniEntry;
-using monsoonward::IniSection;
 using monsoonward::parseDuration;
 using monsoonward::parseNumber;
 
