Report every syntax error of an INI file, not only the first

Cause: the library's parser stops at the first bad line, so an operator with three slips needed three runs. Each line now has a parser of its own; a bad line is reported and dropped and the next ones are read.

--- a/packages/ini/src/parse.cpp
+++ b/packages/ini/src/parse.cpp
@@ -50,6 +50,15 @@
         return true;
     }
 
+    /// Takes back what the current line gave.
+    void dropLine()
+    {
+        auto &entries = m_file.sections.back().entries;
+        if (!entries.empty() && entries.back().line == line) {
+            entries.pop_back();
+        }
+    }
+
     unsigned line = 1;
     bool failed = false;
 
@@ -57,17 +66,26 @@
     IniFile &m_file;
 };
 
-void feed(cxxtools::IniParser &parser, Collector &collector, const std::string &text)
+/// Parses one line with a parser of its own, so that a bad line doesn't hide what follows it.
+/// @return whether the line is well formed
+bool feed(Collector &collector, const std::string &line)
 {
-    for (const char it : text) {
-        if (parser.parse(cxxtools::Char(static_cast<unsigned char>(it)))) {
-            return;
+    collector.failed = false;
+    try {
+        cxxtools::IniParser parser(collector);
+        for (const char it : line) {
+            if (parser.parse(cxxtools::Char(static_cast<unsigned char>(it)))) {
+                break;
+            }
         }
-        if (it == '\n') {
-            ++collector.line;
+        if (!collector.failed) {
+            parser.parse(cxxtools::Char('\n'));
+            parser.end();
         }
+    } catch (const std::exception &) {
+        collector.failed = true;
     }
-    parser.end();
+    return !collector.failed;
 }
 
 } // namespace
@@ -80,14 +98,14 @@
         return result;
     }
     Collector collector(result);
-    try {
-        cxxtools::IniParser parser(collector);
-        feed(parser, collector, text + "\n");
-    } catch (const std::exception &) {
-        collector.failed = true;
-    }
-    if (collector.failed) {
-        result.errors.push_back({file, collector.line, "", "not a section, a \"key = value\" line or a comment"});
+    std::istringstream in(text);
+    std::string line;
+    while (std::getline(in, line)) {
+        if (!feed(collector, line)) {
+            collector.dropLine();
+            result.errors.push_back({file, collector.line, "", "not a section, a \"key = value\" line or a comment"});
+        }
+        ++collector.line;
     }
     return result;
 }
--- a/packages/ini/src/parse_test.cpp
+++ b/packages/ini/src/parse_test.cpp
@@ -22,6 +22,18 @@
     CHECK(file.errors[0].line == 3);
 }
 
+TEST_CASE("a bad line doesn't hide the errors and entries after it")
+{
+    const auto file = parseIni("a.ini", "just words\n[one]\nx = 1\nmore words\ny = 2\n[broken\nz = 3\n");
+    std::vector<unsigned> lines;
+    for (const auto &it : file.errors) {
+        lines.push_back(it.line);
+    }
+    CHECK(lines == std::vector<unsigned> {1, 4, 6});
+    REQUIRE(file.sections.size() == 2);
+    CHECK(file.sections[1].entries == std::vector<IniEntry> {{"x", "1", 3}, {"y", "2", 5}, {"z", "3", 7}});
+}
+
 TEST_CASE("durations need a known unit and must fit")
 {
     CHECK(parseDuration("250 ms").value() == std::chrono::milliseconds(250));
