--- /dev/null
+++ b/packages/platform/src/etcdjson.cpp
@@ -0,0 +1,120 @@
+#include "etcdjson.h"
+
+#include <cxxtools/base64codec.h>
+
+#include <nlohmann/json.hpp>
+
+#include <algorithm>
+
+namespace monsoonward
+{
+
+namespace
+{
+
+using Json = nlohmann::json;
+
+/// @return the smallest key above every key with @p prefix
+std::string endOf(std::string prefix)
+{
+    while (!prefix.empty() && static_cast<unsigned char>(prefix.back()) == 0xff) {
+        prefix.pop_back();
+    }
+    if (prefix.empty()) {
+        return std::string(1, '\0'); // the interface's word for "to the end of the table"
+    }
+    ++prefix.back();
+    return prefix;
+}
+
+/// Numbers that are 0 may be left out of an answer.
+std::uint64_t numberOf(const Json &json, const char *field)
+{
+    const auto it = json.find(field);
+    if (it == json.end()) {
+        return 0;
+    }
+    return it->is_string() ? std::stoull(it->get<std::string>()) : it->get<std::uint64_t>();
+}
+
+Row rowOf(const Json &json)
+{
+    Row row;
+    row.key = fromBase64(json.at("key").get<std::string>());
+    row.value = fromBase64(json.value("value", std::string()));
+    row.version = numberOf(json, "mod_revision");
+    return row;
+}
+
+} // namespace
+
+std::string toBase64(const std::string &bytes)
+{
+    return bytes.empty() ? std::string() : cxxtools::Base64Codec::encode(bytes);
+}
+
+std::string fromBase64(const std::string &text)
+{
+    return text.empty() ? std::string() : cxxtools::Base64Codec::decode(text);
+}
+
+std::string rangeRequest(const std::string &key)
+{
+    return Json {{"key", toBase64(key)}}.dump();
+}
+
+std::string scanRequest(const std::string &prefix, const std::string &after, std::size_t limit)
+{
+    const auto first = after < prefix ? prefix : after + '\0';
+    return Json {{"key", toBase64(first)}, {"range_end", toBase64(endOf(prefix))}, {"limit", std::to_string(limit)}}
+        .dump();
+}
+
+std::string txnRequest(const std::vector<RowWrite> &writes)
+{
+    Json compare = Json::array();
+    Json success = Json::array();
+    for (const auto &it : writes) {
+        const auto key = toBase64(it.key);
+        if (it.ifVersion) {
+            compare.push_back({{"key", key},
+                               {"target", "MOD"},
+                               {"result", "EQUAL"},
+                               {"mod_revision", std::to_string(*it.ifVersion)}});
+        }
+        if (it.value) {
+            success.push_back({{"request_put", {{"key", key}, {"value", toBase64(*it.value)}}}});
+        } else {
+            success.push_back({{"request_delete_range", {{"key", key}}}});
+        }
+    }
+    return Json {{"compare", compare}, {"success", success}}.dump();
+}
+
+Result<std::vector<Row>> parseRangeAnswer(const std::string &body)
+{
+    try {
+        const auto json = Json::parse(body);
+        std::vector<Row> rows;
+        for (const auto &it : json.value("kvs", Json::array())) {
+            rows.push_back(rowOf(it));
+        }
+        return rows;
+    } catch (const std::exception &error) {
+        return Error {ErrorCode::Unavailable, std::string("malformed answer of the table service: ") + error.what()};
+    }
+}
+
+Result<void> parseTxnAnswer(const std::string &body)
+{
+    try {
+        if (Json::parse(body).value("succeeded", false)) {
+            return boost::outcome_v2::success();
+        }
+        return Error {ErrorCode::Conflict, "a row was changed by another writer"};
+    } catch (const std::exception &error) {
+        return Error {ErrorCode::Unknown, std::string("malformed answer of the table service: ") + error.what()};
+    }
+}
+
+} // namespace monsoonward
--- /dev/null
+++ b/packages/platform/src/httpclients.cpp
@@ -0,0 +1,195 @@
+#include "monsoonward/platform/httpclients.h"
+
+#include "etcdjson.h"
+
+#include <nlohmann/json.hpp>
+
+#include <algorithm>
+
+namespace monsoonward
+{
+
+namespace
+{
+
+constexpr unsigned statusOk = 200;
+constexpr unsigned statusNotFound = 404;
+constexpr unsigned statusPreconditionFailed = 412;
+constexpr unsigned firstSuccess = 200;
+constexpr unsigned lastSuccess = 299;
+constexpr unsigned firstServerError = 500;
+
+bool isSuccess(unsigned status)
+{
+    return status >= firstSuccess && status <= lastSuccess;
+}
+
+/// A read has no effect, so it is never in doubt.
+Error asRead(const Error &error)
+{
+    return {ErrorCode::Unavailable, error.message};
+}
+
+Error readStatus(const std::string &what, unsigned status)
+{
+    return {ErrorCode::Unavailable, what + " answered with HTTP status " + std::to_string(status)};
+}
+
+/// A refusal of the request itself had no effect; after an error of the server a write is in doubt.
+Error writeStatus(const std::string &what, unsigned status)
+{
+    const auto code = status >= firstServerError ? ErrorCode::Unknown : ErrorCode::Unavailable;
+    return {code, what + " answered with HTTP status " + std::to_string(status)};
+}
+
+Result<std::vector<ListedHost>> parseHosts(const std::string &body)
+{
+    try {
+        std::vector<ListedHost> hosts;
+        for (const auto &group : nlohmann::json::parse(body)) {
+            const auto labels = group.value("labels", nlohmann::json::object());
+            const bool leaving = labels.value("state", std::string()) == "leaving";
+            for (const auto &it : group.at("targets")) {
+                hosts.push_back({HostName(it.get<std::string>()), leaving});
+            }
+        }
+        return hosts;
+    } catch (const std::exception &error) {
+        return Error {ErrorCode::Unavailable, std::string("malformed answer of the host list: ") + error.what()};
+    }
+}
+
+/// @return @p name with every byte but letters, digits, '-', '_' and '.' as %XX
+std::string escaped(const std::string &name)
+{
+    const auto *const digits = "0123456789ABCDEF";
+    std::string text;
+    for (const unsigned char it : name) {
+        if (std::isalnum(it) != 0 || it == '-' || it == '_' || it == '.') {
+            text.push_back(static_cast<char>(it));
+        } else {
+            text += {'%', digits[it / 16], digits[it % 16]};
+        }
+    }
+    return text;
+}
+
+} // namespace
+
+HttpTable::HttpTable(HttpWorkers &workers, const HttpService &service)
+    : m_workers(workers)
+    , m_service(service)
+{
+}
+
+HttpCall HttpTable::call(const std::string &path, const std::string &body) const
+{
+    return {m_service.address, "POST", path, {{"Content-Type", "application/json"}}, body, m_service.timeout};
+}
+
+void HttpTable::read(const std::string &key, ReadCallback done)
+{
+    m_workers.submit(call("/v3/kv/range", rangeRequest(key)), [done](const Result<HttpAnswer> &answer) {
+        if (!answer) {
+            return done(asRead(answer.error()));
+        }
+        if (answer.value().status != statusOk) {
+            return done(readStatus("the table service", answer.value().status));
+        }
+        const auto rows = parseRangeAnswer(answer.value().body);
+        if (!rows) {
+            return done(rows.error());
+        }
+        done(rows.value().empty() ? std::nullopt : std::optional<Row>(rows.value().front()));
+    });
+}
+
+void HttpTable::scan(const std::string &prefix, const std::string &after, std::size_t limit, ScanCallback done)
+{
+    m_workers.submit(call("/v3/kv/range", scanRequest(prefix, after, limit)), [done](const Result<HttpAnswer> &answer) {
+        if (!answer) {
+            return done(asRead(answer.error()));
+        }
+        if (answer.value().status != statusOk) {
+            return done(readStatus("the table service", answer.value().status));
+        }
+        done(parseRangeAnswer(answer.value().body));
+    });
+}
+
+void HttpTable::write(const std::vector<RowWrite> &writes, WriteCallback done)
+{
+    m_workers.submit(call("/v3/kv/txn", txnRequest(writes)), [done](const Result<HttpAnswer> &answer) {
+        if (!answer) {
+            return done(answer.error());
+        }
+        if (answer.value().status != statusOk) {
+            return done(writeStatus("the table service", answer.value().status));
+        }
+        done(parseTxnAnswer(answer.value().body));
+    });
+}
+
+HttpObjectStore::HttpObjectStore(HttpWorkers &workers, const HttpService &service)
+    : m_workers(workers)
+    , m_service(service)
+{
+}
+
+void HttpObjectStore::get(const std::string &name, GetCallback done)
+{
+    const HttpCall call {m_service.address, "GET", "/objects/" + escaped(name), {}, {}, m_service.timeout};
+    m_workers.submit(call, [done, name](const Result<HttpAnswer> &answer) {
+        if (!answer) {
+            return done(asRead(answer.error()));
+        }
+        if (answer.value().status == statusNotFound) {
+            return done(Error {ErrorCode::NotFound, "object \"" + name + "\" does not exist"});
+        }
+        if (answer.value().status != statusOk) {
+            return done(readStatus("the object store", answer.value().status));
+        }
+        done(answer.value().body);
+    });
+}
+
+void HttpObjectStore::put(const std::string &name, const std::string &bytes, PutCallback done)
+{
+    const HttpCall call {m_service.address,
+                         "PUT",
+                         "/objects/" + escaped(name),
+                         {{"If-None-Match", "*"}, {"Content-Type", "application/octet-stream"}},
+                         bytes,
+                         m_service.timeout};
+    m_workers.submit(call, [done](const Result<HttpAnswer> &answer) {
+        if (!answer) {
+            return done(answer.error());
+        }
+        if (isSuccess(answer.value().status) || answer.value().status == statusPreconditionFailed) {
+            return done(boost::outcome_v2::success());
+        }
+        done(writeStatus("the object store", answer.value().status));
+    });
+}
+
+HttpHostList::HttpHostList(HttpWorkers &workers, const HttpService &service)
+    : m_workers(workers)
+    , m_service(service)
+{
+}
+
+void HttpHostList::fetch(Callback done)
+{
+    const HttpCall call {m_service.address, "GET", "/hosts", {}, {}, m_service.timeout};
+    m_workers.submit(call, [done](const Result<HttpAnswer> &answer) {
+        if (!answer) {
+            return done(asRead(answer.error()));
+        }
+        if (answer.value().status != statusOk) {
+            return done(readStatus("the host list", answer.value().status));
+        }
+        done(parseHosts(answer.value().body));
+    });
+}
+
+} // namespace monsoonward
--- /dev/null
+++ b/packages/platform/src/httpworkers.cpp
@@ -0,0 +1,108 @@
+#include "monsoonward/platform/httpworkers.h"
+
+#include "httprequest.h"
+
+#include <condition_variable>
+#include <deque>
+#include <mutex>
+#include <thread>
+
+namespace monsoonward
+{
+
+namespace
+{
+
+struct Job
+{
+    HttpCall call;
+    TimePoint deadline;
+    HttpWorkers::Callback done;
+};
+
+} // namespace
+
+class HttpWorkers::Impl
+{
+public:
+    Impl(Executor &executor, unsigned threads)
+        : m_executor(executor)
+    {
+        for (unsigned n = 0; n < threads; ++n) {
+            m_threads.emplace_back([this] { run(); });
+        }
+    }
+
+    ~Impl()
+    {
+        {
+            const std::lock_guard lock(m_mutex);
+            m_stopping = true;
+        }
+        m_wake.notify_all();
+        for (auto &it : m_threads) {
+            it.join();
+        }
+        for (const auto &it : m_jobs) {
+            finish(it, Error {ErrorCode::Unavailable, "the process is stopping"});
+        }
+    }
+
+    void submit(const HttpCall &call, Callback done)
+    {
+        Job job {call, m_clock.now() + call.timeout, std::move(done)};
+        {
+            const std::lock_guard lock(m_mutex);
+            if (m_jobs.size() < maxQueuedCalls) {
+                m_jobs.push_back(std::move(job));
+                m_wake.notify_one();
+                return;
+            }
+        }
+        finish(job,
+               Error {ErrorCode::Unavailable, std::to_string(maxQueuedCalls) + " calls to the platform wait already"});
+    }
+
+private:
+    void run()
+    {
+        while (true) {
+            std::unique_lock lock(m_mutex);
+            m_wake.wait(lock, [this] { return m_stopping || !m_jobs.empty(); });
+            if (m_stopping) {
+                return;
+            }
+            const auto job = std::move(m_jobs.front());
+            m_jobs.pop_front();
+            lock.unlock();
+            finish(job, executeHttp(job.call, m_clock, job.deadline));
+        }
+    }
+
+    void finish(const Job &job, const Result<HttpAnswer> &answer)
+    {
+        m_executor.post([done = job.done, answer] { done(answer); });
+    }
+
+    Executor &m_executor;
+    SystemClock m_clock;
+    std::mutex m_mutex;
+    std::condition_variable m_wake;
+    std::deque<Job> m_jobs;
+    bool m_stopping = false;
+    std::vector<std::thread> m_threads;
+};
+
+HttpWorkers::HttpWorkers(Executor &executor, unsigned threads)
+    : m_impl(std::make_unique<Impl>(executor, threads))
+{
+}
+
+HttpWorkers::~HttpWorkers() = default;
+
+void HttpWorkers::submit(const HttpCall &call, Callback done)
+{
+    m_impl->submit(call, std::move(done));
+}
+
+} // namespace monsoonward
