--- /dev/null
+++ b/packages/control/src/change.h
@@ -0,0 +1,40 @@
+#pragma once
+
+#include <monsoonward/values/values.h>
+
+#include <string>
+#include <string_view>
+
+namespace monsoonward
+{
+
+/// @brief What turns one configuration into another: whole entries that are new or different, and entries that go.
+struct ConfigurationChange
+{
+    Configuration upserted; ///< its revision is unused
+    Configuration removed; ///< only the names of its entries count
+    MONSOONWARD_FIELDS(upserted, removed)
+};
+
+/// Hash over all entries that doesn't depend on their order, so that a change updates it without a pass over the rest.
+using ContentHash = std::uint64_t;
+
+/// Sorts each list by name (tiers by level).
+void sortLists(Configuration &configuration);
+/// @return what turns @p from into @p to; both sorted
+ConfigurationChange difference(const Configuration &from, const Configuration &to);
+bool isEmpty(const ConfigurationChange &change);
+/// @return @p base with @p change applied, with its revision one higher
+Configuration applied(const Configuration &base, const ConfigurationChange &change);
+ContentHash contentHash(const Configuration &configuration);
+/// @return contentHash(applied(base, change)), given @p hash of @p base
+ContentHash hashAfter(ContentHash hash, const Configuration &base, const ConfigurationChange &change);
+
+std::string encodeChange(const ConfigurationChange &change);
+/// @return the change, or Invalid
+Result<ConfigurationChange> decodeChange(std::string_view bytes);
+
+/// @return one line for each entry of the change, such as "change target isole-3"
+std::vector<std::string> describe(const ConfigurationChange &change, const Configuration &base);
+
+} // namespace monsoonward
--- /dev/null
+++ b/packages/control/src/configurationlists.h
@@ -0,0 +1,63 @@
+#pragma once
+
+#include <monsoonward/values/values.h>
+
+/// Visits the lists of one or several configurations side by side.
+namespace monsoonward
+{
+
+template<class Spec>
+const auto &keyOf(const Spec &spec)
+{
+    return spec.name;
+}
+inline const Tier &keyOf(const TierSpec &spec)
+{
+    return spec.tier;
+}
+
+inline std::string keyText(const std::string &key)
+{
+    return key;
+}
+inline std::string keyText(Tier key)
+{
+    return std::to_string(key.level());
+}
+template<class Tag>
+std::string keyText(const Name<Tag> &key)
+{
+    return key.text();
+}
+
+/// Calls @p visit with the word for the entries and each list of every configuration.
+template<class Visit, class... Configurations>
+void forEachList(Visit visit, Configurations &...it)
+{
+    visit("region", it.regions...);
+    visit("data-centre", it.dataCentres...);
+    visit("host", it.hosts...);
+    visit("tier", it.tiers...);
+    visit("service", it.services...);
+    visit("target", it.targets...);
+    visit("engine", it.engines...);
+    visit("customer", it.customers...);
+    visit("operator", it.operators...);
+}
+
+/// @return the entry of @p list with @p key, or its end; @p list is sorted
+template<class List, class Key>
+auto lowerBound(List &list, const Key &key)
+{
+    return std::lower_bound(
+        list.begin(), list.end(), key, [](const auto &spec, const Key &other) { return keyOf(spec) < other; });
+}
+
+template<class List, class Key>
+auto *findByKey(List &list, const Key &key)
+{
+    const auto it = lowerBound(list, key);
+    return it != list.end() && keyOf(*it) == key ? &*it : nullptr;
+}
+
+} // namespace monsoonward
--- a/packages/control/src/placeholder.cpp
+++ /dev/null
@@ -1,1 +0,0 @@
-#include "monsoonward/control/control.h"
--- /dev/null
+++ b/packages/control/src/sectionreader.h
@@ -0,0 +1,56 @@
+#pragma once
+
+#include <monsoonward/ini/ini.h>
+
+#include <optional>
+#include <set>
+
+namespace monsoonward
+{
+
+/// @brief One section of a file of declarations, its heading split into kind and name.
+struct DeclarationSection
+{
+    std::string kind;
+    std::string name;
+    std::string file;
+    IniSection ini;
+};
+
+/// @brief Reads typed values from one section and notes every error with its line.
+class SectionReader
+{
+public:
+    SectionReader(const DeclarationSection &section, std::vector<IniError> &errors);
+
+    /// Each takes the key's value, or @p fallback when the key is missing. A missing key without fallback is an error.
+    std::string text(const std::string &key, const std::optional<std::string> &fallback = {});
+    Address address(const std::string &key, bool required);
+    Duration duration(const std::string &key, Duration fallback);
+    std::uint64_t whole(const std::string &key, std::uint64_t fallback, std::uint64_t last);
+    double number(const std::string &key, double fallback);
+    bool truth(const std::string &key, bool fallback);
+    std::vector<std::string> list(const std::string &key);
+    /// @return the index in @p words of the value, or @p fallback
+    std::size_t choice(const std::string &key, const std::vector<std::string> &words, std::size_t fallback);
+    /// @return the tier written as @p text in the value of @p key
+    std::optional<Tier> tier(const std::string &text, const std::string &key);
+
+    /// Notes an error at the line of @p key, or at the heading when the key is missing.
+    void fail(const std::string &key, const std::string &message);
+    /// Notes keys that nothing has read.
+    void finish();
+
+private:
+    const IniEntry *take(const std::string &key);
+    void failAt(unsigned line, const std::string &key, const std::string &message);
+
+    const DeclarationSection &m_section;
+    std::vector<IniError> &m_errors;
+    std::set<std::string> m_known;
+};
+
+/// @return whether @p text consists of 64 lower-case hexadecimal digits
+bool isSha256(const std::string &text);
+
+} // namespace monsoonward
