--- /dev/null
+++ b/bench/capacity/codec.cpp
@@ -0,0 +1,112 @@
+#include "measure.h"
+
+#include <monsoonward/transport/transport.h>
+#include <samplemessages.h>
+
+namespace monsoonward::capacity
+{
+
+namespace
+{
+
+/// A message whose size is a parameter.
+struct Family
+{
+    std::string name;
+    std::string per;
+    std::vector<std::size_t> sizes;
+    std::function<Message(std::size_t)> make;
+};
+
+Message find(const std::string &kind)
+{
+    for (const auto &it : sampleMessages()) {
+        if (it.kind == kind) {
+            return it.message;
+        }
+    }
+    return Withdraw {};
+}
+
+std::vector<Family> families()
+{
+    const auto reserve = std::get<Reserve>(find("Reserve"));
+    const auto status = std::get<TargetStatus>(find("TargetStatus"));
+    const auto handOver = std::get<HandOver>(find("HandOver"));
+    const auto chunk = std::get<AnswerChunk>(find("AnswerChunk"));
+    const auto usage = std::get<UsageReport>(find("UsageReport")).customers.front();
+    return {
+        {"Reserve",
+         "prefix",
+         {0, 8, 32, 128},
+         [=](std::size_t n) {
+             auto message = reserve;
+             message.prefixes.assign(n, reserve.prefixes.front());
+             return Message(message);
+         }},
+        {"TargetStatus",
+         "cache event",
+         {0, 8, 32, 128},
+         [=](std::size_t n) {
+             auto message = status;
+             message.cached.assign(n / 2, status.cached.front());
+             message.evicted.assign(n - n / 2, status.cached.front());
+             return Message(message);
+         }},
+        {"HandOver",
+         "body byte",
+         {100, 1000, 10000, 100000},
+         [=](std::size_t n) {
+             auto message = handOver;
+             message.body.assign(n, 'x');
+             return Message(message);
+         }},
+        {"AnswerChunk",
+         "body byte",
+         {4, 64, 1024, 16384},
+         [=](std::size_t n) {
+             auto message = chunk;
+             message.bytes.assign(n, 'x');
+             return Message(message);
+         }},
+        {"UsageReport",
+         "customer",
+         {10, 100, 1000, 10000},
+         [=](std::size_t n) { return Message(UsageReport {std::vector<CustomerUsage>(n, usage)}); }},
+    };
+}
+
+void measureFamily(const Family &family)
+{
+    Slope bytes {family.name + " bytes", family.per, "bytes", {}};
+    Slope encoding {family.name + " encode", family.per, "us", {}};
+    Slope decoding {family.name + " decode", family.per, "us", {}};
+    for (const auto n : family.sizes) {
+        const auto message = family.make(n);
+        const auto encoded = encode(message);
+        const auto size = static_cast<double>(n);
+        bytes.points.emplace_back(size, static_cast<double>(encoded.size()));
+        encoding.points.emplace_back(size, microseconds([&] { encode(message); }));
+        decoding.points.emplace_back(size, microseconds([&] { decode(encoded).value(); }));
+    }
+    print(bytes);
+    print(encoding);
+    print(decoding);
+}
+
+} // namespace
+
+void measureCodec()
+{
+    for (const auto &it : sampleMessages()) {
+        const auto encoded = encode(it.message);
+        print({it.kind + " sample bytes", "message", "bytes", {{1, static_cast<double>(encoded.size())}}});
+        const auto both = microseconds([&] { decode(encode(it.message)).value(); });
+        print({it.kind + " sample encode and decode", "message", "us", {{1, both}}});
+    }
+    for (const auto &it : families()) {
+        measureFamily(it);
+    }
+}
+
+} // namespace monsoonward::capacity
--- /dev/null
+++ b/bench/capacity/main.cpp
@@ -0,0 +1,23 @@
+// Prints slopes of processor time, bytes and memory as lines of JSON; tools/capacity turns them into a page's table.
+#include "measure.h"
+
+#include <iostream>
+#include <map>
+
+namespace capacity = monsoonward::capacity;
+
+int main(int argc, char **argv)
+{
+    const std::map<std::string, void (*)()> parts = {{"codec", capacity::measureCodec},
+                                                     {"configuration", capacity::measureConfiguration},
+                                                     {"entry", capacity::measureEntry},
+                                                     {"target", capacity::measureTarget}};
+    for (int n = 1; n < argc; ++n) {
+        const auto it = parts.find(argv[n]);
+        if (it == parts.end()) {
+            std::cerr << "usage: capacity_bench codec|configuration|entry|target...\n";
+            return 2;
+        }
+        it->second();
+    }
+}
--- a/tests/scenarios/scenario.cpp
+++ b/tests/scenarios/scenario.cpp
@@ -344,22 +344,20 @@
     for (const auto &[name, request] : m_requests) {
         const auto outcome = fleet().outcome(name);
         const auto runs = fleet().runs(name);
-        const auto fail = [&name = name](const std::string &what) { throw std::runtime_error(name + " " + what); };
-        if (outcome.answers > 1) {
-            fail("got more than one final answer");
-        }
-        if (!outcome.own) {
-            fail("got bytes of another request's answer");
-        }
-        if (runs > 1) {
-            fail("was dispatched " + std::to_string(runs) + " times");
-        }
-        if (outcome.ended && outcome.verdict == Verdict::NotRun && runs > 0) {
-            fail("was told \"not-run\" but ran");
-        }
-        if (outcome.ended && outcome.verdict == Verdict::Completed && runs == 0) {
-            fail("was told \"completed\" but did not run");
-        }
+        const auto require = [&name = name](bool holds, const std::string &what) {
+            if (!holds) {
+                std::string text = name;
+                text += " ";
+                text += what;
+                throw std::runtime_error(text);
+            }
+        };
+        const auto told = outcome.ended ? outcome.verdict : Verdict::MayHaveRun;
+        require(outcome.answers <= 1, "got more than one final answer");
+        require(outcome.own, "got bytes of another request's answer");
+        require(runs <= 1, "was dispatched " + std::to_string(runs) + " times");
+        require(told != Verdict::NotRun || runs == 0, "was told \"not-run\" but ran");
+        require(told != Verdict::Completed || runs > 0, "was told \"completed\" but did not run");
     }
 }
 
--- a/tests/scenarios/scenario_test.cpp
+++ b/tests/scenarios/scenario_test.cpp
@@ -14,7 +14,7 @@
 {
 public:
     explicit InstantFleet(CallerOutcome outcome, unsigned runs)
-        : m_outcome(std::move(outcome))
+        : m_outcome(outcome)
         , m_runs(runs)
     {
     }
