Run the hand-over protocol from state tables

Cause: the thin machines answered 'may have run' for every lost link and took no care of lost, late, repeated and crossed messages, keys, silent daemons or requests that crash their targets. Change: each request at its entry and each claim at its target moves through one table (entrytable, targettable). A lost link is settled by asking the claim's holder; a request that surely was not dispatched is placed again under a retry budget. Idempotency rows, membership, suspicion and expiry of rows are modules of their own.

--- a/packages/decisions/include/monsoonward/decisions/entrymachine.h
+++ b/packages/decisions/include/monsoonward/decisions/entrymachine.h
@@ -31,7 +31,8 @@
     RegionName region;
     Duration heartbeatTimeout = std::chrono::milliseconds(1500); ///< a silent peer is dead after this
     Duration settleTimeout = std::chrono::seconds(1); ///< wait for the word of a lost target
-    MONSOONWARD_FIELDS(own, region, heartbeatTimeout, settleTimeout)
+    Duration overrunLimit = std::chrono::seconds(10); ///< a run is cancelled when its deadline passed this long ago
+    MONSOONWARD_FIELDS(own, region, heartbeatTimeout, settleTimeout, overrunLimit)
 };
 
 /// @brief The hand-over protocol at an entry: the only authority on whether a request may be dispatched.
--- a/packages/decisions/src/entrymachine.cpp
+++ b/packages/decisions/src/entrymachine.cpp
@@ -1,10 +1,10 @@
 #include "monsoonward/decisions/entrymachine.h"
 
-#include <nlohmann/json.hpp>
+#include "entryrequests.h"
+#include "idempotency.h"
+#include "suspects.h"
 
-#include <algorithm>
-#include <map>
-#include <unordered_map>
+#include <nlohmann/json.hpp>
 
 namespace monsoonward
 {
@@ -12,46 +12,47 @@
 namespace
 {
 
-enum class RequestState { Waiting, HandedOver };
-
-struct RequestRecord
-{
-    RequestSpec spec;
-    RequestState state = RequestState::Waiting;
-    std::vector<TargetName> reserved;
-    ClaimId claim;
-    Peer holder; // of the claim
-};
-
-struct TargetRecord
+/// What a request needs before it may be handed over. Requests that need nothing have none.
+struct Gate
 {
-    Peer peer;
-    TargetName name;
+    bool needsKey = false;
+    bool needsTrial = false;
+    bool isolated = false; // its turn for an isolated run has come
+    std::string pendingRow;
+    std::vector<std::string> rows; // certain
 };
 
 } // namespace
 
-class EntryMachine::Impl : public EntryPolicyOutput
+class EntryMachine::Impl : public EntryPolicyOutput,
+                           public MembershipListener,
+                           public EntryRequestsListener,
+                           public IdempotencyListener,
+                           public SuspectsOutput
 {
 public:
-    Impl(const EntryOptions &options, const Clock &clock, Random &random, EntryOutput &output, EventLog &events)
+    Impl(const EntryOptions &options,
+         const Clock &clock,
+         Random &random,
+         TableService &table,
+         EntryOutput &output,
+         EventLog &events)
         : m_options(options)
-        , m_clock(clock)
         , m_output(output)
         , m_events(events)
         , m_policy(makeEntryPolicy(options.own, options.region, clock, random, *this, events))
+        , m_membership(options.heartbeatTimeout, clock, *this, events)
+        , m_requests(options, clock, *m_policy, m_membership, output, *this, events)
+        , m_claims(options.own, options.settleTimeout, clock, table, *this, events)
+        , m_suspects(options.own.incarnation, clock, *this, events)
     {
     }
 
-    void sendToEntry(const Peer &to, const Message &message) override
-    {
-        m_output.send(to, message);
-    }
-
     void configure(const ConfigurationPtr &configuration)
     {
         m_configuration = configuration;
         m_policy->configure(configuration);
+        m_membership.configure(configuration);
     }
 
     RequestId nextId()
@@ -65,68 +66,70 @@
             m_output.refuse(spec.id, {RefusalReason::Stopping, Verdict::NotRun, Duration {}, "the entry is stopping"});
             return;
         }
+        const auto standing = m_suspects.standing(spec.fingerprint);
+        if (standing == Standing::Refused) {
+            m_output.refuse(spec.id, suspectRefusal(spec));
+            return;
+        }
         if (const auto refusal = m_policy->admit(spec)) {
             m_output.refuse(spec.id, *refusal);
             return;
         }
-        auto &record = m_requests[spec.id];
-        record.spec = spec;
-        reserve(record);
+        m_requests.add(spec);
+        const bool needsKey = !spec.idempotent && !spec.idempotencyKey.empty();
+        if (needsKey || standing == Standing::Suspect) {
+            auto &gate = m_gates[spec.id];
+            gate.needsKey = needsKey;
+            gate.needsTrial = standing == Standing::Suspect;
+        }
+        advance(spec.id);
     }
 
     void cancel(const RequestId &id)
     {
-        const auto it = m_requests.find(id);
-        if (it == m_requests.end()) {
-            return;
-        }
-        if (it->second.state == RequestState::HandedOver) {
-            m_output.send(it->second.holder, Cancel {id, it->second.claim});
-        }
-        const auto verdict = it->second.state == RequestState::Waiting ? Verdict::NotRun : Verdict::MayHaveRun;
-        refuse(id, {RefusalReason::CallerGone, verdict, std::nullopt, "the caller has gone"});
+        m_requests.callerGone(id);
     }
 
     void peerUp(const Peer &peer, HostRole role)
     {
-        m_peers[peer] = role;
-        m_events.record(Event::PeerUp, Severity::Info, peer.host.text() + " " + textOf(peer.incarnation));
+        m_membership.peerUp(peer, role);
         if (role == HostRole::Entry) {
             m_policy->entryUp(peer);
+            m_suspects.entryUp(peer);
         }
     }
 
     void peerDown(const Peer &peer)
     {
-        if (m_peers.erase(peer) == 0) {
-            return;
-        }
-        m_events.record(Event::PeerDown, Severity::Warning, peer.host.text() + " " + textOf(peer.incarnation));
-        m_policy->entryDown(peer);
-        dropTargetsOf(peer);
-        std::vector<RequestId> lost;
-        for (const auto &[id, record] : m_requests) {
-            if (record.state == RequestState::HandedOver && record.holder == peer) {
-                lost.push_back(id);
-            }
-        }
-        for (const auto &it : lost) {
-            refuse(it, {RefusalReason::TargetLost, Verdict::MayHaveRun, std::nullopt, "lost " + peer.host.text()});
+        if (m_membership.peerDown(peer)) {
+            m_policy->entryDown(peer);
+            m_requests.holderLost(peer);
         }
     }
 
     void message(const Peer &from, const Message &message)
     {
+        m_membership.heard(from);
         if (const auto *claim = std::get_if<Claim>(&message)) {
-            onClaim(from, *claim);
+            m_requests.claim(from, *claim);
         } else if (const auto *end = std::get_if<AnswerEnd>(&message)) {
-            onAnswerEnd(*end);
+            onAnswerEnd(from, *end);
         } else if (const auto *status = std::get_if<TargetStatus>(&message)) {
-            onTargetStatus(from, *status);
+            m_membership.targetStatus(from, *status);
+        } else if (const auto *heartbeat = std::get_if<Heartbeat>(&message)) {
+            m_membership.heartbeat(from, *heartbeat);
         } else if (const auto *refused = std::get_if<Refused>(&message)) {
             onRefused(from, *refused);
+        } else if (const auto *reply = std::get_if<CancelReply>(&message)) {
+            onCancelReply(from, *reply);
         } else if (const auto *dropped = std::get_if<ReservationDropped>(&message)) {
-            onReservationDropped(*dropped);
+            m_requests.dropReservation(dropped->id, dropped->target);
+        } else if (const auto *notice = std::get_if<SuspectNotice>(&message)) {
+            onSuspectNotice(*notice);
+        } else if (const auto *query = std::get_if<ClaimQuery>(&message)) {
+            m_output.send(from, m_claims.answer(*query));
+        } else if (const auto *queryReply = std::get_if<ClaimQueryReply>(&message)) {
+            m_claims.reply(*queryReply);
         } else {
             m_policy->message(from, message);
         }
@@ -134,10 +137,12 @@
 
     void streamLost(const RequestId &id, const ClaimId &claim)
     {
-        const auto it = m_requests.find(id);
-        if (it != m_requests.end() && it->second.state == RequestState::HandedOver && it->second.claim == claim) {
-            refuse(id, {RefusalReason::TargetLost, Verdict::MayHaveRun, std::nullopt, "the stream was lost"});
-        }
+        m_requests.linkLost(id, claim);
+    }
+
+    void hostList(const std::vector<ListedHost> &hosts)
+    {
+        m_membership.hostList(hosts);
     }
 
     void beginShutdown()
@@ -147,18 +152,19 @@
 
     bool idle() const
     {
-        return m_requests.empty();
+        return m_requests.empty() && m_claims.idle();
     }
 
     void tick()
     {
+        m_membership.tick();
         for (const auto &it : m_policy->tick()) {
-            refuse(it.id, it.refusal);
+            m_requests.evict(it.id, it.refusal);
         }
-        for (auto &[id, record] : m_requests) {
-            if (record.state == RequestState::Waiting) {
-                reserve(record);
-            }
+        m_requests.tick();
+        m_claims.tick();
+        for (const auto &it : m_suspects.tick()) {
+            beginTrial(it);
         }
     }
 
@@ -168,164 +174,253 @@
         root["host"] = m_options.own.host.text();
         root["incarnation"] = textOf(m_options.own.incarnation);
         root["revision"] = m_configuration ? m_configuration->revision : 0;
+        root["stopping"] = m_stopping;
         root["requests"] = m_requests.size();
-        root["peers"] = nlohmann::json::array();
-        for (const auto &[peer, role] : m_peers) {
-            root["peers"].push_back({{"host", peer.host.text()}, {"incarnation", textOf(peer.incarnation)}});
+        for (const auto it : {EntryState::Keying,
+                              EntryState::Waiting,
+                              EntryState::HandedOver,
+                              EntryState::Settling,
+                              EntryState::Cancelling}) {
+            root["states"][textOf(it)] = m_requests.count(it);
         }
+        root["peers"] = m_membership.connectedCount();
+        root["usableTargets"] = m_membership.usableTargets();
+        root["observerInDoubt"] = m_membership.inDoubt();
+        root["rowsBeingTaken"] = m_claims.taking();
+        root["suspects"] = m_suspects.size();
         return root.dump();
     }
 
-private:
-    void reserve(RequestRecord &record)
+    // EntryPolicyOutput
+    void sendToEntry(const Peer &to, const Message &message) override
     {
-        for (const auto &it : m_policy->candidates(record.spec, record.reserved)) {
-            const auto target = m_targets.find(it);
-            if (target == m_targets.end()) {
-                continue;
-            }
-            record.reserved.push_back(it);
-            const auto &spec = record.spec;
-            m_output.send(target->second.peer,
-                          Reserve {spec.id,
-                                   it,
-                                   spec.service,
-                                   spec.customer,
-                                   spec.weight,
-                                   spec.tier,
-                                   spec.deadline - m_clock.now(),
-                                   spec.promptTokens,
-                                   spec.outputTokens,
-                                   spec.prefixes});
+        m_output.send(to, message);
+    }
+
+    // MembershipListener
+    void targetUsable(const TargetStatus &status) override
+    {
+        m_policy->targetStatus(status);
+    }
+
+    void targetUnusable(const TargetName &target) override
+    {
+        m_policy->targetGone(target);
+        m_requests.dropTarget(target);
+    }
+
+    void peerBack(const Peer &peer) override
+    {
+        m_requests.holderBack(peer);
+    }
+
+    void peerReplaced(const Peer &old) override
+    {
+        m_policy->entryDown(old);
+        m_requests.holderGone(old);
+    }
+
+    // EntryRequestsListener
+    void crashSeen(const RequestSpec &spec, const ClaimId & /*claim*/) override
+    {
+        m_suspects.crashSeen(spec);
+        isolateWaiting(spec.fingerprint);
+    }
+
+    void ended(const RequestSpec &spec, Verdict verdict) override
+    {
+        const auto it = m_gates.find(spec.id);
+        if (it == m_gates.end()) {
+            return;
+        }
+        const auto gate = it->second;
+        m_gates.erase(it);
+        m_suspects.leave(spec.id);
+        if (!gate.pendingRow.empty()) {
+            m_claims.ended(spec.id, gate.pendingRow, verdict);
+        }
+        for (const auto &row : gate.rows) {
+            m_claims.ended(spec.id, row, verdict);
+        }
+        if (gate.needsTrial && verdict == Verdict::Completed) {
+            m_suspects.cleared(spec.fingerprint);
+        }
+    }
+
+    // IdempotencyListener
+    void rowCertain(const RequestId &id, const std::string &rowKey) override
+    {
+        auto &gate = m_gates.at(id);
+        gate.pendingRow.clear();
+        gate.rows.push_back(rowKey);
+        gate.needsKey = gate.needsKey && rowKey == trialRowKey(m_requests.spec(id).fingerprint);
+        advance(id);
+    }
+
+    void rowRefused(const RequestId &id, const std::string &rowKey, const Refusal &refusal) override
+    {
+        auto &gate = m_gates.at(id);
+        gate.pendingRow.clear();
+        const auto &spec = m_requests.spec(id);
+        if (rowKey != trialRowKey(spec.fingerprint)) {
+            m_requests.keyRefused(id, refusal);
+        } else if (refusal.verdict == Verdict::Completed) {
+            m_requests.keyCertain(id); // an isolated run has completed before
+        } else {
+            m_requests.keyRefused(id, suspectRefusal(spec));
         }
     }
 
-    void withdraw(RequestRecord &record, const TargetName &except)
+    bool askEntry(const ClaimQuery &query) override
     {
-        for (const auto &it : record.reserved) {
-            const auto target = m_targets.find(it);
-            if (it != except && target != m_targets.end()) {
-                m_output.send(target->second.peer, Withdraw {record.spec.id, it});
+        for (const auto &it : m_membership.entries()) {
+            if (it.incarnation == query.holder.entry) {
+                m_output.send(it, query);
+                return true;
             }
         }
-        record.reserved.clear();
+        return false;
     }
 
-    void onClaim(const Peer &from, const Claim &claim)
+    bool knows(const RequestId &id) const override
     {
-        const auto it = m_requests.find(claim.id);
-        if (it == m_requests.end() || it->second.state != RequestState::Waiting) {
-            m_output.rejectClaim(from, claim.id, claim.claim);
-            return;
+        return m_requests.has(id);
+    }
+
+    // SuspectsOutput
+    void tellEntries(const SuspectNotice &notice) override
+    {
+        for (const auto &it : m_membership.entries()) {
+            m_output.send(it, notice);
         }
-        auto &record = it->second;
-        record.state = RequestState::HandedOver;
-        record.claim = claim.claim;
-        record.holder = from;
-        withdraw(record, claim.target);
-        m_policy->handedOver(record.spec, claim.target);
-        m_output.handOver(from, claim.id, claim.claim);
     }
 
-    void onAnswerEnd(const AnswerEnd &end)
+    void tellEntry(const Peer &to, const SuspectNotice &notice) override
     {
-        const auto it = m_requests.find(end.id);
-        if (it == m_requests.end() || it->second.state != RequestState::HandedOver || it->second.claim != end.claim) {
+        m_output.send(to, notice);
+    }
+
+private:
+    /// Goes on with what the request still needs before it may be handed over.
+    void advance(const RequestId &id)
+    {
+        const auto it = m_gates.find(id);
+        if (it == m_gates.end()) {
+            m_requests.keyCertain(id);
             return;
         }
-        if (end.verdict != Verdict::Completed) {
-            refuse(end.id, {RefusalReason::EngineFailed, end.verdict, std::nullopt, end.detail});
-            return;
+        auto &gate = it->second;
+        const auto &spec = m_requests.spec(id);
+        if (gate.needsKey) {
+            gate.pendingRow = claimRowKey(spec.customer, spec.idempotencyKey);
+            m_claims.take(id, gate.pendingRow);
+        } else if (gate.needsTrial && !gate.isolated) {
+            m_suspects.enqueue(spec);
+        } else {
+            m_requests.keyCertain(id);
         }
-        const auto spec = it->second.spec;
-        m_requests.erase(it);
-        m_policy->ended(spec, Verdict::Completed, std::nullopt);
-        m_output.completed(end.id, end);
     }
 
-    void onTargetStatus(const Peer &from, const TargetStatus &status)
+    void beginTrial(const RequestId &id)
     {
-        m_targets[status.target] = {from, status.target};
-        if (status.accepting) {
-            m_policy->targetStatus(status);
+        const auto it = m_gates.find(id);
+        if (it == m_gates.end()) {
+            return;
+        }
+        it->second.isolated = true;
+        const auto &spec = m_requests.spec(id);
+        const auto standing = m_suspects.standing(spec.fingerprint);
+        if (standing == Standing::Refused) {
+            m_requests.keyRefused(id, suspectRefusal(spec));
+        } else if (standing == Standing::Clear) {
+            m_suspects.leave(id);
+            m_requests.keyCertain(id);
         } else {
-            m_policy->targetGone(status.target);
+            it->second.pendingRow = trialRowKey(spec.fingerprint);
+            m_claims.take(id, it->second.pendingRow);
+        }
+    }
+
+    void onAnswerEnd(const Peer &from, const AnswerEnd &end)
+    {
+        if (from.incarnation == end.claim.target) {
+            m_requests.answerEnd(end);
         }
     }
 
     void onRefused(const Peer &from, const Refused &refused)
     {
-        m_output.send(from, RefusedAck {refused.claim});
-        const auto it = m_requests.find(refused.id);
-        if (it == m_requests.end() || it->second.state != RequestState::HandedOver
-            || it->second.claim != refused.claim) {
+        if (from.incarnation != refused.claim.target) {
             return;
         }
-        it->second.state = RequestState::Waiting;
-        m_policy->returned(it->second.spec);
-        reserve(it->second);
+        m_output.send(from, RefusedAck {refused.claim});
+        m_requests.neverDispatched(refused.id, refused.claim);
+        m_requests.reservationUsed(from, refused.id);
     }
 
-    void onReservationDropped(const ReservationDropped &dropped)
+    void onCancelReply(const Peer &from, const CancelReply &reply)
     {
-        const auto it = m_requests.find(dropped.id);
-        if (it == m_requests.end()) {
+        if (from.incarnation != reply.claim.target) {
             return;
         }
-        auto &reserved = it->second.reserved;
-        reserved.erase(std::remove(reserved.begin(), reserved.end(), dropped.target), reserved.end());
+        if (reply.verdict == Verdict::NotRun) {
+            m_requests.neverDispatched(reply.id, reply.claim);
+        } else {
+            m_requests.runConfirmed(reply.id, reply.claim);
+        }
     }
 
-    void dropTargetsOf(const Peer &peer)
+    void onSuspectNotice(const SuspectNotice &notice)
     {
-        for (auto it = m_targets.begin(); it != m_targets.end();) {
-            if (it->second.peer != peer) {
-                ++it;
-                continue;
-            }
-            const auto name = it->first;
-            m_policy->targetGone(name);
-            it = m_targets.erase(it);
-            for (auto &[id, record] : m_requests) {
-                auto &reserved = record.reserved;
-                reserved.erase(std::remove(reserved.begin(), reserved.end(), name), reserved.end());
-            }
+        m_suspects.notice(notice);
+        if (notice.crashes != 0) {
+            isolateWaiting(notice.fingerprint);
         }
     }
 
-    void refuse(const RequestId &id, const Refusal &refusal)
+    /// Requests of the fingerprint that wait already must pass isolation too.
+    void isolateWaiting(Fingerprint fingerprint)
     {
-        const auto it = m_requests.find(id);
-        if (it == m_requests.end()) {
-            return;
+        for (const auto &it : m_requests.suspect(fingerprint)) {
+            auto &gate = m_gates[it];
+            gate.needsTrial = true;
+            m_suspects.enqueue(m_requests.spec(it));
         }
-        withdraw(it->second, {});
-        const auto spec = it->second.spec;
-        m_requests.erase(it);
-        m_policy->ended(spec, refusal.verdict, std::nullopt);
-        m_output.refuse(id, refusal);
+    }
+
+    Refusal suspectRefusal(const RequestSpec &spec)
+    {
+        m_events.record(Event::SuspectRefused,
+                        Severity::Warning,
+                        "customer \"" + spec.customer.text() + "\" service \"" + spec.service.text() + "\" fingerprint "
+                            + std::to_string(spec.fingerprint));
+        return {RefusalReason::SuspectedCrash,
+                Verdict::NotRun,
+                m_suspects.expiresIn(spec.fingerprint),
+                "the request was in progress when targets of service \"" + spec.service.text() + "\" crashed"};
     }
 
     EntryOptions m_options;
-    const Clock &m_clock;
     EntryOutput &m_output;
     EventLog &m_events;
     std::unique_ptr<EntryPolicy> m_policy;
+    Membership m_membership;
+    EntryRequests m_requests;
+    IdempotencyClaims m_claims;
+    Suspects m_suspects;
     ConfigurationPtr m_configuration;
     std::uint64_t m_sequence = 0;
     bool m_stopping = false;
-    std::unordered_map<RequestId, RequestRecord> m_requests;
-    std::map<Peer, HostRole> m_peers;
-    std::map<TargetName, TargetRecord> m_targets;
+    std::unordered_map<RequestId, Gate> m_gates;
 };
 
 EntryMachine::EntryMachine(const EntryOptions &options,
                            const Clock &clock,
                            Random &random,
-                           TableService & /*table*/,
+                           TableService &table,
                            EntryOutput &output,
                            EventLog &events)
-    : m_impl(std::make_unique<Impl>(options, clock, random, output, events))
+    : m_impl(std::make_unique<Impl>(options, clock, random, table, output, events))
 {
 }
 
@@ -371,8 +466,9 @@
     m_impl->streamLost(id, claim);
 }
 
-void EntryMachine::hostList(const std::vector<ListedHost> & /*hosts*/)
+void EntryMachine::hostList(const std::vector<ListedHost> &hosts)
 {
+    m_impl->hostList(hosts);
 }
 
 void EntryMachine::beginShutdown()
--- /dev/null
+++ b/packages/decisions/src/entryrequests.cpp
@@ -0,0 +1,464 @@
+#include "entryrequests.h"
+
+#include <algorithm>
+
+namespace monsoonward
+{
+
+namespace
+{
+
+constexpr Duration retryAfterBudget = std::chrono::seconds(1);
+
+Refusal lostHolder(const EntryRequest &request)
+{
+    return {RefusalReason::TargetLost,
+            Verdict::MayHaveRun,
+            std::nullopt,
+            "claim " + textOf(request.claim) + " at host " + request.holder.host.text()
+                + " was lost after the hand-over"};
+}
+
+bool asksHolder(EntryState state)
+{
+    return state == EntryState::Settling || state == EntryState::Cancelling;
+}
+
+} // namespace
+
+EntryRequests::EntryRequests(const EntryOptions &options,
+                             const Clock &clock,
+                             EntryPolicy &policy,
+                             Membership &membership,
+                             EntryOutput &output,
+                             EntryRequestsListener &listener,
+                             EventLog &events)
+    : m_options(options)
+    , m_clock(clock)
+    , m_policy(policy)
+    , m_membership(membership)
+    , m_output(output)
+    , m_listener(listener)
+    , m_events(events)
+{
+}
+
+void EntryRequests::add(const RequestSpec &spec)
+{
+    checkInvariant(spec.id.entry == m_options.own.incarnation, "own-request", textOf(spec.id));
+    checkInvariant(!has(spec.id), "request-taken-once", textOf(spec.id));
+    m_requests[spec.id].spec = spec;
+    m_budget.request();
+}
+
+void EntryRequests::keyCertain(const RequestId &id)
+{
+    apply(id, EntryEvent::KeyCertain);
+}
+
+void EntryRequests::keyRefused(const RequestId &id, const Refusal &refusal)
+{
+    apply(id, EntryEvent::KeyRefused, &refusal);
+}
+
+std::vector<RequestId> EntryRequests::suspect(Fingerprint fingerprint)
+{
+    std::vector<RequestId> waiting;
+    for (const auto &[id, request] : m_requests) {
+        if (request.spec.fingerprint == fingerprint && request.state == EntryState::Waiting) {
+            waiting.push_back(id);
+        }
+    }
+    for (const auto &it : waiting) {
+        apply(it, EntryEvent::Suspected);
+    }
+    return waiting;
+}
+
+const RequestSpec &EntryRequests::spec(const RequestId &id) const
+{
+    return m_requests.at(id).spec;
+}
+
+void EntryRequests::claim(const Peer &from, const Claim &claim)
+{
+    const auto it = m_requests.find(claim.id);
+    if (it == m_requests.end()) {
+        m_output.rejectClaim(from, claim.id, claim.claim);
+        return;
+    }
+    auto &request = it->second;
+    const bool held = request.mayRun && request.claim == claim.claim;
+    if (held) {
+        step(request, EntryEvent::ClaimRepeated);
+        return;
+    }
+    if (from.incarnation != claim.claim.target || !m_membership.mayHandOver(claim.target, from)) {
+        m_output.rejectClaim(from, claim.id, claim.claim);
+        dropReservation(claim.id, claim.target);
+        return;
+    }
+    const auto rule = step(request, EntryEvent::ClaimArrives);
+    if (rule.action == EntryAction::HandOver) {
+        handOver(request, from, claim);
+    } else {
+        m_output.rejectClaim(from, claim.id, claim.claim);
+    }
+}
+
+void EntryRequests::neverDispatched(const RequestId &id, const ClaimId &claim)
+{
+    applyToClaim(id, claim, EntryEvent::NeverDispatched);
+}
+
+void EntryRequests::runConfirmed(const RequestId &id, const ClaimId &claim)
+{
+    applyToClaim(id, claim, EntryEvent::RunConfirmed);
+}
+
+void EntryRequests::answerEnd(const AnswerEnd &end)
+{
+    const auto it = m_requests.find(end.id);
+    if (it == m_requests.end() || !it->second.mayRun || it->second.claim != end.claim) {
+        return;
+    }
+    if (end.verdict == Verdict::NotRun) {
+        neverDispatched(end.id, end.claim);
+    } else if (end.verdict == Verdict::MayHaveRun) {
+        it->second.ifLost = Refusal {RefusalReason::EngineFailed, Verdict::MayHaveRun, std::nullopt, end.detail};
+        apply(end.id, EntryEvent::AnswerBroken);
+    } else if (step(it->second, EntryEvent::AnswerWhole).action == EntryAction::Complete) {
+        complete(end.id, end);
+    }
+}
+
+void EntryRequests::linkLost(const RequestId &id, const ClaimId &claim)
+{
+    applyToClaim(id, claim, EntryEvent::LinkLost);
+}
+
+void EntryRequests::holderLost(const Peer &holder)
+{
+    applyToHolder(holder, EntryEvent::LinkLost);
+}
+
+void EntryRequests::holderBack(const Peer &holder)
+{
+    applyToHolder(holder, EntryEvent::HolderBack);
+}
+
+void EntryRequests::holderGone(const Peer &holder)
+{
+    applyToHolder(holder, EntryEvent::HolderGone);
+}
+
+void EntryRequests::callerGone(const RequestId &id)
+{
+    const Refusal told {RefusalReason::CallerGone, Verdict::MayHaveRun, std::nullopt, "the caller has gone"};
+    apply(id, EntryEvent::CallerGone, &told);
+}
+
+void EntryRequests::evict(const RequestId &id, const Refusal &refusal)
+{
+    apply(id, EntryEvent::Evicted, &refusal);
+}
+
+void EntryRequests::dropTarget(const TargetName &target)
+{
+    for (auto &[id, request] : m_requests) {
+        auto &reserved = request.reserved;
+        reserved.erase(std::remove(reserved.begin(), reserved.end(), target), reserved.end());
+    }
+}
+
+void EntryRequests::dropReservation(const RequestId &id, const TargetName &target)
+{
+    const auto it = m_requests.find(id);
+    if (it == m_requests.end()) {
+        return;
+    }
+    auto &reserved = it->second.reserved;
+    reserved.erase(std::remove(reserved.begin(), reserved.end(), target), reserved.end());
+}
+
+void EntryRequests::reservationUsed(const Peer &from, const RequestId &id)
+{
+    const auto it = m_requests.find(id);
+    if (it == m_requests.end() || it->second.state != EntryState::Waiting) {
+        return;
+    }
+    auto &reserved = it->second.reserved;
+    const auto isUsed = [&](const TargetName &name) {
+        const auto daemon = m_membership.daemonOf(name);
+        return !daemon || *daemon == from;
+    };
+    reserved.erase(std::remove_if(reserved.begin(), reserved.end(), isUsed), reserved.end());
+    reserve(it->second);
+}
+
+void EntryRequests::tick()
+{
+    std::vector<RequestId> ids;
+    ids.reserve(m_requests.size());
+    for (const auto &[id, request] : m_requests) {
+        ids.push_back(id);
+    }
+    for (const auto &it : ids) {
+        runTimers(it);
+    }
+}
+
+bool EntryRequests::empty() const
+{
+    return m_requests.empty();
+}
+
+std::size_t EntryRequests::size() const
+{
+    return m_requests.size();
+}
+
+std::size_t EntryRequests::count(EntryState state) const
+{
+    return static_cast<std::size_t>(
+        std::count_if(m_requests.begin(), m_requests.end(), [&](const auto &it) { return it.second.state == state; }));
+}
+
+EntryState EntryRequests::stateOf(const RequestId &id) const
+{
+    const auto it = m_requests.find(id);
+    return it == m_requests.end() ? EntryState::Ended : it->second.state;
+}
+
+bool EntryRequests::has(const RequestId &id) const
+{
+    return m_requests.count(id) != 0;
+}
+
+EntryRule EntryRequests::step(EntryRequest &request, EntryEvent event)
+{
+    const auto rule = entryRule(request.state, event);
+    request.state = rule.next;
+    return rule;
+}
+
+void EntryRequests::apply(const RequestId &id, EntryEvent event, const Refusal *told)
+{
+    const auto it = m_requests.find(id);
+    if (it == m_requests.end()) {
+        return;
+    }
+    auto &request = it->second;
+    const auto rule = step(request, event);
+    if (told != nullptr && rule.action != EntryAction::Ignore) {
+        request.ifLost = *told;
+    }
+    switch (rule.action) {
+    case EntryAction::Reserve:
+        reserve(request);
+        break;
+    case EntryAction::Withdraw:
+        withdraw(request, {});
+        break;
+    case EntryAction::AskHolder:
+        askHolder(request, event);
+        break;
+    case EntryAction::Replace:
+        replace(request);
+        break;
+    case EntryAction::RefuseAsTold:
+        end(id, *request.ifLost);
+        break;
+    case EntryAction::RefuseNotRun: {
+        auto refusal = request.ifLost.value_or(lostHolder(request));
+        refusal.verdict = Verdict::NotRun;
+        end(id, refusal);
+        break;
+    }
+    case EntryAction::RefuseMayHaveRun: {
+        request.crashed = looksLikeCrash(request, event);
+        auto refusal = request.ifLost.value_or(lostHolder(request));
+        refusal.verdict = Verdict::MayHaveRun;
+        end(id, refusal);
+        break;
+    }
+    case EntryAction::HandOver: // claim() does these two
+    case EntryAction::RejectClaim:
+    case EntryAction::Complete: // answerEnd() does it
+    case EntryAction::Ignore:
+        break;
+    }
+}
+
+void EntryRequests::applyToClaim(const RequestId &id, const ClaimId &claim, EntryEvent event)
+{
+    const auto it = m_requests.find(id);
+    if (it == m_requests.end() || !it->second.mayRun || it->second.claim != claim) {
+        return;
+    }
+    if (event == EntryEvent::NeverDispatched) {
+        it->second.mayRun = false;
+    }
+    apply(id, event);
+}
+
+void EntryRequests::applyToHolder(const Peer &holder, EntryEvent event)
+{
+    for (const auto &it : heldBy(holder)) {
+        apply(it, event);
+    }
+}
+
+bool EntryRequests::looksLikeCrash(const EntryRequest &request, EntryEvent event) const
+{
+    switch (event) {
+    case EntryEvent::AnswerBroken:
+    case EntryEvent::HolderGone:
+        return true;
+    case EntryEvent::SettleTimeout:
+        return !m_membership.connected(request.holder) && !m_membership.manyLost();
+    default:
+        return false;
+    }
+}
+
+std::vector<RequestId> EntryRequests::heldBy(const Peer &holder) const
+{
+    std::vector<RequestId> held;
+    for (const auto &[id, request] : m_requests) {
+        if (request.mayRun && request.holder == holder) {
+            held.push_back(id);
+        }
+    }
+    return held;
+}
+
+void EntryRequests::handOver(EntryRequest &request, const Peer &from, const Claim &claim)
+{
+    checkInvariant(!request.mayRun, "one-outstanding-hand-over", textOf(request.spec.id));
+    request.claim = claim.claim;
+    request.holder = from;
+    request.mayRun = true;
+    request.ifLost.reset();
+    withdraw(request, claim.target);
+    m_policy.handedOver(request.spec, claim.target);
+    m_output.handOver(from, claim.id, claim.claim);
+}
+
+void EntryRequests::askHolder(EntryRequest &request, EntryEvent why)
+{
+    if (why == EntryEvent::Overrun) {
+        request.ifLost = Refusal {RefusalReason::Expired,
+                                  Verdict::MayHaveRun,
+                                  std::nullopt,
+                                  "the deadline passed while it ran at host " + request.holder.host.text()};
+    }
+    if (why != EntryEvent::HolderBack) {
+        request.settleBy = m_clock.now() + m_options.settleTimeout;
+    }
+    m_output.send(request.holder, Cancel {request.spec.id, request.claim});
+}
+
+void EntryRequests::replace(EntryRequest &request)
+{
+    const auto id = request.spec.id;
+    request.ifLost.reset();
+    m_policy.returned(request.spec);
+    if (request.spec.deadline <= m_clock.now()) {
+        evict(id, {RefusalReason::Expired, Verdict::NotRun, std::nullopt, "the deadline passed before a second try"});
+    } else if (!m_budget.spend()) {
+        m_events.record(Event::RetryBudgetSpent, Severity::Warning, textOf(id));
+        evict(id, {RefusalReason::TargetLost, Verdict::NotRun, retryAfterBudget, "the retry budget is spent"});
+    } else {
+        reserve(request);
+    }
+}
+
+void EntryRequests::reserve(EntryRequest &request)
+{
+    const auto &spec = request.spec;
+    for (const auto &it : m_policy.candidates(spec, request.reserved)) {
+        const auto daemon = m_membership.daemonOf(it);
+        if (!daemon) {
+            continue;
+        }
+        request.reserved.push_back(it);
+        m_output.send(*daemon,
+                      Reserve {spec.id,
+                               it,
+                               spec.service,
+                               spec.customer,
+                               spec.weight,
+                               spec.tier,
+                               spec.deadline - m_clock.now(),
+                               spec.promptTokens,
+                               spec.outputTokens,
+                               spec.prefixes});
+    }
+}
+
+void EntryRequests::withdraw(EntryRequest &request, const TargetName &except)
+{
+    for (const auto &it : request.reserved) {
+        const auto daemon = m_membership.daemonOf(it);
+        if (it != except && daemon) {
+            m_output.send(*daemon, Withdraw {request.spec.id, it});
+        }
+    }
+    request.reserved.clear();
+}
+
+void EntryRequests::end(const RequestId &id, const Refusal &refusal)
+{
+    const auto it = m_requests.find(id);
+    checkInvariant(it != m_requests.end(), "one-final-answer", textOf(id));
+    auto request = std::move(it->second);
+    m_requests.erase(it);
+    withdraw(request, {});
+    const bool untrue = refusal.verdict == Verdict::NotRun && request.mayRun;
+    checkInvariant(!untrue, "not-run-is-true", textOf(id) + " is with claim " + textOf(request.claim));
+    if (request.mayRun) {
+        m_events.record(Event::RequestLost, Severity::Warning, textOf(id) + ": " + refusal.detail);
+    }
+    if (request.crashed) {
+        m_listener.crashSeen(request.spec, request.claim);
+    }
+    m_policy.ended(request.spec, refusal.verdict, std::nullopt);
+    m_listener.ended(request.spec, refusal.verdict);
+    m_output.refuse(id, refusal);
+}
+
+void EntryRequests::complete(const RequestId &id, const AnswerEnd &end)
+{
+    const auto it = m_requests.find(id);
+    checkInvariant(it != m_requests.end(), "one-final-answer", textOf(id));
+    checkInvariant(it->second.mayRun, "answer-after-hand-over", textOf(id));
+    const auto spec = it->second.spec;
+    m_requests.erase(it);
+    RunStats stats;
+    stats.promptTokens = end.promptTokens;
+    stats.cachedTokens = end.cachedTokens;
+    stats.outputTokens = end.outputTokens;
+    m_policy.ended(spec, Verdict::Completed, stats);
+    m_listener.ended(spec, Verdict::Completed);
+    m_output.completed(id, end);
+}
+
+void EntryRequests::runTimers(const RequestId &id)
+{
+    const auto it = m_requests.find(id);
+    if (it == m_requests.end()) {
+        return;
+    }
+    auto &request = it->second;
+    const auto now = m_clock.now();
+    if (request.state == EntryState::Waiting) {
+        reserve(request);
+    } else if (request.state == EntryState::HandedOver && now >= request.spec.deadline + m_options.overrunLimit) {
+        apply(id, EntryEvent::Overrun);
+    } else if (asksHolder(request.state) && now >= request.settleBy) {
+        apply(id, EntryEvent::SettleTimeout);
+    }
+}
+
+} // namespace monsoonward
--- a/packages/decisions/src/targetmachine.cpp
+++ b/packages/decisions/src/targetmachine.cpp
@@ -1,10 +1,14 @@
 #include "monsoonward/decisions/targetmachine.h"
 
+#include "targettable.h"
+
 #include <nlohmann/json.hpp>
 
+#include <algorithm>
 #include <map>
 #include <set>
 #include <unordered_map>
+#include <unordered_set>
 
 namespace monsoonward
 {
@@ -12,24 +16,15 @@
 namespace
 {
 
-enum class ClaimState {
-    Open, ///< sent, not answered
-    Running, ///< handed over and dispatched
-};
+constexpr Duration refusalLifetime = std::chrono::minutes(1);
 
 struct ClaimRecord
 {
     Claim claim;
     Peer entry;
-    ClaimState state = ClaimState::Open;
+    TargetState state = TargetState::Open;
     TimePoint openedAt {};
-    bool streamOpen = true;
-};
-
-struct RefusedRecord
-{
-    Peer entry;
-    Refused refused;
+    std::string detail; // why it was given up
 };
 
 } // namespace
@@ -59,9 +54,21 @@
 
     void peerUp(const Peer &peer)
     {
+        const auto last = m_entries.find(peer.host);
+        if (last != m_entries.end() && last->second != peer.incarnation) {
+            const Peer old {peer.host, last->second};
+            m_peers.erase(old);
+            entryReplaced(old);
+        }
+        m_entries[peer.host] = peer.incarnation;
         m_peers.insert(peer);
         m_events.record(Event::PeerUp, Severity::Info, peer.host.text() + " " + textOf(peer.incarnation));
         sendStatus(peer);
+        for (const auto &it : claimsOf(peer)) {
+            if (m_claims.at(it).state == TargetState::Refused) {
+                sendRefused(m_claims.at(it));
+            }
+        }
     }
 
     void peerDown(const Peer &peer)
@@ -73,6 +80,10 @@
         for (auto &[name, policy] : m_policies) {
             policy->entryGone(peer);
         }
+        for (const auto &it : claimsOf(peer)) {
+            apply(it, TargetEvent::StreamLost, "the connection was lost before the hand-over");
+        }
+        claimMore();
     }
 
     void message(const Peer &from, const Message &message)
@@ -82,29 +93,21 @@
         } else if (const auto *withdraw = std::get_if<Withdraw>(&message)) {
             onWithdraw(*withdraw);
         } else if (const auto *handOver = std::get_if<HandOver>(&message)) {
-            onHandOver(*handOver);
+            onHandOver(from, *handOver);
         } else if (const auto *rejected = std::get_if<ClaimRejected>(&message)) {
-            release(rejected->claim);
+            applyFrom(from, rejected->claim, TargetEvent::ClaimRejected);
         } else if (const auto *cancel = std::get_if<Cancel>(&message)) {
             onCancel(from, *cancel);
         } else if (const auto *ack = std::get_if<RefusedAck>(&message)) {
-            m_refused.erase(ack->claim);
+            applyFrom(from, ack->claim, TargetEvent::RefusedAcked);
         }
         claimMore();
     }
 
     void streamLost(const ClaimId &claim)
     {
-        const auto it = m_claims.find(claim);
-        if (it == m_claims.end()) {
-            return;
-        }
-        it->second.streamOpen = false;
-        if (it->second.state == ClaimState::Open) {
-            giveUp(claim, "the stream was lost before the hand-over");
-        } else {
-            m_output.cancelRun(claim);
-        }
+        apply(claim, TargetEvent::StreamLost, "the stream was lost before the hand-over");
+        claimMore();
     }
 
     void firstToken(const ClaimId &claim)
@@ -128,7 +131,7 @@
             return;
         }
         policyOf(*record).finished(record->claim.id, stats);
-        m_claims.erase(claim);
+        apply(claim, TargetEvent::EngineFinished, {});
         claimMore();
     }
 
@@ -159,12 +162,16 @@
 
     bool idle() const
     {
-        return m_claims.empty();
+        const auto keeps = [&](const auto &it) {
+            return it.second.state != TargetState::Refused || m_peers.count(it.second.entry) != 0;
+        };
+        return std::none_of(m_claims.begin(), m_claims.end(), keeps);
     }
 
     void tick()
     {
         giveUpOldClaims();
+        forgetOldRefusals();
         for (auto &[name, policy] : m_policies) {
             dropReservations(*policy);
         }
@@ -180,8 +187,11 @@
         root["host"] = m_options.own.host.text();
         root["incarnation"] = textOf(m_options.own.incarnation);
         root["revision"] = m_configuration ? m_configuration->revision : 0;
-        root["claims"] = m_claims.size();
-        root["refused"] = m_refused.size();
+        root["stopping"] = m_stopping;
+        for (const auto it : {TargetState::Open, TargetState::Running, TargetState::Refused}) {
+            root["claims"][textOf(it)] = std::count_if(
+                m_claims.begin(), m_claims.end(), [&](const auto &claim) { return claim.second.state == it; });
+        }
         root["peers"] = m_peers.size();
         return root.dump();
     }
@@ -235,60 +245,165 @@
     {
         const ClaimId id {m_options.own.incarnation, ++m_claimNumber};
         const Claim claim {choice.reservation.reserve.id, id, target, choice.engine};
-        m_claims[id] = {claim, choice.reservation.entry, ClaimState::Open, m_clock.now(), true};
+        m_claims[id] = {claim, choice.reservation.entry, TargetState::Open, m_clock.now(), {}};
         m_output.claim(choice.reservation.entry, claim);
     }
 
-    void onHandOver(const HandOver &handOver)
+    void onHandOver(const Peer &from, const HandOver &handOver)
     {
         const auto it = m_claims.find(handOver.claim);
-        if (it == m_claims.end() || it->second.state != ClaimState::Open || it->second.claim.id != handOver.id) {
+        if (it == m_claims.end() || it->second.claim.id != handOver.id || it->second.entry != from) {
+            return;
+        }
+        if (targetRule(it->second.state, TargetEvent::HandOverArrives).action != TargetAction::Dispatch) {
             return;
         }
-        it->second.state = ClaimState::Running;
+        it->second.state = TargetState::Running;
+        checkInvariant(m_dispatching.insert(handOver.id).second, "dispatch-once", textOf(handOver.id));
         policyOf(it->second).dispatched(handOver.id);
         m_output.dispatch(it->second.claim, handOver);
     }
 
     void onCancel(const Peer &from, const Cancel &cancel)
     {
+        if (cancel.claim.target != m_options.own.incarnation) {
+            return; // another incarnation's claim: its entry learns of this incarnation and needs no answer
+        }
         const auto it = m_claims.find(cancel.claim);
-        if (it != m_claims.end() && it->second.state == ClaimState::Running) {
+        if (it != m_claims.end() && it->second.entry != from) {
+            return;
+        }
+        if (it == m_claims.end()) {
             m_output.send(from, CancelReply {cancel.id, cancel.claim, Verdict::MayHaveRun});
-            m_output.cancelRun(cancel.claim);
+            return;
         }
+        apply(cancel.claim, TargetEvent::CancelArrives, "cancelled before the hand-over");
     }
 
-    void release(const ClaimId &claim)
+    void applyFrom(const Peer &from, const ClaimId &claim, TargetEvent event)
     {
         const auto it = m_claims.find(claim);
-        if (it == m_claims.end() || it->second.state != ClaimState::Open) {
+        if (it != m_claims.end() && it->second.entry == from) {
+            apply(claim, event, {});
+        }
+    }
+
+    /// Moves the claim through the target table.
+    /// @param why for Refused
+    void apply(const ClaimId &id, TargetEvent event, const std::string &why)
+    {
+        const auto it = m_claims.find(id);
+        if (it == m_claims.end()) {
             return;
         }
-        policyOf(it->second).released(it->second.claim.id);
+        auto &record = it->second;
+        const auto rule = targetRule(record.state, event);
+        record.state = rule.next;
+        switch (rule.action) {
+        case TargetAction::Release:
+            policyOf(record).released(record.claim.id);
+            break;
+        case TargetAction::GiveUp:
+            giveUp(record, why);
+            break;
+        case TargetAction::GiveUpAndConfirm:
+            giveUp(record, why);
+            reply(record, Verdict::NotRun);
+            break;
+        case TargetAction::ConfirmNotRun:
+            reply(record, Verdict::NotRun);
+            break;
+        case TargetAction::ConfirmRun:
+            reply(record, Verdict::MayHaveRun);
+            m_output.cancelRun(id);
+            break;
+        case TargetAction::CancelRun:
+            m_output.cancelRun(id);
+            break;
+        case TargetAction::Forget:
+        case TargetAction::Dispatch: // onHandOver() does it
+        case TargetAction::ReplyMayHaveRun: // onCancel() does it
+        case TargetAction::Ignore:
+            break;
+        }
+        if (rule.next == TargetState::Forgotten) {
+            forget(id);
+        }
+    }
+
+    void forget(const ClaimId &id)
+    {
+        const auto it = m_claims.find(id);
+        m_dispatching.erase(it->second.claim.id);
         m_claims.erase(it);
     }
 
-    void giveUp(const ClaimId &claim, const std::string &detail)
+    void reply(const ClaimRecord &record, Verdict verdict)
+    {
+        m_output.send(record.entry, CancelReply {record.claim.id, record.claim.claim, verdict});
+    }
+
+    void giveUp(ClaimRecord &record, const std::string &why)
+    {
+        record.detail = why;
+        policyOf(record).released(record.claim.id);
+        m_events.record(Event::ClaimGivenUp, Severity::Info, textOf(record.claim.id) + ": " + why);
+        m_output.closeStream(record.claim.claim);
+        sendRefused(record);
+    }
+
+    void sendRefused(const ClaimRecord &record)
+    {
+        m_output.send(record.entry, Refused {record.claim.id, record.claim.claim, record.detail});
+    }
+
+    std::vector<ClaimId> claimsOf(const Peer &entry) const
     {
-        const auto record = m_claims.at(claim);
-        release(claim);
-        const Refused refused {record.claim.id, claim, detail};
-        m_refused[claim] = {record.entry, refused};
-        m_output.closeStream(claim);
-        m_output.send(record.entry, refused);
+        std::vector<ClaimId> found;
+        for (const auto &[id, record] : m_claims) {
+            if (record.entry == entry) {
+                found.push_back(id);
+            }
+        }
+        return found;
     }
 
     void giveUpOldClaims()
     {
         std::vector<ClaimId> old;
         for (const auto &[id, record] : m_claims) {
-            if (record.state == ClaimState::Open && m_clock.now() - record.openedAt >= m_options.claimTimeout) {
+            if (record.state == TargetState::Open && m_clock.now() - record.openedAt >= m_options.claimTimeout) {
+                old.push_back(id);
+            }
+        }
+        for (const auto &it : old) {
+            apply(it, TargetEvent::ClaimTimeout, "no hand-over within the claim timeout");
+        }
+    }
+
+    /// An entry that is away for this long has answered its caller without the target's word.
+    void forgetOldRefusals()
+    {
+        std::vector<ClaimId> old;
+        for (const auto &[id, record] : m_claims) {
+            const bool away = m_peers.count(record.entry) == 0;
+            if (record.state == TargetState::Refused && away && m_clock.now() - record.openedAt >= refusalLifetime) {
                 old.push_back(id);
             }
         }
         for (const auto &it : old) {
-            giveUp(it, "no hand-over within the claim timeout");
+            forget(it);
+        }
+    }
+
+    /// Another incarnation runs on the entry's host: nobody waits for the claims of the old one.
+    void entryReplaced(const Peer &old)
+    {
+        for (auto &[name, policy] : m_policies) {
+            policy->entryGone(old);
+        }
+        for (const auto &it : claimsOf(old)) {
+            apply(it, TargetEvent::EntryGone, {});
         }
     }
 
@@ -309,8 +424,10 @@
         for (const auto &it : m_peers) {
             sendStatus(it);
         }
-        for (const auto &[claim, record] : m_refused) {
-            m_output.send(record.entry, record.refused);
+        for (const auto &[claim, record] : m_claims) {
+            if (record.state == TargetState::Refused) {
+                sendRefused(record);
+            }
         }
     }
 
@@ -326,7 +443,7 @@
     ClaimRecord *running(const ClaimId &claim)
     {
         const auto it = m_claims.find(claim);
-        return it != m_claims.end() && it->second.state == ClaimState::Running ? &it->second : nullptr;
+        return it != m_claims.end() && it->second.state == TargetState::Running ? &it->second : nullptr;
     }
 
     TargetPolicy &policyOf(const ClaimRecord &record)
@@ -345,7 +462,8 @@
     std::set<Peer> m_peers;
     std::uint64_t m_claimNumber = 0;
     std::unordered_map<ClaimId, ClaimRecord> m_claims;
-    std::unordered_map<ClaimId, RefusedRecord> m_refused;
+    std::unordered_set<RequestId> m_dispatching;
+    std::map<HostName, Incarnation> m_entries; // last incarnation connected, by host
     TimePoint m_lastStatus {};
     bool m_stopping = false;
 };
--- a/packages/values/include/monsoonward/values/messages.h
+++ b/packages/values/include/monsoonward/values/messages.h
@@ -271,9 +271,10 @@
 {
     Fingerprint fingerprint = 0;
     ServiceName service;
-    std::uint32_t crashes = 0; ///< seen so far by the sender
+    std::uint32_t crashes = 0; ///< seen so far by @c observer; 0: the request ran whole since, suspicion ends
     Duration expiresIn {};
-    MONSOONWARD_FIELDS(fingerprint, service, crashes, expiresIn)
+    Incarnation observer; ///< the entry that saw the crashes
+    MONSOONWARD_FIELDS(fingerprint, service, crashes, expiresIn, observer)
 };
 
 /// @brief Asks the entry that holds an idempotency claim what became of its request.
