--- a/tests/samples/samplemessages.cpp
+++ b/tests/samples/samplemessages.cpp
@@ -38,7 +38,7 @@
         {"CloseTiers", CloseTiers {service, Tier(2), 7, 5s}},
         {"TiersClosed", TiersClosed {service, Tier(2), 7}},
         {"UsageReport", UsageReport {{{customer, 3, 9000, 1.5, 4000.5}, {CustomerName {"cement-0007"}, 1, 100, 0, 0}}}},
-        {"SuspectNotice", SuspectNotice {0x9876543210fedcba, service, 1, 600s}},
+        {"SuspectNotice", SuspectNotice {0x9876543210fedcba, service, 1, 600s, id.entry}},
         {"ClaimQuery", ClaimQuery {id, 9}},
         {"ClaimQueryReply", ClaimQueryReply {id, 9, Verdict::NotRun}},
     };
