--- a/bench/decision/laterun.cpp
+++ b/bench/decision/laterun.cpp
@@ -97,7 +97,11 @@
     {
         auto &state = m_states[job.index];
         state.running = false;
-        m_tally.lost(job, prefilled);
+        if (state.cancelled) {
+            m_tally.cancelled(prefilled);
+        } else {
+            m_tally.lost(job, prefilled);
+        }
         const auto claim = state.claim;
         m_queue.after(crashNotice, [this, engine, claim] {
             RunStats stats;
@@ -180,6 +184,7 @@
         std::uint32_t tokensTold = 0;
         TimePoint dispatchedAt {};
         bool running = false;
+        bool cancelled = false; // the entry asked for it, and has answered or will
     };
 
     struct PrefillTally
@@ -395,7 +400,7 @@
         auto &entry = *m_entries[m_states[job.index].entry];
         entry.waiting[job.tier].erase(job.index);
         const bool byLoad = isShed(refusal.reason) || refusal.reason == RefusalReason::Expired;
-        if (byLoad && lowerTierAdmitted(job, entry)) {
+        if (byLoad && refusal.verdict == Verdict::NotRun && lowerTierAdmitted(job, entry)) {
             ++m_tally.report().orderViolations;
         }
         m_tally.refused(job, refusal.reason);
@@ -448,6 +453,7 @@
     {
         for (std::size_t n = 0; n < m_states.size(); ++n) {
             if (m_states[n].running && m_states[n].claim.claim == claim) {
+                m_states[n].cancelled = true;
                 m_queue.after({}, [this, n] { m_fleet.engine(m_states[n].engine).cancel(m_jobs[n]); });
             }
         }
--- a/bench/decision/tally.cpp
+++ b/bench/decision/tally.cpp
@@ -44,6 +44,11 @@
     }
 }
 
+void Tally::cancelled(std::uint32_t prefilledTokens)
+{
+    m_report.wastedPrefillTokens += prefilledTokens;
+}
+
 void Tally::refused(const Job &job, RefusalReason reason)
 {
     if (!settle(job)) {
--- a/bench/decision/tally.h
+++ b/bench/decision/tally.h
@@ -49,6 +49,8 @@
     /// @param recomputedTokens prompt tokens prefilled although an engine held them when the request was placed
     void completed(const Job &job, TimePoint at, std::uint32_t prefilledTokens, std::uint32_t recomputedTokens);
     void lost(const Job &job, std::uint32_t prefilledTokens);
+    /// The request was stopped at its engine at the entry's wish; refused() tells its end.
+    void cancelled(std::uint32_t prefilledTokens);
     void refused(const Job &job, RefusalReason reason);
     Report &report();
 
