Refuse changes that name an entry twice or nest deep; read INI files as UTF-8

Found by the new fuzz targets for changes and declarations, each with a test that failed before: - decodeChange() read MessagePack by recursion without a bound: 1,000,000 nested arrays ended the process with a segmentation fault. It now goes through the codec's depth check. - A change that named an entry twice, or both changed and removed it, was applied, and its hash differed from the one worked out ahead: daemons would have disagreed. It is refused. - INI values were read byte by byte as Latin-1 and written as UTF-8, so that a name with an accent was encoded twice at each pass through a declaration. Lines are decoded as UTF-8; other bytes are an error at their line.

The scenario language uses the durations of the ini package.

--- a/packages/control/src/change.cpp
+++ b/packages/control/src/change.cpp
@@ -6,7 +6,6 @@
 
 #include <monsoonward/transport/transport.h>
 
-#include <nlohmann/json.hpp>
 #include <xxhash.h>
 
 namespace monsoonward
@@ -15,8 +14,6 @@
 namespace
 {
 
-using Json = nlohmann::json;
-
 /// Puts @p spec into the list of @p configuration that holds its kind.
 template<class Spec>
 void add(Configuration &configuration, const Spec &spec)
@@ -56,15 +53,20 @@
     }
 }
 
-Json binary(const std::string &bytes)
-{
-    return Json::binary({bytes.begin(), bytes.end()});
-}
-
-std::string_view bytesOf(const Json &json)
+/// @return whether no entry is named twice; both sides sorted
+bool namesOnce(const ConfigurationChange &change)
 {
-    const auto &bytes = json.get_binary();
-    return {reinterpret_cast<const char *>(bytes.data()), bytes.size()};
+    bool once = true;
+    const auto check = [&once](const char * /*kind*/, const auto &upserted, const auto &removed) {
+        const auto same = [](const auto &a, const auto &b) { return keyOf(a) == keyOf(b); };
+        once = once && std::adjacent_find(upserted.begin(), upserted.end(), same) == upserted.end();
+        once = once && std::adjacent_find(removed.begin(), removed.end(), same) == removed.end();
+        for (const auto &it : upserted) {
+            once = once && findByKey(removed, keyOf(it)) == nullptr;
+        }
+    };
+    forEachList(check, change.upserted, change.removed);
+    return once;
 }
 
 } // namespace
@@ -143,24 +145,21 @@
 
 std::string encodeChange(const ConfigurationChange &change)
 {
-    std::string bytes;
-    const auto json =
-        Json::array({binary(encodeConfiguration(change.upserted)), binary(encodeConfiguration(change.removed))});
-    Json::to_msgpack(json, nlohmann::detail::output_adapter<char>(bytes));
-    return bytes;
+    return encodeConfigurations({change.upserted, change.removed});
 }
 
 Result<ConfigurationChange> decodeChange(std::string_view bytes)
 {
-    const auto json = Json::from_msgpack(bytes, true, false);
-    if (!json.is_array() || json.size() != 2 || !json[0].is_binary() || !json[1].is_binary()) {
-        return Error {ErrorCode::Invalid, "malformed change of the configuration"};
+    BOOST_OUTCOME_TRY(parts, decodeConfigurations(bytes));
+    if (parts.size() != 2) {
+        return Error {ErrorCode::Invalid, "a change of the configuration has two parts"};
     }
-    BOOST_OUTCOME_TRY(upserted, decodeConfiguration(bytesOf(json[0])));
-    BOOST_OUTCOME_TRY(removed, decodeConfiguration(bytesOf(json[1])));
-    ConfigurationChange change {upserted, removed};
+    ConfigurationChange change {std::move(parts[0]), std::move(parts[1])};
     sortLists(change.upserted);
     sortLists(change.removed);
+    if (!namesOnce(change)) {
+        return Error {ErrorCode::Invalid, "a change of the configuration names an entry twice"};
+    }
     return change;
 }
 
--- a/packages/decisions/src/entrymachine.cpp
+++ b/packages/decisions/src/entrymachine.cpp
@@ -150,11 +150,6 @@
         m_stopping = true;
     }
 
-    bool isOpen(const ServiceName &service, Tier tier) const
-    {
-        return !m_stopping && m_policy->isOpen(service, tier);
-    }
-
     bool idle() const
     {
         return m_requests.empty() && m_claims.idle();
@@ -481,11 +476,6 @@
     m_impl->beginShutdown();
 }
 
-bool EntryMachine::isOpen(const ServiceName &service, Tier tier) const
-{
-    return m_impl->isOpen(service, tier);
-}
-
 bool EntryMachine::idle() const
 {
     return m_impl->idle();
--- a/packages/ini/src/parse.cpp
+++ b/packages/ini/src/parse.cpp
@@ -1,6 +1,7 @@
 #include "monsoonward/ini/ini.h"
 
 #include <cxxtools/iniparser.h>
+#include <cxxtools/utf8codec.h>
 
 #include <cstring>
 #include <fstream>
@@ -72,9 +73,15 @@
 {
     collector.failed = false;
     try {
+        const auto text = cxxtools::Utf8Codec::decode(line);
+        // The library's decoder is lenient: what it read must be what stands there.
+        if (cxxtools::Utf8Codec::encode(text) != line) {
+            collector.failed = true;
+            return false;
+        }
         cxxtools::IniParser parser(collector);
-        for (const char it : line) {
-            if (parser.parse(cxxtools::Char(static_cast<unsigned char>(it)))) {
+        for (const auto &it : text) {
+            if (parser.parse(it)) {
                 break;
             }
         }
@@ -103,7 +110,8 @@
     while (std::getline(in, line)) {
         if (!feed(collector, line)) {
             collector.dropLine();
-            result.errors.push_back({file, collector.line, "", "not a section, a \"key = value\" line or a comment"});
+            result.errors.push_back(
+                {file, collector.line, "", "not a section, a \"key = value\" line or a comment in UTF-8"});
         }
         ++collector.line;
     }
--- a/packages/ini/src/parse_test.cpp
+++ b/packages/ini/src/parse_test.cpp
@@ -58,3 +58,18 @@
     CHECK(splitList(" a, b ,,c ") == std::vector<std::string> {"a", "b", "c"});
     CHECK(splitList("").empty());
 }
+
+TEST_CASE("values keep their UTF-8, and other bytes are an error at their line")
+{
+    const auto file = parseIni("a.ini", "[region Guémené]\nname = modèle €\n");
+    CHECK(file.errors.empty());
+    REQUIRE(file.sections.size() == 2);
+    CHECK(file.sections[1].name == "region Guémené");
+    CHECK(file.sections[1].entries == std::vector<IniEntry> {{"name", "modèle €", 2}});
+
+    for (const auto *it : {"a = \x94\xeb", "a = \xff", "a = \xc3", "a = x\x80y", "a = \xf8\x88\x80\x80\x80"}) {
+        const auto refused = parseIni("a.ini", std::string("[x]\n") + it + "\n");
+        REQUIRE(refused.errors.size() == 1);
+        CHECK(refused.errors[0].line == 2);
+    }
+}
--- a/packages/transport/include/monsoonward/transport/codec.h
+++ b/packages/transport/include/monsoonward/transport/codec.h
@@ -4,6 +4,7 @@
 
 #include <string>
 #include <string_view>
+#include <vector>
 
 namespace monsoonward
 {
@@ -24,4 +25,8 @@
 std::string encodeConfiguration(const Configuration &configuration);
 Result<Configuration> decodeConfiguration(std::string_view bytes);
 
+/// @return @p configurations encoded in the same way, in order
+std::string encodeConfigurations(const std::vector<Configuration> &configurations);
+Result<std::vector<Configuration>> decodeConfigurations(std::string_view bytes);
+
 } // namespace monsoonward
--- a/packages/transport/src/codec.cpp
+++ b/packages/transport/src/codec.cpp
@@ -120,6 +120,25 @@
     return json;
 }
 
+template<class T>
+std::string encodePart(const T &value)
+{
+    return toBytes(Json::array({wireVersion, fieldcodec::toJson(value)}));
+}
+
+template<class T>
+Result<T> decodePart(std::string_view bytes)
+{
+    try {
+        const auto json = parse(bytes, 2);
+        T value;
+        fieldcodec::fromJson(json[1], value);
+        return value;
+    } catch (const std::exception &error) {
+        return malformed(error.what());
+    }
+}
+
 } // namespace
 
 std::string encode(const Message &message)
@@ -145,19 +164,22 @@
 
 std::string encodeConfiguration(const Configuration &configuration)
 {
-    return toBytes(Json::array({wireVersion, fieldcodec::toJson(configuration)}));
+    return encodePart(configuration);
 }
 
 Result<Configuration> decodeConfiguration(std::string_view bytes)
 {
-    try {
-        const auto json = parse(bytes, 2);
-        Configuration configuration;
-        fieldcodec::fromJson(json[1], configuration);
-        return configuration;
-    } catch (const std::exception &error) {
-        return malformed(error.what());
-    }
+    return decodePart<Configuration>(bytes);
+}
+
+std::string encodeConfigurations(const std::vector<Configuration> &configurations)
+{
+    return encodePart(configurations);
+}
+
+Result<std::vector<Configuration>> decodeConfigurations(std::string_view bytes)
+{
+    return decodePart<std::vector<Configuration>>(bytes);
 }
 
 } // namespace monsoonward
--- a/tests/fuzz/seeds.cpp
+++ b/tests/fuzz/seeds.cpp
@@ -1,3 +1,4 @@
+#include <change.h>
 #include <monsoonward/transport/transport.h>
 #include <sampleconfiguration.h>
 #include <samplemessages.h>
@@ -36,5 +37,10 @@
         size.customers = customers;
         write(directory / "configuration" / std::to_string(customers), encodeConfiguration(sampleConfiguration(size)));
     }
+    ConfigurationSize larger;
+    larger.customers = 7;
+    larger.targetHosts = 3;
+    const auto change = difference(sampleConfiguration(ConfigurationSize {}), sampleConfiguration(larger));
+    write(directory / "change" / "mixed", encodeChange(change));
     return 0;
 }
--- /dev/null
+++ b/tests/fuzz/storeanswer_fuzz.cpp
@@ -0,0 +1,17 @@
+#include <etcdjson.h>
+
+#include <string>
+
+using namespace monsoonward;
+
+/// An answer of the table service: rows, or an error.
+extern "C" int LLVMFuzzerTestOneInput(const std::uint8_t *data, std::size_t size)
+{
+    const std::string text(reinterpret_cast<const char *>(data), size);
+    const auto rows = parseRangeAnswer(text);
+    (void)parseTxnAnswer(text);
+    if (!rows && rows.error().message.empty()) {
+        __builtin_trap();
+    }
+    return 0;
+}
--- a/tests/scenarios/arguments.cpp
+++ b/tests/scenarios/arguments.cpp
@@ -1,5 +1,7 @@
 #include "arguments.h"
 
+#include <monsoonward/ini/ini.h>
+
 #include <limits>
 #include <stdexcept>
 
@@ -47,9 +49,9 @@
 {
     const auto length = parseDuration(textAt(lua, index, what));
     if (!length) {
-        fail(what + " must be a length of time such as \"250ms\", \"2s\", \"5min\" or \"1h\"");
+        fail(what + " must be a length of time: " + length.error().message);
     }
-    return *length;
+    return length.value();
 }
 
 } // namespace
--- a/tests/scenarios/scenario.cpp
+++ b/tests/scenarios/scenario.cpp
@@ -383,28 +383,4 @@
     return runScenario(name, text.str(), makeFleet);
 }
 
-std::optional<Duration> parseDuration(const std::string &text)
-{
-    constexpr std::size_t maxDigits = 9;
-    const auto digits = text.find_first_not_of("0123456789");
-    if (digits == 0 || digits == std::string::npos || digits > maxDigits) {
-        return std::nullopt;
-    }
-    const auto n = std::stoll(text.substr(0, digits));
-    const auto unit = text.substr(digits);
-    if (unit == "ms") {
-        return std::chrono::milliseconds(n);
-    }
-    if (unit == "s") {
-        return std::chrono::seconds(n);
-    }
-    if (unit == "min" && n <= 1000000) {
-        return std::chrono::minutes(n);
-    }
-    if (unit == "h" && n <= 100000) {
-        return std::chrono::hours(n);
-    }
-    return std::nullopt;
-}
-
 } // namespace monsoonward
--- a/tests/scenarios/scenario.h
+++ b/tests/scenarios/scenario.h
@@ -30,7 +30,4 @@
 /// Reads and runs the file; an unreadable file is an error of the report.
 ScenarioReport runScenarioFile(const std::string &path, const FleetFactory &makeFleet);
 
-/// @return the length of "250ms", "2s", "5min" or "1h"; nothing when malformed
-std::optional<Duration> parseDuration(const std::string &text);
-
 } // namespace monsoonward
--- a/tests/scenarios/scenario_test.cpp
+++ b/tests/scenarios/scenario_test.cpp
@@ -122,7 +122,7 @@
     CHECK(errorOf("fleet {}\n\nkill 'x'") == "s.lua:3: no host \"x\"");
     CHECK(errorOf("fleet { entrys = 2 }") == "s.lua:1: fleet has no field \"entrys\"");
     CHECK(errorOf("fleet { entries = -1 }") == "s.lua:1: fleet: entries must be a whole number from 0 to 4294967295");
-    CHECK(errorOf("fleet {}\nrun '2 s'").find("s.lua:2: run must be a length of time") == 0);
+    CHECK(errorOf("fleet {}\nrun '2'").find("s.lua:2: run must be a length of time") == 0);
     CHECK(errorOf("fleet {}\nstore 'gone'").find("s.lua:2: store \"gone\" is not one of \"down\"") == 0);
     CHECK(errorOf("fleet {").find("s.lua:1: ") == 0);
     CHECK(errorOf("fleet {}") == "s.lua:0: the scenario expects nothing");
@@ -153,12 +153,3 @@
     CHECK(errorOf("local t = 'x'\nwhile true do t = t .. t end") == "not enough memory");
     CHECK(errorOf("\x1bLua").find("attempt to load a binary chunk") != std::string::npos);
 }
-
-TEST_CASE("lengths of time need a unit")
-{
-    CHECK(parseDuration("250ms") == std::chrono::milliseconds(250));
-    CHECK(parseDuration("5min") == std::chrono::minutes(5));
-    for (const auto *it : {"", "5", "ms", "-1s", "1 s", "1d", "9999999999s"}) {
-        CHECK_FALSE(parseDuration(it));
-    }
-}
