--- a/packages/decisions/include/monsoonward/decisions/entrymachine.h
+++ b/packages/decisions/include/monsoonward/decisions/entrymachine.h
@@ -72,6 +72,8 @@
 
     /// Refuses new requests; waiting and handed-over ones go on.
     void beginShutdown();
+    /// @return whether requests of @p tier are admitted here
+    bool isOpen(const ServiceName &service, Tier tier) const;
     /// @return whether no request is left
     bool idle() const;
     /// Runs timers; called at least every 100 ms of the clock.
--- a/packages/decisions/src/entrymachine.cpp
+++ b/packages/decisions/src/entrymachine.cpp
@@ -150,6 +150,11 @@
         m_stopping = true;
     }
 
+    bool isOpen(const ServiceName &service, Tier tier) const
+    {
+        return !m_stopping && m_policy->isOpen(service, tier);
+    }
+
     bool idle() const
     {
         return m_requests.empty() && m_claims.idle();
@@ -476,6 +481,11 @@
     m_impl->beginShutdown();
 }
 
+bool EntryMachine::isOpen(const ServiceName &service, Tier tier) const
+{
+    return m_impl->isOpen(service, tier);
+}
+
 bool EntryMachine::idle() const
 {
     return m_impl->idle();
--- a/packages/policy/include/monsoonward/policy/requestspec.h
+++ b/packages/policy/include/monsoonward/policy/requestspec.h
@@ -5,6 +5,9 @@
 namespace monsoonward
 {
 
+/// @brief Prompt tokens that each PrefixHash of a request covers beyond the one before it.
+constexpr std::uint32_t prefixBlockTokens = 256;
+
 /// @brief What an entry knows of a request when it arrives. @c deadline is on the entry's clock.
 struct RequestSpec
 {
--- /dev/null
+++ b/tests/simulation/simentry.h
@@ -0,0 +1,70 @@
+#pragma once
+
+#include "simnetwork.h"
+#include "simrecord.h"
+#include "simtable.h"
+
+#include <monsoonward/decisions/decisions.h>
+
+namespace monsoonward
+{
+
+/// @brief One run of an entry daemon: its state machine, its callers and the streams of its requests.
+class SimEntry : public SimProcess, private EntryOutput
+{
+public:
+    SimEntry(EventQueue &queue,
+             SimNetwork &network,
+             SimStore &store,
+             SimRecord &record,
+             Random &random,
+             const EntryOptions &options,
+             Duration clockOffset,
+             EventLog &events);
+
+    /// Connects the table's callbacks; called once the process is held by a shared pointer.
+    void start();
+    void submit(const std::string &name);
+    void hangUp(const std::string &name);
+
+    void configure(const ConfigurationPtr &configuration) override;
+    void peerUp(const Peer &peer, HostRole role) override;
+    void peerDown(const Peer &peer) override;
+    void message(const Peer &from, const Message &message) override;
+    void streamLost(const Peer &from, const RequestId &id, const ClaimId &claim) override;
+    void hostList(const std::vector<ListedHost> &hosts);
+    void tick() override;
+    bool idle() const override;
+    std::string dump() const;
+
+protected:
+    void beginShutdown() override;
+
+private:
+    /// An answer that is on its way.
+    struct Answer
+    {
+        AnswerAssembler assembler;
+        std::string body;
+    };
+
+    void send(const Peer &to, const Message &message) override;
+    void handOver(const Peer &to, const RequestId &id, const ClaimId &claim) override;
+    void rejectClaim(const Peer &to, const RequestId &id, const ClaimId &claim) override;
+    void refuse(const RequestId &id, const Refusal &refusal) override;
+    void completed(const RequestId &id, const AnswerEnd &end) override;
+    void onAnswerChunk(const Peer &from, const AnswerChunk &chunk);
+    void onAnswerEnd(const Peer &from, AnswerEnd end);
+    void broken(const Peer &from, const RequestId &id, const ClaimId &claim);
+    RequestSpec specOf(const SimCall &call) const;
+
+    const EventQueue &m_events;
+    SimNetwork &m_network;
+    SimRecord &m_record;
+    SimTable m_table;
+    EntryMachine m_machine;
+    std::map<ClaimId, Answer> m_answers;
+    std::map<RequestId, ClaimId> m_claims;
+};
+
+} // namespace monsoonward
