--- a/tests/simulation/simentry.h
+++ b/tests/simulation/simentry.h
@@ -35,7 +35,7 @@
     void hostList(const std::vector<ListedHost> &hosts);
     void tick() override;
     bool idle() const override;
-    std::string dump() const;
+    std::string dump() const override;
 
 protected:
     void beginShutdown() override;
--- a/tests/simulation/simprocess.h
+++ b/tests/simulation/simprocess.h
@@ -51,6 +51,8 @@
     virtual void tick() = 0;
     /// @return whether a graceful shutdown may end
     virtual bool idle() const = 0;
+    /// @return the machine's state as JSON text
+    virtual std::string dump() const = 0;
 
 protected:
     virtual void beginShutdown() = 0;
--- a/tests/simulation/simtarget.cpp
+++ b/tests/simulation/simtarget.cpp
@@ -67,6 +67,11 @@
     return m_machine.idle();
 }
 
+std::string SimTarget::dump() const
+{
+    return m_machine.dump();
+}
+
 void SimTarget::firstToken(const ClaimId &claim)
 {
     post({}, [this, claim] {
--- a/tests/simulation/simtarget.h
+++ b/tests/simulation/simtarget.h
@@ -29,6 +29,7 @@
     void streamLost(const Peer &from, const RequestId &id, const ClaimId &claim) override;
     void tick() override;
     bool idle() const override;
+    std::string dump() const override;
 
     void firstToken(const ClaimId &claim) override;
     void finished(const ClaimId &claim, bool whole) override;
--- a/tests/simulation/simulation.cpp
+++ b/tests/simulation/simulation.cpp
@@ -16,6 +16,8 @@
 constexpr Duration adoptionSpread = std::chrono::milliseconds(800);
 constexpr Duration bootTime = std::chrono::seconds(1); // start() returns with the fleet connected
 
+using NoEngines = std::vector<SimTarget::EnginePtr>;
+
 Peer peerOf(const std::string &host, Random &random)
 {
     return {HostName {host}, makeIncarnation(random)};
@@ -258,6 +260,13 @@
     return m_record.broken(settled);
 }
 
+std::string Simulation::dump(const std::string &host) const
+{
+    requireHost(host);
+    const auto it = process(host);
+    return it ? it->dump() : std::string();
+}
+
 std::vector<std::string> Simulation::entries() const
 {
     return m_entries;
@@ -291,7 +300,8 @@
     const auto started = makeProcess(host, peerOf(host, *m_random));
     m_processes[host] = started;
     started->post({}, [started, configuration = m_configuration] { started->configure(configuration); });
-    for (const auto &it : m_engines[host]) {
+    const auto engines = m_engines.find(host);
+    for (const auto &it : engines == m_engines.end() ? NoEngines {} : engines->second) {
         it->setState(EngineState::Up);
         it->attach(std::dynamic_pointer_cast<SimEngineListener>(started));
     }
--- a/tests/simulation/simulation.h
+++ b/tests/simulation/simulation.h
@@ -51,6 +51,8 @@
     /// @return one line for each promise that was broken; empty when all hold
     /// @param settled whether every request should have its answer by now
     std::vector<std::string> broken(bool settled) const;
+    /// @return the state of the host's process as JSON text; empty when it is not there
+    std::string dump(const std::string &host) const;
     std::vector<std::string> entries() const;
     std::vector<std::string> targets() const;
     /// Receives the daemons' events from the next start() or restart() on. Must outlive the fleet.
