--- /dev/null
+++ b/packages/decisions/src/tables_test.cpp
@@ -0,0 +1,67 @@
+#include "entrytable.h"
+#include "targettable.h"
+
+#include <doctest/doctest.h>
+
+#include <algorithm>
+#include <fstream>
+#include <set>
+
+using namespace monsoonward;
+
+namespace
+{
+
+/// Lines of the page that are rows of a table with four words.
+std::set<std::string> rowsOfPage()
+{
+    std::ifstream in(MONSOONWARD_SOURCE_DIR "/docs/HANDOVER.md");
+    std::set<std::string> rows;
+    std::string line;
+    while (std::getline(in, line)) {
+        if (std::count(line.begin(), line.end(), '|') == 5 && line.find("---") == std::string::npos) {
+            rows.insert(line);
+        }
+    }
+    rows.erase("| state | event | action | next state |");
+    return rows;
+}
+
+template<class Rule>
+std::string rowOf(const Rule &rule)
+{
+    return "| " + textOf(rule.state) + " | " + textOf(rule.event) + " | " + textOf(rule.action) + " | "
+        + textOf(rule.next) + " |";
+}
+
+template<class Rule>
+void checkTable(const std::vector<Rule> &table, std::set<std::string> &page)
+{
+    for (const auto &it : table) {
+        CHECK_MESSAGE(page.erase(rowOf(it)) == 1, rowOf(it) << " stands twice or is not in docs/HANDOVER.md");
+    }
+}
+
+} // namespace
+
+TEST_CASE("docs/HANDOVER.md has exactly the rows of the program")
+{
+    auto page = rowsOfPage();
+    checkTable(entryTable(), page);
+    checkTable(targetTable(), page);
+    for (const auto &it : page) {
+        FAIL_CHECK("not in the program: " << it);
+    }
+}
+
+TEST_CASE("a hand-over and a dispatch have one state to come from each")
+{
+    for (const auto &it : entryTable()) {
+        CHECK((it.action == EntryAction::HandOver) == (it.next == EntryState::HandedOver && it.state != it.next));
+        CHECK((it.action != EntryAction::HandOver || it.state == EntryState::Waiting));
+    }
+    for (const auto &it : targetTable()) {
+        CHECK((it.action != TargetAction::Dispatch || it.state == TargetState::Open));
+        CHECK((it.next != TargetState::Open));
+    }
+}
