--- /dev/null
+++ b/tests/scenarios/bystander-of-a-crash.lua
@@ -0,0 +1,8 @@
+-- A request that ran beside a poison request once is not locked out.
+fleet { entries = 1, targets = 3 }
+send { name = "good", entry = "entry-1", output = 400, body = "good" }
+send { name = "poison", entry = "entry-1", poison = true, body = "bad" }
+run "20s"
+send { name = "again", entry = "entry-1", body = "good" }
+run "20s"
+expect("again", "completed")
--- /dev/null
+++ b/tests/scenarios/impossible-deadline.lua
@@ -0,0 +1,8 @@
+-- A deadline that no engine can meet is refused before any prefill, as "not run".
+fleet { entries = 1, targets = 1, slots = 1 }
+send { name = "running", entry = "entry-1", output = 400 }
+run "500ms"
+send { name = "hurry", entry = "entry-1", deadline = "100ms", output = 50 }
+run "10s"
+expect("hurry", "not-run")
+expectRuns("hurry", 0)
--- /dev/null
+++ b/tests/scenarios/store-call-lost.lua
@@ -0,0 +1,7 @@
+-- The write itself is lost: found absent by reading back, written again, run once.
+fleet { entries = 1, targets = 1 }
+store "lose-next-call"
+send { name = "a", entry = "entry-1", key = "plant-1" }
+run "10s"
+expect("a", "completed")
+expectRuns("a", 1)
--- /dev/null
+++ b/tests/scenarios/store-down.lua
@@ -0,0 +1,14 @@
+-- The table service is down for a long stretch: idempotent requests go on, the others are refused at once as "not run".
+fleet { entries = 2, targets = 2 }
+store "down"
+run "10min"
+send { name = "draft", entry = "entry-1" }
+send { name = "booking", entry = "entry-2", key = "roller-7" }
+run "5s"
+expect("draft", "completed")
+expect("booking", "not-run", "store-unavailable")
+store "up"
+run "5s"
+send { name = "again", entry = "entry-2", key = "roller-7" }
+run "5s"
+expect("again", "completed")
--- /dev/null
+++ b/tests/scenarios/target-dies-between-last-byte-and-end.lua
@@ -0,0 +1,12 @@
+-- The target dies at every millisecond around the end of the answer: whole, or "may have run"; never twice.
+fleet { entries = 1, targets = 2, slots = 1 }
+for n = 1, 16 do
+  send { name = "a" .. n, entry = "entry-1", prompt = 100, output = 20 }
+  run((215 + n) .. "ms")
+  kill "target-1"
+  run "5s"
+  expect("a" .. n, "ended")
+  expectRuns("a" .. n, 0, 1)
+  restart "target-1"
+  run "20s"
+end
