--- a/packages/decisions/src/idempotency.cpp
+++ b/packages/decisions/src/idempotency.cpp
@@ -1,6 +1,6 @@
 #include "idempotency.h"
 
-#include <algorithm>
+#include <set>
 
 namespace monsoonward
 {
@@ -131,22 +131,26 @@
     }
     std::vector<RowWrite> writes;
     std::vector<RequestId> ids;
-    const auto n = std::min(m_queue.size(), maxBatch);
-    for (std::size_t i = 0; i < n; ++i) {
-        const auto &id = m_queue[i];
+    std::vector<RequestId> later;
+    std::set<std::string> keys;
+    for (const auto &id : m_queue) {
         auto &taking = m_taking.at(id);
         if (taking.abandoned) {
             m_taking.erase(id);
             continue;
         }
+        // One write must not name a row twice: both requests would take it for theirs.
+        if (writes.size() == maxBatch || !keys.insert(taking.rowKey).second) {
+            later.push_back(id);
+            continue;
+        }
         taking.step = Step::Writing;
         const ClaimRow row {id, m_own.host, ClaimRowState::Held, *m_expiry.epoch()};
         writes.push_back({taking.rowKey, encode(row), taking.ifVersion});
         ids.push_back(id);
     }
-    m_queue.erase(m_queue.begin(), m_queue.begin() + static_cast<std::ptrdiff_t>(n));
+    m_queue = later;
     if (writes.empty()) {
-        flush();
         return;
     }
     m_writing = true;
--- a/packages/platform/include/monsoonward/platform/tableservice.h
+++ b/packages/platform/include/monsoonward/platform/tableservice.h
@@ -42,8 +42,8 @@
     virtual void read(const std::string &key, ReadCallback done) = 0;
     /// Reads at most @p limit rows whose keys begin with @p prefix and are greater than @p after, in key order.
     virtual void scan(const std::string &prefix, const std::string &after, std::size_t limit, ScanCallback done) = 0;
-    /// Writes all of @p writes or none. Errors: Conflict (nothing written), Unavailable (nothing written), Unknown (the
-    /// answer was lost; settle it by reading).
+    /// Writes all of @p writes or none; a row may stand in them once. Errors: Invalid (a row stands twice), Conflict,
+    /// Unavailable (nothing written in all three), Unknown (the answer was lost; settle it by reading).
     virtual void write(const std::vector<RowWrite> &writes, WriteCallback done) = 0;
 };
 
--- a/packages/platform/src/faketable.cpp
+++ b/packages/platform/src/faketable.cpp
@@ -1,5 +1,6 @@
 #include "monsoonward/platform/faketable.h"
 
+#include <set>
 #include <utility>
 
 namespace monsoonward
@@ -72,6 +73,12 @@
 
 Result<void> FakeTable::apply(const std::vector<RowWrite> &writes)
 {
+    std::set<std::string> keys;
+    for (const auto &it : writes) {
+        if (!keys.insert(it.key).second) {
+            return Error {ErrorCode::Invalid, "row \"" + it.key + "\" is written twice in one call"};
+        }
+    }
     for (const auto &it : writes) {
         const auto row = m_rows.find(it.key);
         const auto version = row == m_rows.end() ? 0 : row->second.version;
--- a/packages/platform/src/faketable_test.cpp
+++ b/packages/platform/src/faketable_test.cpp
@@ -25,3 +25,13 @@
     CHECK(code == ErrorCode::Conflict);
     CHECK(table.rows().count("b") == 0);
 }
+
+TEST_CASE("a write that names a row twice is refused")
+{
+    FakeTable table;
+    std::optional<ErrorCode> code;
+    table.write({{"a", "1", 0}, {"a", "2", 0}}, [&code](const Result<void> &result) { code = result.error().code; });
+    table.deliver();
+    CHECK(code == ErrorCode::Invalid);
+    CHECK(table.rows().empty());
+}
--- a/tests/simulation/simprocess.cpp
+++ b/tests/simulation/simprocess.cpp
@@ -102,4 +102,12 @@
     function();
 }
 
+void SimProcess::adopt(const ConfigurationPtr &configuration)
+{
+    if (configuration->revision > m_revision) {
+        m_revision = configuration->revision;
+        configure(configuration);
+    }
+}
+
 } // namespace monsoonward
--- a/tests/simulation/simprocess.h
+++ b/tests/simulation/simprocess.h
@@ -43,6 +43,9 @@
     /// Begins a graceful shutdown.
     void stop();
 
+    /// Configures the process unless it knows a revision that is as high, as daemons do.
+    void adopt(const ConfigurationPtr &configuration);
+
     virtual void configure(const ConfigurationPtr &configuration) = 0;
     virtual void peerUp(const Peer &peer, HostRole role) = 0;
     virtual void peerDown(const Peer &peer) = 0;
@@ -68,6 +71,7 @@
     bool m_alive = true;
     bool m_paused = false;
     bool m_stopping = false;
+    Revision m_revision = 0;
     std::vector<EventQueue::Function> m_inbox;
 };
 
--- a/tests/simulation/simulation.cpp
+++ b/tests/simulation/simulation.cpp
@@ -299,7 +299,7 @@
 {
     const auto started = makeProcess(host, peerOf(host, *m_random));
     m_processes[host] = started;
-    started->post({}, [started, configuration = m_configuration] { started->configure(configuration); });
+    started->post({}, [started, configuration = m_configuration] { started->adopt(configuration); });
     const auto engines = m_engines.find(host);
     for (const auto &it : engines == m_engines.end() ? NoEngines {} : engines->second) {
         it->setState(EngineState::Up);
@@ -337,7 +337,7 @@
 {
     for (const auto &[host, it] : m_processes) {
         it->post(below(*m_random, adoptionSpread),
-                 [process = it, configuration = m_configuration] { process->configure(configuration); });
+                 [process = it, configuration = m_configuration] { process->adopt(configuration); });
     }
 }
 
