Run a request from caller to engine through entry and target

Transport: nghttp2 sessions between daemons, authenticated by a shared secret before anything else, one stream for each claim, flow control from the reader to the writing thread. Daemon: one control thread for each role's state machine, answers on traffic threads, supervisor, callers' and admin HTTP listeners, engine client.

Causes found on the way: the HTTP client of cxxtools sends a request again when a connection that was used before breaks (an engine that cut the connection saw it twice), and waits for more input when a chunked answer's end comes in one piece with data. The engine client is Boost.Beast on a connection of its own for each call instead.

--- /dev/null
+++ b/packages/daemon/src/engineanswer.cpp
@@ -0,0 +1,205 @@
+#include "engineanswer.h"
+
+#include "boundedjson.h"
+
+namespace monsoonward
+{
+
+namespace
+{
+
+constexpr std::size_t maxEventBytes = std::size_t {1024} * 1024; // of one line of an event stream
+constexpr std::size_t maxJsonBytes = std::size_t {16} * 1024 * 1024; // of one answer that isn't streamed
+constexpr unsigned firstServerError = 500;
+constexpr unsigned firstClientError = 400;
+const std::string dataField = "data:";
+
+Error broken(const std::string &what)
+{
+    return {ErrorCode::Invalid, "engine answer: " + what};
+}
+
+bool startsWith(std::string_view text, std::string_view start)
+{
+    return text.substr(0, start.size()) == start;
+}
+
+std::uint32_t numberAt(const nlohmann::json &object, const char *key)
+{
+    const auto it = object.find(key);
+    return it != object.end() && it->is_number_unsigned() ? it->get<std::uint32_t>() : 0;
+}
+
+const nlohmann::json *memberOf(const nlohmann::json &object, const char *key)
+{
+    const auto it = object.is_object() ? object.find(key) : object.end();
+    return object.is_object() && it != object.end() ? &*it : nullptr;
+}
+
+bool hasFinishReason(const nlohmann::json &choices)
+{
+    for (const auto &it : choices) {
+        const auto *reason = memberOf(it, "finish_reason");
+        if (reason != nullptr && reason->is_string()) {
+            return true;
+        }
+    }
+    return false;
+}
+
+bool hasText(const nlohmann::json &choice)
+{
+    const auto *delta = memberOf(choice, "delta");
+    const auto *text = delta != nullptr ? memberOf(*delta, "content") : memberOf(choice, "text");
+    return text != nullptr && text->is_string() && !text->get_ref<const std::string &>().empty();
+}
+
+} // namespace
+
+EngineAnswer::EngineAnswer(ServiceKind kind, std::string requestId)
+    : m_kind(kind)
+    , m_requestId(std::move(requestId))
+{
+}
+
+Result<void> EngineAnswer::begin(unsigned status, const HeaderList &headers)
+{
+    const auto *id = findHeader(headers, "X-Request-Id");
+    if (id != nullptr && *id != m_requestId) {
+        return broken("X-Request-Id \"" + *id + "\" is another request's, expected \"" + m_requestId + "\"");
+    }
+    if (m_kind == ServiceKind::Plain) {
+        return boost::outcome_v2::success();
+    }
+    if (status >= firstServerError) {
+        return broken("status " + std::to_string(status));
+    }
+    const auto *type = findHeader(headers, "Content-Type");
+    if (type != nullptr && startsWith(*type, "text/event-stream")) {
+        m_format = Format::EventStream;
+    } else if (status < firstClientError) {
+        m_format = Format::Json;
+    }
+    return boost::outcome_v2::success();
+}
+
+Result<std::uint32_t> EngineAnswer::append(std::string_view bytes)
+{
+    if (m_format == Format::Opaque) {
+        return std::uint32_t {0};
+    }
+    const auto bound = m_format == Format::Json ? maxJsonBytes : maxEventBytes + bytes.size();
+    if (m_buffer.size() + bytes.size() > bound) {
+        return broken("longer than " + std::to_string(bound) + " bytes without an end");
+    }
+    m_buffer.append(bytes);
+    if (m_format == Format::Json) {
+        return std::uint32_t {0};
+    }
+    return readEvents();
+}
+
+Result<void> EngineAnswer::end()
+{
+    if (m_format == Format::EventStream) {
+        const bool whole = m_doneSeen && m_finishSeen && m_buffer.empty();
+        return whole ? Result<void>(boost::outcome_v2::success()) : broken("the event stream ended too early");
+    }
+    if (m_format == Format::Json) {
+        const auto answer = parseBoundedJson(m_buffer);
+        if (!answer) {
+            return broken(answer.error().message);
+        }
+        const auto *choices = memberOf(answer.value(), "choices");
+        if (choices == nullptr || !choices->is_array() || choices->empty()) {
+            return broken("no choices");
+        }
+        readUsage(answer.value());
+    }
+    return boost::outcome_v2::success();
+}
+
+const TokenUsage &EngineAnswer::usage() const
+{
+    return m_usage;
+}
+
+Result<std::uint32_t> EngineAnswer::readEvents()
+{
+    std::uint32_t tokens = 0;
+    std::size_t start = 0;
+    for (auto end = m_buffer.find('\n'); end != std::string::npos; end = m_buffer.find('\n', start)) {
+        const auto n = readLine(std::string_view(m_buffer).substr(start, end - start));
+        if (!n) {
+            return n.error();
+        }
+        tokens += n.value();
+        start = end + 1;
+    }
+    m_buffer.erase(0, start);
+    return tokens;
+}
+
+Result<std::uint32_t> EngineAnswer::readLine(std::string_view line)
+{
+    if (!line.empty() && line.back() == '\r') {
+        line.remove_suffix(1);
+    }
+    if (line.empty() || line[0] == ':') {
+        return std::uint32_t {0};
+    }
+    if (m_doneSeen) {
+        return broken("data after [DONE]");
+    }
+    if (!startsWith(line, dataField)) {
+        const bool otherField = startsWith(line, "event:") || startsWith(line, "id:") || startsWith(line, "retry:");
+        return otherField ? Result<std::uint32_t>(std::uint32_t {0}) : broken("a line that isn't an event's");
+    }
+    line.remove_prefix(dataField.size());
+    if (!line.empty() && line[0] == ' ') {
+        line.remove_prefix(1);
+    }
+    if (line == "[DONE]") {
+        m_doneSeen = true;
+        return std::uint32_t {0};
+    }
+    return readEvent(line);
+}
+
+Result<std::uint32_t> EngineAnswer::readEvent(std::string_view data)
+{
+    const auto event = parseBoundedJson(data);
+    if (!event) {
+        return broken("an event: " + event.error().message);
+    }
+    if (memberOf(event.value(), "error") != nullptr) {
+        return broken("an error event");
+    }
+    readUsage(event.value());
+    const auto *choices = memberOf(event.value(), "choices");
+    if (choices == nullptr || !choices->is_array()) {
+        return std::uint32_t {0};
+    }
+    m_finishSeen = m_finishSeen || hasFinishReason(*choices);
+    std::uint32_t tokens = 0;
+    for (const auto &it : *choices) {
+        tokens += hasText(it) ? 1 : 0;
+    }
+    return tokens;
+}
+
+void EngineAnswer::readUsage(const nlohmann::json &answer)
+{
+    const auto *usage = memberOf(answer, "usage");
+    if (usage == nullptr || !usage->is_object()) {
+        return;
+    }
+    m_usage.promptTokens = numberAt(*usage, "prompt_tokens");
+    m_usage.outputTokens = numberAt(*usage, "completion_tokens");
+    const auto *details = memberOf(*usage, "prompt_tokens_details");
+    if (details != nullptr && details->is_object()) {
+        m_usage.cachedTokens = numberAt(*details, "cached_tokens");
+    }
+}
+
+} // namespace monsoonward
--- /dev/null
+++ b/packages/daemon/src/handlers.cpp
@@ -0,0 +1,59 @@
+#include "handlers.h"
+
+#include "wholeanswersink.h"
+
+namespace monsoonward
+{
+
+namespace
+{
+
+constexpr std::size_t maxAnswerBytes = std::size_t {16} * 1024 * 1024;
+const std::string bearer = "Bearer ";
+
+std::string bearerToken(const HttpRequest &request)
+{
+    const auto *header = findHeader(request.headers, "Authorization");
+    const bool isBearer = header != nullptr && header->compare(0, bearer.size(), bearer) == 0;
+    return isBearer ? header->substr(bearer.size()) : std::string();
+}
+
+} // namespace
+
+CallerHandler::CallerHandler(EntryNode &node)
+    : m_node(node)
+{
+}
+
+HttpReply CallerHandler::answer(const HttpRequest &request, const std::function<bool()> &callerGone)
+{
+    const auto sink = std::make_shared<WholeAnswerSink>(maxAnswerBytes);
+    if (auto reply = m_node.submit(request, sink)) {
+        return *reply;
+    }
+    return sink->wait(callerGone, [this](const RequestId &id) { m_node.cancel(id); });
+}
+
+AdminHandler::AdminHandler(Node &node, Metrics &metrics)
+    : m_node(node)
+    , m_metrics(metrics)
+{
+}
+
+HttpReply AdminHandler::answer(const HttpRequest &request, const std::function<bool()> & /*callerGone*/)
+{
+    const auto path = request.path.substr(0, request.path.find('?'));
+    if (path == "/dump") {
+        return {200, {{"Content-Type", "application/json"}}, m_node.dump()};
+    }
+    if (path == "/metrics") {
+        return {200, {{"Content-Type", "text/plain; version=0.0.4"}}, m_metrics.text()};
+    }
+    if (path.compare(0, 10, "/operator/") == 0) {
+        const auto reply = m_node.operate({bearerToken(request), request.method, request.path, request.body});
+        return {reply.status, {{"Content-Type", "application/json"}}, reply.body};
+    }
+    return refusalBeforeSubmit(404, "unknown-path", "there is nothing at \"" + path + "\"");
+}
+
+} // namespace monsoonward
--- /dev/null
+++ b/packages/daemon/src/node.h
@@ -0,0 +1,91 @@
+#pragma once
+
+#include "controlloop.h"
+#include "controlpart.h"
+
+#include "monsoonward/daemon/daemon.h"
+
+#include <monsoonward/transport/transport.h>
+
+#include <atomic>
+#include <memory>
+
+namespace monsoonward
+{
+
+/// @brief What a daemon of either role has: the control loop, the peers, the configuration in force.
+/// Derived classes add the role's state machine; their machine...() methods run on the control thread.
+class Node : public PeerHandler, public ControlOutput
+{
+public:
+    Node(const Settings &settings, const Clock &clock, EventLog &events, Metrics &metrics);
+    ~Node() override;
+    Node(const Node &) = delete;
+    Node &operator=(const Node &) = delete;
+
+    /// Starts the control loop; the control part is called on it from now on.
+    /// @param control null: the configuration comes by adopt() alone
+    void startControl(ControlPart *control);
+    Result<void> startTransport();
+    void stopTransport();
+    void stopControl();
+
+    ControlLoop &loop();
+    const Peer &own() const;
+    /// Refuses new work from now on; requests in progress finish. Any thread.
+    void beginShutdown();
+    /// @return whether no request is in progress. Any thread.
+    bool idle();
+    /// @return the state as JSON text. Any thread but the control thread.
+    std::string dump();
+    /// Hands an operator's call to the control part and waits for its reply. Not on the control thread.
+    OperatorReply operate(const OperatorRequest &request);
+
+    Heartbeat heartbeat() override;
+    void peerUp(const Peer &peer, HostRole role) override;
+    void peerDown(const Peer &peer) override;
+    void sessionMessage(const Peer &from, Message message) override;
+
+    void send(const Peer &to, const Message &message) override;
+    void adopt(const ConfigurationPtr &configuration) override;
+
+protected:
+    virtual void machineConfigure(const ConfigurationPtr &configuration) = 0;
+    virtual void machinePeerUp(const Peer &peer, HostRole role) = 0;
+    virtual void machinePeerDown(const Peer &peer) = 0;
+    virtual void machineMessage(const Peer &from, const Message &message) = 0;
+    virtual void machineTick() = 0;
+    virtual void machineBeginShutdown() = 0;
+    virtual bool machineIdle() const = 0;
+    virtual std::string machineDump() const = 0;
+
+    PeerTransport &transport();
+    const Settings &settings() const;
+    const Clock &clock() const;
+    EventLog &events();
+    Metrics &metrics();
+    bool stopping() const;
+
+private:
+    void tick();
+    void dialPeers();
+    void reportTraffic();
+
+    Settings m_settings;
+    const Clock &m_clock;
+    EventLog &m_events;
+    Metrics &m_metrics;
+    Peer m_own;
+    ControlLoop m_loop;
+    std::unique_ptr<PeerTransport> m_transport;
+    ControlPart *m_control = nullptr;
+    ConfigurationPtr m_configuration;
+    std::atomic<Revision> m_revision {0};
+    std::atomic<bool> m_stopping {false};
+    std::atomic<std::uint64_t> m_heartbeatNumber {0};
+    TimePoint m_lastHeartbeat {};
+    std::uint64_t m_reportedSent = 0;
+    std::uint64_t m_reportedReceived = 0;
+};
+
+} // namespace monsoonward
--- /dev/null
+++ b/packages/daemon/src/path_test.cpp
@@ -0,0 +1,402 @@
+#include "../../transport/src/loopback.h"
+#include "handlers.h"
+#include "httplistener.h"
+#include "targetnode.h"
+#include "wholeanswersink.h"
+
+#include "httpserver.h"
+
+#include <boost/asio/ip/tcp.hpp>
+#include <doctest/doctest.h>
+#include <nlohmann/json.hpp>
+
+#include <atomic>
+#include <thread>
+
+using namespace monsoonward;
+
+namespace
+{
+
+const std::string key = "key-of-lann";
+const std::string otherKey = "key-of-soizic";
+const std::string wholeAnswer = R"({"choices":[{"text":"ok","finish_reason":"stop"}],"usage":{"prompt_tokens":3}})";
+const std::string wholeEvents = "data: {\"choices\":[{\"text\":\"a\",\"finish_reason\":null}]}\n\n"
+                                "data: {\"choices\":[{\"text\":\"\",\"finish_reason\":\"stop\"}]}\n\n"
+                                "data: [DONE]\n\n";
+
+Settings makeSettings(HostRole role, const std::string &host)
+{
+    Settings settings;
+    settings.role = role;
+    settings.host = HostName(host);
+    settings.region = RegionName("north");
+    settings.sharedSecret = "a secret of the tests";
+    settings.heartbeatInterval = std::chrono::milliseconds(100);
+    settings.heartbeatTimeout = std::chrono::seconds(30);
+    settings.maxBodyBytes = 4 * 1024 * 1024;
+    settings.maxOpenRequests = 100;
+    settings.maxThreads = 16;
+    settings.callerListen = {"127.0.0.1", freePort()};
+    settings.peerListen = {"127.0.0.1", freePort()};
+    return settings;
+}
+
+/// A stand-in server on a thread; servers live until the program ends, since their threads do.
+class Standin
+{
+public:
+    explicit Standin(standin::HttpHandler handler)
+        : m_server(keep(std::make_unique<standin::HttpServer>(0, std::move(handler))))
+    {
+        std::thread([&server = m_server] { server.run(); }).detach();
+    }
+    std::uint16_t port() const
+    {
+        return m_server.port();
+    }
+
+private:
+    static standin::HttpServer &keep(std::unique_ptr<standin::HttpServer> server)
+    {
+        static auto *servers = new std::vector<std::unique_ptr<standin::HttpServer>>();
+        servers->push_back(std::move(server));
+        return *servers->back();
+    }
+    standin::HttpServer &m_server;
+};
+
+class NoHosts : public HostList
+{
+public:
+    void fetch(Callback /*done*/) override
+    {
+    }
+};
+
+/// An entry and a target in one process, a stand-in engine and a stand-in plain service.
+class Fleet
+{
+public:
+    Fleet(standin::HttpHandler engine, standin::HttpHandler plain)
+        : m_entrySettings(makeSettings(HostRole::Entry, "e1"))
+        , m_engine(std::move(engine))
+        , m_plain(std::move(plain))
+        , m_engines(makeHttpEngineClient())
+        , m_entry(m_entrySettings, m_clock, m_random, m_table, m_hosts, m_events, m_metrics)
+        , m_target(makeSettings(HostRole::Target, "t1"), m_clock, *m_engines, m_events, m_metrics)
+        , m_handler(m_entry)
+        , m_server({m_entrySettings.callerListen, m_entrySettings.maxBodyBytes, 16}, m_handler)
+    {
+        m_entry.startControl(nullptr);
+        m_target.startControl(nullptr);
+        REQUIRE(m_entry.startTransport());
+        REQUIRE(m_target.startTransport());
+        REQUIRE(m_server.start());
+        const auto configuration = makeConfiguration();
+        m_entry.loop().call([&] { m_entry.adopt(configuration); });
+        m_target.loop().call([&] { m_target.adopt(configuration); });
+    }
+    ~Fleet()
+    {
+        m_server.stop();
+    }
+    Fleet(const Fleet &) = delete;
+    Fleet &operator=(const Fleet &) = delete;
+
+    HttpReply ask(const HttpRequest &request)
+    {
+        return m_handler.answer(request, [] { return false; });
+    }
+    static HttpRequest completion(const std::string &prompt)
+    {
+        const nlohmann::json body {{"model", "survey"}, {"prompt", prompt}};
+        return {"POST", "/v1/completions", {{"Authorization", "Bearer " + key}}, body.dump()};
+    }
+    const Address &callers() const
+    {
+        return m_entrySettings.callerListen;
+    }
+    EntryNode &entry()
+    {
+        return m_entry;
+    }
+    TargetNode &target()
+    {
+        return m_target;
+    }
+
+private:
+    ConfigurationPtr makeConfiguration() const
+    {
+        Configuration it;
+        it.revision = 1;
+        it.regions = {{RegionName("north")}};
+        it.dataCentres = {{DataCentreName("dc"), RegionName("north")}};
+        it.hosts = {{HostName("e1"), DataCentreName("dc"), HostRole::Entry, m_entrySettings.peerListen, {}, {}},
+                    {HostName("t1"), DataCentreName("dc"), HostRole::Target, {}, {}, {}}};
+        it.tiers = {{Tier(2), "batch", std::chrono::minutes(2)}, {Tier(0), "press", std::chrono::minutes(2)}};
+        it.services = {{ServiceName("booking"), ServiceKind::Plain, {}, "", {{"GET", "/"}}},
+                       {ServiceName("survey"), ServiceKind::Model, ModelName("m"), "1", {}}};
+        it.targets = {{TargetName("t1-booking"), HostName("t1"), ServiceName("booking"), {}, false},
+                      {TargetName("t1-survey"), HostName("t1"), ServiceName("survey"), {}, false}};
+        const Address plain {"127.0.0.1", m_plain.port()};
+        const Address engine {"127.0.0.1", m_engine.port()};
+        it.engines = {{EngineName("e-booking"), TargetName("t1-booking"), plain, "", 4, 0},
+                      {EngineName("e-survey"), TargetName("t1-survey"), engine, "", 4, 0}};
+        it.customers = {{CustomerName("lann"), {sha256(key)}, {Tier(0), Tier(2)}, 1, {}},
+                        {CustomerName("soizic"), {sha256(otherKey)}, {Tier(2)}, 1, {}}};
+        return std::make_shared<const Configuration>(it);
+    }
+
+    Settings m_entrySettings;
+    SystemClock m_clock;
+    SeededRandom m_random {1};
+    FakeTable m_table;
+    NoHosts m_hosts;
+    NullEventLog m_events;
+    Metrics m_metrics;
+    Standin m_engine;
+    Standin m_plain;
+    std::unique_ptr<EngineClient> m_engines;
+    EntryNode m_entry;
+    TargetNode m_target;
+    CallerHandler m_handler;
+    HttpListener m_server;
+};
+
+std::string verdictOf(const HttpReply &reply)
+{
+    const auto *verdict = findHeader(reply.headers, verdictHeader);
+    return verdict == nullptr ? "" : *verdict;
+}
+
+/// Answers every path as an idle engine would; completions by @p complete.
+standin::HttpHandler engineWith(standin::HttpHandler complete)
+{
+    return [complete = std::move(complete)](const standin::HttpRequest &request, standin::HttpResponder &responder) {
+        if (request.target == "/metrics") {
+            responder.respond(200, "text/plain", "vllm:num_requests_running 0\nvllm:num_requests_waiting 0\n");
+        } else {
+            complete(request, responder);
+        }
+    };
+}
+
+void answerNothing(const standin::HttpRequest & /*request*/, standin::HttpResponder &responder)
+{
+    responder.respond(404, "text/plain", "");
+}
+
+} // namespace
+
+TEST_CASE("a one-line body and one of 2 MiB come back whole")
+{
+    Fleet fleet(
+        engineWith([](const standin::HttpRequest &request, standin::HttpResponder &responder) {
+            const auto body = nlohmann::json::parse(request.body);
+            const nlohmann::json answer {{"choices", {{{"text", body.at("prompt")}, {"finish_reason", "stop"}}}}};
+            responder.respond(200, "application/json", answer.dump());
+        }),
+        answerNothing);
+    for (const std::size_t size : {std::size_t {10}, std::size_t {2} * 1024 * 1024}) {
+        const std::string prompt(size, 'p');
+        const auto reply = fleet.ask(Fleet::completion(prompt));
+        REQUIRE(reply.status == 200);
+        CHECK(verdictOf(reply) == "completed");
+        CHECK(nlohmann::json::parse(reply.body).at("choices").at(0).at("text") == prompt);
+    }
+}
+
+TEST_CASE("an engine's event stream is passed on unchanged")
+{
+    Fleet fleet(engineWith([](const standin::HttpRequest & /*request*/, standin::HttpResponder &responder) {
+                    responder.begin(200, "text/event-stream");
+                    responder.chunk(wholeEvents.substr(0, 50));
+                    responder.chunk(wholeEvents.substr(50));
+                    responder.end();
+                }),
+                answerNothing);
+    const auto reply = fleet.ask(Fleet::completion("x"));
+    CHECK(reply.status == 200);
+    CHECK(reply.body == wholeEvents);
+}
+
+TEST_CASE("an answer that isn't whole is never delivered, and the request ran at most once")
+{
+    std::atomic<int> runs {0};
+    std::string fault;
+    Fleet fleet(engineWith([&](const standin::HttpRequest & /*request*/, standin::HttpResponder &responder) {
+                    ++runs;
+                    if (fault == "cut before the answer") {
+                        responder.cut();
+                        return;
+                    }
+                    if (fault == "error status") {
+                        responder.respond(500, "application/json", wholeAnswer);
+                        return;
+                    }
+                    if (fault == "half a JSON answer") {
+                        responder.respond(200, "application/json", wholeAnswer.substr(0, 20));
+                        return;
+                    }
+                    responder.begin(200, "text/event-stream");
+                    responder.chunk(wholeEvents.substr(0, 60));
+                    if (fault == "cut in the middle") {
+                        responder.cut();
+                        return;
+                    }
+                    responder.chunk(fault == "malformed event" ? "data: {\"cho\n\n" : "");
+                    responder.end();
+                }),
+                answerNothing);
+    for (const auto *it : {"cut before the answer",
+                           "error status",
+                           "half a JSON answer",
+                           "cut in the middle",
+                           "malformed event",
+                           "no [DONE]"}) {
+        fault = it;
+        runs = 0;
+        const auto reply = fleet.ask(Fleet::completion(fault));
+        CAPTURE(fault);
+        CHECK(reply.status == 502);
+        CHECK(verdictOf(reply) == "may-have-run");
+        CHECK(runs == 1);
+    }
+}
+
+TEST_CASE("an engine that refuses the connection gives not-run")
+{
+    class Handler : public EngineRunHandler
+    {
+        bool answerBegin(unsigned /*status*/, const HeaderList & /*headers*/) override
+        {
+            return true;
+        }
+        bool answerBytes(std::string_view /*bytes*/) override
+        {
+            return true;
+        }
+    };
+    const auto client = makeHttpEngineClient();
+    Handler handler;
+    const auto run = client->call({"127.0.0.1", freePort()}, Fleet::completion("x"));
+    CHECK(run->run(handler).verdict == Verdict::NotRun);
+}
+
+TEST_CASE("a plain service gets method, path, query, headers and body unchanged")
+{
+    std::atomic<int> runs {0};
+    standin::HttpRequest seen;
+    Fleet fleet(engineWith(answerNothing), [&](const standin::HttpRequest &request, standin::HttpResponder &responder) {
+        ++runs;
+        seen = request;
+        responder.respond(201, "text/plain", "made");
+    });
+    const auto reply = fleet.ask({"PUT",
+                                  "/services/booking/rollers/7%20a?x=1&y=%2F",
+                                  {{"Authorization", "Bearer " + key}, {"X-Press", "3"}},
+                                  "body \x01"});
+    CHECK(reply.status == 201);
+    CHECK(reply.body == "made");
+    CHECK(verdictOf(reply) == "completed");
+    CHECK(runs == 1);
+    CHECK(seen.method == "PUT");
+    CHECK(seen.target == "/rollers/7%20a?x=1&y=%2F");
+    CHECK(seen.header("X-Press") == "3");
+    CHECK(seen.header("Authorization").empty());
+    CHECK(seen.body == "body \x01");
+}
+
+TEST_CASE("a request to nobody's key, tier or service is refused before it runs")
+{
+    Fleet fleet(engineWith(answerNothing), answerNothing);
+    auto unknownKey = Fleet::completion("x");
+    unknownKey.headers = {{"Authorization", "Bearer nobody"}};
+    CHECK(fleet.ask(unknownKey).status == 401);
+    auto tier = Fleet::completion("x");
+    tier.headers = {{"Authorization", "Bearer " + otherKey}, {tierHeader, "press"}};
+    CHECK(fleet.ask(tier).status == 403);
+    auto service = Fleet::completion("x");
+    service.body = R"({"model":"nothing"})";
+    CHECK(fleet.ask(service).status == 404);
+    auto deep = Fleet::completion("x");
+    deep.body = std::string(100000, '[');
+    const auto reply = fleet.ask(deep);
+    CHECK(reply.status == 400);
+    CHECK(verdictOf(reply) == "not-run");
+}
+
+TEST_CASE("a caller that has gone cancels the run at the engine")
+{
+    std::atomic<bool> started {false};
+    std::atomic<bool> gone {false};
+    Fleet fleet(engineWith([&](const standin::HttpRequest & /*request*/, standin::HttpResponder &responder) {
+                    started = true;
+                    while (!responder.clientGone()) {
+                        std::this_thread::sleep_for(std::chrono::milliseconds(5));
+                    }
+                    gone = true;
+                    responder.cut();
+                }),
+                answerNothing);
+    CallerHandler handler(fleet.entry());
+    const auto reply = handler.answer(Fleet::completion("x"), [&] { return started.load(); });
+    CHECK(verdictOf(reply) == "may-have-run");
+    while (!gone) { // a run that isn't cancelled hangs here until the test's timeout
+        std::this_thread::sleep_for(std::chrono::milliseconds(5));
+    }
+}
+
+TEST_CASE("over HTTP, ambiguous or oversized requests are refused and whole ones answered")
+{
+    Fleet fleet(engineWith([](const standin::HttpRequest & /*request*/, standin::HttpResponder &responder) {
+                    responder.respond(200, "application/json", wholeAnswer);
+                }),
+                answerNothing);
+    const auto statusLine = [&](const std::string &text) {
+        boost::asio::ip::tcp::iostream connection(fleet.callers().ip, std::to_string(fleet.callers().port));
+        connection << text << std::flush;
+        std::string line;
+        std::getline(connection, line);
+        return line.substr(0, 12);
+    };
+    const auto body = Fleet::completion("x").body;
+    const std::string head =
+        "POST /v1/completions HTTP/1.1\r\nHost: e1\r\nAuthorization: Bearer " + key + "\r\nContent-Length: ";
+    CHECK(statusLine(head + std::to_string(body.size()) + "\r\n\r\n" + body) == "HTTP/1.1 200");
+    CHECK(statusLine(head + "5\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n") == "HTTP/1.1 400");
+    CHECK(statusLine(head + "99999999\r\n\r\n") == "HTTP/1.1 413");
+    CHECK(statusLine(head + "-1\r\n\r\n") == "HTTP/1.1 413");
+}
+
+TEST_CASE("a graceful shutdown refuses new requests and finishes those in progress")
+{
+    std::atomic<bool> finish {false};
+    std::atomic<bool> started {false};
+    Fleet fleet(engineWith([&](const standin::HttpRequest & /*request*/, standin::HttpResponder &responder) {
+                    started = true;
+                    while (!finish) {
+                        std::this_thread::sleep_for(std::chrono::milliseconds(5));
+                    }
+                    responder.respond(200, "application/json", wholeAnswer);
+                }),
+                answerNothing);
+    HttpReply reply;
+    std::thread caller([&] { reply = fleet.ask(Fleet::completion("x")); });
+    while (!started) {
+        std::this_thread::sleep_for(std::chrono::milliseconds(5));
+    }
+    fleet.target().beginShutdown();
+    fleet.entry().beginShutdown();
+    CHECK_FALSE(fleet.entry().idle());
+    CHECK_FALSE(fleet.target().idle());
+    const auto late = fleet.ask(Fleet::completion("y"));
+    CHECK(late.status == 503);
+    CHECK(verdictOf(late) == "not-run");
+    finish = true;
+    caller.join();
+    CHECK(reply.status == 200);
+    CHECK(fleet.entry().idle());
+}
--- a/packages/daemon/src/placeholder.cpp
+++ /dev/null
@@ -1,1 +0,0 @@
-#include "monsoonward/daemon/daemon.h"
--- /dev/null
+++ b/packages/daemon/src/promptprefix.h
@@ -0,0 +1,20 @@
+#pragma once
+
+#include <monsoonward/values/values.h>
+
+#include <nlohmann/json.hpp>
+
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace monsoonward
+{
+
+/// @return the text that an engine has to prefill: the prompt, or the messages in order
+std::string promptText(const nlohmann::json &body);
+/// @return hashes of the prompt's beginnings up to the end of each block of 1024 bytes; at most 64, shortest first
+std::vector<PrefixHash> prefixHashes(const ServiceName &service, std::string_view prompt);
+Fingerprint requestFingerprint(const CustomerName &customer, const ServiceName &service, std::string_view body);
+
+} // namespace monsoonward
--- /dev/null
+++ b/packages/daemon/src/targetnode.h
@@ -0,0 +1,60 @@
+#pragma once
+
+#include "engineclient.h"
+#include "engineprobe.h"
+#include "node.h"
+#include "workerpool.h"
+
+#include <monsoonward/decisions/decisions.h>
+
+#include <mutex>
+#include <unordered_map>
+
+namespace monsoonward
+{
+
+/// @brief A target daemon: claims requests at the entries and runs them on the engines beside it.
+class TargetNode : public Node, private TargetOutput
+{
+public:
+    TargetNode(const Settings &settings, const Clock &clock, EngineClient &engines, EventLog &events, Metrics &metrics);
+    ~TargetNode() override;
+
+    /// Ends the probe and waits for the runs, which are cancelled.
+    void stopRuns();
+
+    void claimMessage(const Peer &from, const Claim &claim, Message message, std::size_t wireBytes) override;
+    void claimClosed(const Peer &from, const Claim &claim) override;
+
+private:
+    void machineConfigure(const ConfigurationPtr &configuration) override;
+    void machinePeerUp(const Peer &peer, HostRole role) override;
+    void machinePeerDown(const Peer &peer) override;
+    void machineMessage(const Peer &from, const Message &message) override;
+    void machineTick() override;
+    void machineBeginShutdown() override;
+    bool machineIdle() const override;
+    std::string machineDump() const override;
+
+    void send(const Peer &to, const Message &message) override;
+    void claim(const Peer &to, const Claim &claim) override;
+    void closeStream(const ClaimId &claim) override;
+    void dispatch(const Claim &claim, const HandOver &request) override;
+    void cancelRun(const ClaimId &claim) override;
+
+    void run(const Claim &claim,
+             const std::shared_ptr<EngineRun> &engineRun,
+             ServiceKind kind,
+             const std::shared_ptr<AnswerWriter> &writer);
+    void endWithoutRun(const Claim &claim, const std::shared_ptr<AnswerWriter> &writer, const std::string &detail);
+    void reportEngine(const EngineState &state);
+
+    EngineClient &m_engines;
+    ConfigurationPtr m_configuration; // control thread
+    TargetMachine m_machine;
+    WorkerPool m_workers;
+    std::unordered_map<ClaimId, std::shared_ptr<EngineRun>> m_runs; // control thread
+    EngineProbe m_probe;
+};
+
+} // namespace monsoonward
--- a/packages/transport/include/monsoonward/transport/transport.h
+++ b/packages/transport/include/monsoonward/transport/transport.h
@@ -2,3 +2,4 @@
 
 /// The public header of the transport package: the encoding of messages and the streams between processes.
 #include "monsoonward/transport/codec.h"
+#include "monsoonward/transport/peertransport.h"
--- /dev/null
+++ b/packages/transport/src/frame_test.cpp
@@ -0,0 +1,33 @@
+#include "frame.h"
+
+#include <doctest/doctest.h>
+#include <rapidcheck.h>
+
+using namespace monsoonward;
+
+TEST_CASE("payloads survive any cutting of the stream")
+{
+    const bool holds = rc::check([](const std::vector<std::string> &payloads, std::uint8_t step) {
+        std::string bytes;
+        for (const auto &it : payloads) {
+            bytes += frame(it);
+        }
+        FrameReader reader(1000000);
+        std::vector<std::string> read;
+        for (std::size_t n = 0; n < bytes.size(); n += step + 1U) {
+            reader.append(std::string_view(bytes).substr(n, step + 1U));
+            for (auto it = reader.next().value(); it; it = reader.next().value()) {
+                read.push_back(*it);
+            }
+        }
+        RC_ASSERT(read == payloads);
+    });
+    CHECK(holds);
+}
+
+TEST_CASE("a length beyond the bound is refused before its bytes come")
+{
+    FrameReader reader(10);
+    reader.append(frame(std::string(11, 'x')).substr(0, frameHeaderBytes));
+    CHECK_FALSE(reader.next());
+}
--- /dev/null
+++ b/packages/transport/src/peertransport.cpp
@@ -0,0 +1,407 @@
+#include "monsoonward/transport/peertransport.h"
+
+#include "answerqueue.h"
+#include "peerlink.h"
+
+#include <algorithm>
+#include <map>
+#include <set>
+
+namespace monsoonward
+{
+
+namespace
+{
+
+constexpr int listenBacklog = 128;
+constexpr auto unwantedRetry = std::chrono::seconds(10); // before an address that wasn't wanted is tried again
+
+/// An address to keep a connection to.
+struct Dialled
+{
+    std::shared_ptr<PeerLink> link;
+    TimePoint nextTry {};
+    Duration wait {};
+    TimePoint notBefore {}; // it led back to this daemon, or to one that dials us
+};
+
+} // namespace
+
+class PeerTransport::Impl : public cxxtools::Connectable, public PeerLinkOwner
+{
+public:
+    Impl(const PeerTransportOptions &options, PeerHandler &handler, EventLog &events)
+        : m_options(options)
+        , m_handler(handler)
+        , m_events(events)
+    {
+        cxxtools::connect(m_server.connectionPending, *this, &Impl::onConnection);
+    }
+
+    Result<void> start()
+    {
+        try {
+            if (!m_options.listen.ip.empty()) {
+                m_server.listen(m_options.listen.ip, m_options.listen.port, listenBacklog);
+                m_loop.selector().add(m_server);
+            }
+        } catch (const std::exception &error) {
+            return Error {ErrorCode::Unavailable,
+                          "peer.listen " + m_options.listen.ip + ":" + std::to_string(m_options.listen.port) + ": "
+                              + error.what()};
+        }
+        m_loop.start([this] { tick(); });
+        return boost::outcome_v2::success();
+    }
+
+    void stop()
+    {
+        m_loop.post([this] {
+            m_stopping = true;
+            m_server.close();
+            m_dialled.clear();
+            while (!m_links.empty()) {
+                drop(**m_links.begin());
+            }
+        });
+        m_loop.stop();
+        m_answers.closeAll();
+    }
+
+    void dial(const std::vector<Address> &addresses)
+    {
+        m_loop.post([this, addresses] {
+            std::map<Address, Dialled> wanted;
+            for (const auto &it : addresses) {
+                const auto old = m_dialled.find(it);
+                wanted[it] = old == m_dialled.end() ? Dialled() : std::move(old->second);
+                if (old != m_dialled.end()) {
+                    m_dialled.erase(old);
+                }
+            }
+            auto unwanted = std::move(m_dialled);
+            m_dialled = std::move(wanted);
+            for (const auto &[address, it] : unwanted) {
+                if (it.link) {
+                    drop(*it.link);
+                }
+            }
+        });
+    }
+
+    void send(const Peer &to, const Message &message)
+    {
+        m_loop.post([this, to, bytes = encode(message)] {
+            const auto it = m_peers.find(to);
+            if (it != m_peers.end()) {
+                it->second->sendSession(bytes);
+            }
+        });
+    }
+
+    void broadcast(const Message &message)
+    {
+        m_loop.post([this, bytes = encode(message)] {
+            const auto peers = m_peers;
+            for (const auto &[peer, link] : peers) {
+                link->sendSession(bytes);
+            }
+        });
+    }
+
+    void openClaim(const Peer &to, const Claim &claim)
+    {
+        m_loop.post([this, to, claim] {
+            const auto it = m_peers.find(to);
+            if (it == m_peers.end()) {
+                m_handler.claimClosed(to, claim);
+                return;
+            }
+            m_claimLinks[claim.claim] = it->second;
+            it->second->openClaim(claim);
+        });
+    }
+
+    void closeClaim(const ClaimId &claim)
+    {
+        m_loop.post([this, claim] {
+            if (auto *link = linkOf(claim)) {
+                link->closeClaim(claim);
+            }
+        });
+    }
+
+    std::shared_ptr<AnswerWriter> answerWriter(const ClaimId &claim)
+    {
+        return m_answers.open(claim, [this, claim](std::string framed, bool last) {
+            m_loop.post([this, claim, bytes = std::move(framed), last] {
+                if (auto *link = linkOf(claim)) {
+                    link->sendClaim(claim, bytes, last);
+                } else {
+                    m_answers.close(claim);
+                }
+            });
+        });
+    }
+
+    void answerClaim(const ClaimId &claim, std::shared_ptr<const Message> message)
+    {
+        m_loop.post([this, claim, message = std::move(message)] {
+            auto *link = linkOf(claim);
+            if (link != nullptr) {
+                const bool last = std::holds_alternative<ClaimRejected>(*message);
+                link->sendClaim(claim, frame(encode(*message)), last);
+            }
+        });
+    }
+
+    void consumed(const ClaimId &claim, std::size_t wireBytes)
+    {
+        m_loop.post([this, claim, wireBytes] {
+            if (auto *link = linkOf(claim)) {
+                link->consumed(claim, wireBytes);
+            }
+        });
+    }
+
+    std::vector<PeerTraffic> traffic() const
+    {
+        const std::lock_guard lock(m_trafficMutex);
+        std::vector<PeerTraffic> list;
+        for (const auto &[host, it] : m_traffic) {
+            list.push_back({host, it.sent, it.received});
+        }
+        return list;
+    }
+
+private:
+    Heartbeat ownHeartbeat() override
+    {
+        return m_handler.heartbeat();
+    }
+
+    bool linkUp(PeerLink &link, const Heartbeat &heartbeat) override
+    {
+        const auto &peer = heartbeat.from;
+        auto *dialled = dialledBy(link);
+        const bool itself = peer.host == m_options.own.host;
+        const bool bothEntries = heartbeat.role == HostRole::Entry && m_options.role == HostRole::Entry;
+        const bool wrongWay = bothEntries && dialled != nullptr && peer.host < m_options.own.host;
+        if (itself || wrongWay || m_peers.count(peer) != 0) {
+            if (dialled != nullptr) {
+                dialled->notBefore = m_clock.now() + unwantedRetry;
+            }
+            return false;
+        }
+        if (dialled != nullptr) {
+            dialled->wait = {};
+        }
+        m_peers[peer] = link.shared_from_this();
+        m_handler.peerUp(peer, heartbeat.role);
+        m_handler.sessionMessage(peer, heartbeat);
+        return true;
+    }
+
+    void linkMessage(PeerLink &link, Message message) override
+    {
+        m_handler.sessionMessage(*link.peer(), std::move(message));
+    }
+
+    void linkClaimMessage(PeerLink &link, const Claim &claim, Message message, std::size_t wireBytes) override
+    {
+        if (std::holds_alternative<Claim>(message)) {
+            m_claimLinks[claim.claim] = link.shared_from_this();
+        }
+        m_handler.claimMessage(*link.peer(), claim, std::move(message), wireBytes);
+    }
+
+    void linkClaimSent(const ClaimId &claim, std::size_t bytes) override
+    {
+        m_answers.sent(claim, bytes);
+    }
+
+    void linkClaimClosed(PeerLink &link, const Claim &claim, bool whole) override
+    {
+        m_claimLinks.erase(claim.claim);
+        m_answers.close(claim.claim);
+        if (!whole && link.peer()) {
+            m_handler.claimClosed(*link.peer(), claim);
+        }
+    }
+
+    void linkDown(PeerLink &link, const std::string &why) override
+    {
+        forget(link, why);
+    }
+
+    /// Ends a link from this side.
+    void drop(PeerLink &link)
+    {
+        const auto keep = link.shared_from_this();
+        link.close();
+        forget(link, "no longer wanted");
+    }
+
+    void forget(PeerLink &link, const std::string &why)
+    {
+        const auto self = link.shared_from_this();
+        if (auto *dialled = dialledBy(link)) {
+            dialled->link.reset();
+            dialled->wait = std::clamp(dialled->wait * 2, m_options.retryAfter, m_options.retryLimit);
+            dialled->nextTry = m_clock.now() + dialled->wait;
+        }
+        countTraffic(link);
+        m_counted.erase(&link);
+        m_links.erase(self);
+        m_loop.retire(self);
+        const auto peer = link.peer();
+        const auto it = peer ? m_peers.find(*peer) : m_peers.end();
+        if (it != m_peers.end() && it->second == self) {
+            m_peers.erase(it);
+            m_handler.peerDown(*peer);
+        } else if (why == "authentication failed") {
+            m_events.record(Event::PeerRefused, Severity::Warning, why);
+        }
+    }
+
+    void onConnection(cxxtools::net::TcpServer &server)
+    {
+        const auto link = std::make_shared<PeerLink>(m_loop, H2Side::Server, m_options.sharedSecret, *this);
+        m_links.insert(link);
+        try {
+            link->accept(server);
+        } catch (const std::exception &) {
+            drop(*link);
+        }
+    }
+
+    void tick()
+    {
+        const auto now = m_clock.now();
+        const auto links = m_links;
+        for (const auto &it : links) {
+            countTraffic(*it);
+            it->checkSilence(now, m_options.idleTimeout);
+        }
+        for (auto &[address, it] : m_dialled) {
+            if (!it.link && now >= it.nextTry && now >= it.notBefore && !m_stopping) {
+                it.link = std::make_shared<PeerLink>(m_loop, H2Side::Client, m_options.sharedSecret, *this);
+                m_links.insert(it.link);
+                it.link->connect(address);
+            }
+        }
+    }
+
+    void countTraffic(const PeerLink &link)
+    {
+        if (!link.peer()) {
+            return;
+        }
+        auto &counted = m_counted[&link];
+        const auto &now = link.traffic();
+        const std::lock_guard lock(m_trafficMutex);
+        auto &sum = m_traffic[link.peer()->host];
+        sum.sent += now.sent - counted.sent;
+        sum.received += now.received - counted.received;
+        counted = now;
+    }
+
+    PeerLink *linkOf(const ClaimId &claim)
+    {
+        const auto it = m_claimLinks.find(claim);
+        return it == m_claimLinks.end() ? nullptr : it->second.get();
+    }
+
+    Dialled *dialledBy(const PeerLink &link)
+    {
+        for (auto &[address, it] : m_dialled) {
+            if (it.link.get() == &link) {
+                return &it;
+            }
+        }
+        return nullptr;
+    }
+
+    PeerTransportOptions m_options;
+    PeerHandler &m_handler;
+    EventLog &m_events;
+    SystemClock m_clock;
+    IoLoop m_loop;
+    cxxtools::net::TcpServer m_server;
+    AnswerQueues m_answers;
+    std::set<std::shared_ptr<PeerLink>> m_links;
+    std::map<Peer, std::shared_ptr<PeerLink>> m_peers;
+    std::map<Address, Dialled> m_dialled;
+    std::unordered_map<ClaimId, std::shared_ptr<PeerLink>> m_claimLinks;
+    std::map<const PeerLink *, H2Traffic> m_counted;
+    mutable std::mutex m_trafficMutex;
+    std::map<HostName, H2Traffic> m_traffic;
+    bool m_stopping = false;
+};
+
+PeerTransport::PeerTransport(const PeerTransportOptions &options, PeerHandler &handler, EventLog &events)
+    : m_impl(std::make_unique<Impl>(options, handler, events))
+{
+}
+
+PeerTransport::~PeerTransport()
+{
+    stop();
+}
+
+Result<void> PeerTransport::start()
+{
+    return m_impl->start();
+}
+
+void PeerTransport::stop()
+{
+    m_impl->stop();
+}
+
+void PeerTransport::dial(const std::vector<Address> &addresses)
+{
+    m_impl->dial(addresses);
+}
+
+void PeerTransport::send(const Peer &to, const Message &message)
+{
+    m_impl->send(to, message);
+}
+
+void PeerTransport::broadcast(const Message &message)
+{
+    m_impl->broadcast(message);
+}
+
+void PeerTransport::openClaim(const Peer &to, const Claim &claim)
+{
+    m_impl->openClaim(to, claim);
+}
+
+void PeerTransport::closeClaim(const ClaimId &claim)
+{
+    m_impl->closeClaim(claim);
+}
+
+std::shared_ptr<AnswerWriter> PeerTransport::answerWriter(const ClaimId &claim)
+{
+    return m_impl->answerWriter(claim);
+}
+
+void PeerTransport::answerClaim(const ClaimId &claim, std::shared_ptr<const Message> message)
+{
+    m_impl->answerClaim(claim, std::move(message));
+}
+
+void PeerTransport::consumed(const ClaimId &claim, std::size_t wireBytes)
+{
+    m_impl->consumed(claim, wireBytes);
+}
+
+std::vector<PeerTraffic> PeerTransport::traffic() const
+{
+    return m_impl->traffic();
+}
+
+} // namespace monsoonward
--- a/packages/values/include/monsoonward/values/eventlog.h
+++ b/packages/values/include/monsoonward/values/eventlog.h
@@ -14,6 +14,11 @@
     DaemonStopped = 1003,
     ChildRestarted = 1004,
     InvariantViolated = 1005,
+    PeerRefused = 1006,
+    ChildFailed = 1007,
+    EngineUnreachable = 1008,
+    EngineReachable = 1009,
+    EngineAnswerBroken = 1010,
     // 2000: hand-over, membership, idempotency
     PeerUp = 2001,
     PeerDown = 2002,
--- a/packages/values/include/monsoonward/values/messages.h
+++ b/packages/values/include/monsoonward/values/messages.h
@@ -293,6 +293,29 @@
     MONSOONWARD_FIELDS(holder, number, verdict)
 };
 
+// ---- authentication of a new session stream, before any other message
+
+/// @brief The dialling daemon's challenge.
+struct AuthHello
+{
+    std::string nonce; ///< 32 random bytes
+    MONSOONWARD_FIELDS(nonce)
+};
+
+/// @brief The accepting daemon's challenge.
+struct AuthChallenge
+{
+    std::string nonce; ///< 32 random bytes
+    MONSOONWARD_FIELDS(nonce)
+};
+
+/// @brief HMAC-SHA256 over both challenges; the dialling daemon proves itself first.
+struct AuthProof
+{
+    std::string proof; ///< 32 bytes
+    MONSOONWARD_FIELDS(proof)
+};
+
 using Message = std::variant<Reserve,
                              Withdraw,
                              Cancel,
@@ -315,6 +338,9 @@
                              UsageReport,
                              SuspectNotice,
                              ClaimQuery,
-                             ClaimQueryReply>;
+                             ClaimQueryReply,
+                             AuthHello,
+                             AuthChallenge,
+                             AuthProof>;
 
 } // namespace monsoonward
