--- a/bench/load/caller.cpp
+++ b/bench/load/caller.cpp
@@ -6,6 +6,7 @@
 #include <nlohmann/json.hpp>
 
 #include <optional>
+#include <random>
 
 namespace load
 {
@@ -69,6 +70,13 @@
     return prompt;
 }
 
+/// @return a key that no other request of this or an earlier run has
+std::string keyFor(const std::string &prompt)
+{
+    static const auto run = std::random_device()();
+    return "load-" + std::to_string(run) + "-" + std::to_string(std::hash<std::string>()(prompt));
+}
+
 HttpRequest makeRequest(const RequestClass &requestClass, const std::string &prompt)
 {
     HttpRequest request(http::verb::post, requestClass.model.empty() ? requestClass.path : "/v1/completions", 11);
@@ -82,7 +90,7 @@
         request.set("Monsoonward-Deadline", std::to_string(ms.count()));
     }
     if (requestClass.idempotencyKeys) {
-        request.set("Idempotency-Key", prompt);
+        request.set("Idempotency-Key", keyFor(prompt));
     }
     request.set(http::field::content_type, "application/json");
     const Json body {{"model", requestClass.model}, {"prompt", prompt}, {"max_tokens", requestClass.outputTokens}};
