Give up lapsed claims before a hand-over is taken

Cause: a target that was paused reads its inbox before its timers run, so a body that was on its way when it stopped was dispatched seconds later, although its claim had timed out on the target's own clock; when the target had been drained meanwhile, that was new work on a leaving target. The claim timeout is now applied first: the request is answered as never dispatched, and runs elsewhere.

--- a/packages/decisions/src/targetmachine.cpp
+++ b/packages/decisions/src/targetmachine.cpp
@@ -251,6 +251,8 @@
 
     void onHandOver(const Peer &from, const HandOver &handOver)
     {
+        // After a pause, messages may come before the timer that would have given the claim up.
+        giveUpOldClaims();
         const auto it = m_claims.find(handOver.claim);
         if (it == m_claims.end() || it->second.claim.id != handOver.id || it->second.entry != from) {
             return;
