--- a/packages/decisions/src/entrymachine.cpp
+++ b/packages/decisions/src/entrymachine.cpp
@@ -1,34 +1,13 @@
 #include "monsoonward/decisions/entrymachine.h"
 
-#include "entryrequests.h"
-#include "idempotency.h"
-#include "suspects.h"
+#include "requestgates.h"
 
 #include <nlohmann/json.hpp>
 
 namespace monsoonward
 {
 
-namespace
-{
-
-/// What a request needs before it may be handed over. Requests that need nothing have none.
-struct Gate
-{
-    bool needsKey = false;
-    bool needsTrial = false;
-    bool isolated = false; // its turn for an isolated run has come
-    std::string pendingRow;
-    std::vector<std::string> rows; // certain
-};
-
-} // namespace
-
-class EntryMachine::Impl : public EntryPolicyOutput,
-                           public MembershipListener,
-                           public EntryRequestsListener,
-                           public IdempotencyListener,
-                           public SuspectsOutput
+class EntryMachine::Impl : public EntryPolicyOutput, public MembershipListener, public EntryRequestsListener
 {
 public:
     Impl(const EntryOptions &options,
@@ -39,12 +18,10 @@
          EventLog &events)
         : m_options(options)
         , m_output(output)
-        , m_events(events)
         , m_policy(makeEntryPolicy(options.own, options.region, clock, random, *this, events))
         , m_membership(options.heartbeatTimeout, clock, *this, events)
         , m_requests(options, clock, *m_policy, m_membership, output, *this, events)
-        , m_claims(options.own, options.settleTimeout, clock, table, *this, events)
-        , m_suspects(options.own.incarnation, clock, *this, events)
+        , m_gates(options, clock, table, m_membership, m_requests, output, events)
     {
     }
 
@@ -66,23 +43,16 @@
             m_output.refuse(spec.id, {RefusalReason::Stopping, Verdict::NotRun, Duration {}, "the entry is stopping"});
             return;
         }
-        const auto standing = m_suspects.standing(spec.fingerprint);
-        if (standing == Standing::Refused) {
-            m_output.refuse(spec.id, suspectRefusal(spec));
-            return;
+        auto refusal = m_gates.refusal(spec);
+        if (!refusal) {
+            refusal = m_policy->admit(spec);
         }
-        if (const auto refusal = m_policy->admit(spec)) {
+        if (refusal) {
             m_output.refuse(spec.id, *refusal);
             return;
         }
         m_requests.add(spec);
-        const bool needsKey = !spec.idempotent && !spec.idempotencyKey.empty();
-        if (needsKey || standing == Standing::Suspect) {
-            auto &gate = m_gates[spec.id];
-            gate.needsKey = needsKey;
-            gate.needsTrial = standing == Standing::Suspect;
-        }
-        advance(spec.id);
+        m_gates.enter(spec);
     }
 
     void cancel(const RequestId &id)
@@ -95,7 +65,7 @@
         m_membership.peerUp(peer, role);
         if (role == HostRole::Entry) {
             m_policy->entryUp(peer);
-            m_suspects.entryUp(peer);
+            m_gates.entryUp(peer);
         }
     }
 
@@ -125,11 +95,11 @@
         } else if (const auto *dropped = std::get_if<ReservationDropped>(&message)) {
             m_requests.dropReservation(dropped->id, dropped->target);
         } else if (const auto *notice = std::get_if<SuspectNotice>(&message)) {
-            onSuspectNotice(*notice);
+            m_gates.notice(*notice);
         } else if (const auto *query = std::get_if<ClaimQuery>(&message)) {
-            m_output.send(from, m_claims.answer(*query));
+            m_gates.query(from, *query);
         } else if (const auto *queryReply = std::get_if<ClaimQueryReply>(&message)) {
-            m_claims.reply(*queryReply);
+            m_gates.reply(*queryReply);
         } else {
             m_policy->message(from, message);
         }
@@ -157,7 +127,7 @@
 
     bool idle() const
     {
-        return m_requests.empty() && m_claims.idle();
+        return m_requests.empty() && m_gates.idle();
     }
 
     void tick()
@@ -167,10 +137,7 @@
             m_requests.evict(it.id, it.refusal);
         }
         m_requests.tick();
-        m_claims.tick();
-        for (const auto &it : m_suspects.tick()) {
-            beginTrial(it);
-        }
+        m_gates.tick();
     }
 
     std::string dump() const
@@ -191,8 +158,8 @@
         root["peers"] = m_membership.connectedCount();
         root["usableTargets"] = m_membership.usableTargets();
         root["observerInDoubt"] = m_membership.inDoubt();
-        root["rowsBeingTaken"] = m_claims.taking();
-        root["suspects"] = m_suspects.size();
+        root["rowsBeingTaken"] = m_gates.rowsBeingTaken();
+        root["suspects"] = m_gates.suspects();
         return root.dump();
     }
 
@@ -228,124 +195,15 @@
     // EntryRequestsListener
     void crashSeen(const RequestSpec &spec, const ClaimId & /*claim*/) override
     {
-        m_suspects.crashSeen(spec);
-        isolateWaiting(spec.fingerprint);
+        m_gates.crashSeen(spec);
     }
 
     void ended(const RequestSpec &spec, Verdict verdict) override
     {
-        const auto it = m_gates.find(spec.id);
-        if (it == m_gates.end()) {
-            return;
-        }
-        const auto gate = it->second;
-        m_gates.erase(it);
-        m_suspects.leave(spec.id);
-        if (!gate.pendingRow.empty()) {
-            m_claims.ended(spec.id, gate.pendingRow, verdict);
-        }
-        for (const auto &row : gate.rows) {
-            m_claims.ended(spec.id, row, verdict);
-        }
-        if (gate.needsTrial && verdict == Verdict::Completed) {
-            m_suspects.cleared(spec.fingerprint);
-        }
-    }
-
-    // IdempotencyListener
-    void rowCertain(const RequestId &id, const std::string &rowKey) override
-    {
-        auto &gate = m_gates.at(id);
-        gate.pendingRow.clear();
-        gate.rows.push_back(rowKey);
-        gate.needsKey = gate.needsKey && rowKey == trialRowKey(m_requests.spec(id).fingerprint);
-        advance(id);
-    }
-
-    void rowRefused(const RequestId &id, const std::string &rowKey, const Refusal &refusal) override
-    {
-        auto &gate = m_gates.at(id);
-        gate.pendingRow.clear();
-        const auto &spec = m_requests.spec(id);
-        if (rowKey != trialRowKey(spec.fingerprint)) {
-            m_requests.keyRefused(id, refusal);
-        } else if (refusal.verdict == Verdict::Completed) {
-            m_requests.keyCertain(id); // an isolated run has completed before
-        } else {
-            m_requests.keyRefused(id, suspectRefusal(spec));
-        }
-    }
-
-    bool askEntry(const ClaimQuery &query) override
-    {
-        for (const auto &it : m_membership.entries()) {
-            if (it.incarnation == query.holder.entry) {
-                m_output.send(it, query);
-                return true;
-            }
-        }
-        return false;
-    }
-
-    bool knows(const RequestId &id) const override
-    {
-        return m_requests.has(id);
-    }
-
-    // SuspectsOutput
-    void tellEntries(const SuspectNotice &notice) override
-    {
-        for (const auto &it : m_membership.entries()) {
-            m_output.send(it, notice);
-        }
-    }
-
-    void tellEntry(const Peer &to, const SuspectNotice &notice) override
-    {
-        m_output.send(to, notice);
+        m_gates.ended(spec, verdict);
     }
 
 private:
-    /// Goes on with what the request still needs before it may be handed over.
-    void advance(const RequestId &id)
-    {
-        const auto it = m_gates.find(id);
-        if (it == m_gates.end()) {
-            m_requests.keyCertain(id);
-            return;
-        }
-        auto &gate = it->second;
-        const auto &spec = m_requests.spec(id);
-        if (gate.needsKey) {
-            gate.pendingRow = claimRowKey(spec.customer, spec.idempotencyKey);
-            m_claims.take(id, gate.pendingRow);
-        } else if (gate.needsTrial && !gate.isolated) {
-            m_suspects.enqueue(spec);
-        } else {
-            m_requests.keyCertain(id);
-        }
-    }
-
-    void beginTrial(const RequestId &id)
-    {
-        const auto it = m_gates.find(id);
-        if (it == m_gates.end()) {
-            return;
-        }
-        it->second.isolated = true;
-        const auto &spec = m_requests.spec(id);
-        const auto standing = m_suspects.standing(spec.fingerprint);
-        if (standing == Standing::Refused) {
-            m_requests.keyRefused(id, suspectRefusal(spec));
-        } else if (standing == Standing::Clear) {
-            m_suspects.leave(id);
-            m_requests.keyCertain(id);
-        } else {
-            it->second.pendingRow = trialRowKey(spec.fingerprint);
-            m_claims.take(id, it->second.pendingRow);
-        }
-    }
-
     void onAnswerEnd(const Peer &from, const AnswerEnd &end)
     {
         if (from.incarnation == end.claim.target) {
@@ -375,48 +233,15 @@
         }
     }
 
-    void onSuspectNotice(const SuspectNotice &notice)
-    {
-        m_suspects.notice(notice);
-        if (notice.crashes != 0) {
-            isolateWaiting(notice.fingerprint);
-        }
-    }
-
-    /// Requests of the fingerprint that wait already must pass isolation too.
-    void isolateWaiting(Fingerprint fingerprint)
-    {
-        for (const auto &it : m_requests.suspect(fingerprint)) {
-            auto &gate = m_gates[it];
-            gate.needsTrial = true;
-            m_suspects.enqueue(m_requests.spec(it));
-        }
-    }
-
-    Refusal suspectRefusal(const RequestSpec &spec)
-    {
-        m_events.record(Event::SuspectRefused,
-                        Severity::Warning,
-                        "customer \"" + spec.customer.text() + "\" service \"" + spec.service.text() + "\" fingerprint "
-                            + std::to_string(spec.fingerprint));
-        return {RefusalReason::SuspectedCrash,
-                Verdict::NotRun,
-                m_suspects.expiresIn(spec.fingerprint),
-                "the request was in progress when targets of service \"" + spec.service.text() + "\" crashed"};
-    }
-
     EntryOptions m_options;
     EntryOutput &m_output;
-    EventLog &m_events;
     std::unique_ptr<EntryPolicy> m_policy;
     Membership m_membership;
     EntryRequests m_requests;
-    IdempotencyClaims m_claims;
-    Suspects m_suspects;
+    RequestGates m_gates;
     ConfigurationPtr m_configuration;
     std::uint64_t m_sequence = 0;
     bool m_stopping = false;
-    std::unordered_map<RequestId, Gate> m_gates;
 };
 
 EntryMachine::EntryMachine(const EntryOptions &options,
--- a/packages/decisions/src/entryrequests.cpp
+++ b/packages/decisions/src/entryrequests.cpp
@@ -35,6 +35,7 @@
                              EventLog &events)
     : m_options(options)
     , m_clock(clock)
+    , m_reservations(clock, policy, membership, output)
     , m_policy(policy)
     , m_membership(membership)
     , m_output(output)
@@ -166,34 +167,25 @@
 void EntryRequests::dropTarget(const TargetName &target)
 {
     for (auto &[id, request] : m_requests) {
-        auto &reserved = request.reserved;
-        reserved.erase(std::remove(reserved.begin(), reserved.end(), target), reserved.end());
+        Reservations::drop(request, target);
     }
 }
 
 void EntryRequests::dropReservation(const RequestId &id, const TargetName &target)
 {
     const auto it = m_requests.find(id);
-    if (it == m_requests.end()) {
-        return;
+    if (it != m_requests.end()) {
+        Reservations::drop(it->second, target);
     }
-    auto &reserved = it->second.reserved;
-    reserved.erase(std::remove(reserved.begin(), reserved.end(), target), reserved.end());
 }
 
 void EntryRequests::reservationUsed(const Peer &from, const RequestId &id)
 {
     const auto it = m_requests.find(id);
-    if (it == m_requests.end() || it->second.state != EntryState::Waiting) {
-        return;
+    if (it != m_requests.end() && it->second.state == EntryState::Waiting) {
+        m_reservations.dropOf(it->second, from);
+        m_reservations.reserve(it->second);
     }
-    auto &reserved = it->second.reserved;
-    const auto isUsed = [&](const TargetName &name) {
-        const auto daemon = m_membership.daemonOf(name);
-        return !daemon || *daemon == from;
-    };
-    reserved.erase(std::remove_if(reserved.begin(), reserved.end(), isUsed), reserved.end());
-    reserve(it->second);
 }
 
 void EntryRequests::tick()
@@ -255,10 +247,10 @@
     }
     switch (rule.action) {
     case EntryAction::Reserve:
-        reserve(request);
+        m_reservations.reserve(request);
         break;
     case EntryAction::Withdraw:
-        withdraw(request, {});
+        m_reservations.withdraw(request, {});
         break;
     case EntryAction::AskHolder:
         askHolder(request, event);
@@ -340,7 +332,7 @@
     request.holder = from;
     request.mayRun = true;
     request.ifLost.reset();
-    withdraw(request, claim.target);
+    m_reservations.withdraw(request, claim.target);
     m_policy.handedOver(request.spec, claim.target);
     m_output.handOver(from, claim.id, claim.claim);
 }
@@ -370,42 +362,8 @@
         m_events.record(Event::RetryBudgetSpent, Severity::Warning, textOf(id));
         evict(id, {RefusalReason::TargetLost, Verdict::NotRun, retryAfterBudget, "the retry budget is spent"});
     } else {
-        reserve(request);
-    }
-}
-
-void EntryRequests::reserve(EntryRequest &request)
-{
-    const auto &spec = request.spec;
-    for (const auto &it : m_policy.candidates(spec, request.reserved)) {
-        const auto daemon = m_membership.daemonOf(it);
-        if (!daemon) {
-            continue;
-        }
-        request.reserved.push_back(it);
-        m_output.send(*daemon,
-                      Reserve {spec.id,
-                               it,
-                               spec.service,
-                               spec.customer,
-                               spec.weight,
-                               spec.tier,
-                               spec.deadline - m_clock.now(),
-                               spec.promptTokens,
-                               spec.outputTokens,
-                               spec.prefixes});
-    }
-}
-
-void EntryRequests::withdraw(EntryRequest &request, const TargetName &except)
-{
-    for (const auto &it : request.reserved) {
-        const auto daemon = m_membership.daemonOf(it);
-        if (it != except && daemon) {
-            m_output.send(*daemon, Withdraw {request.spec.id, it});
-        }
+        m_reservations.reserve(request);
     }
-    request.reserved.clear();
 }
 
 void EntryRequests::end(const RequestId &id, const Refusal &refusal)
@@ -414,7 +372,7 @@
     checkInvariant(it != m_requests.end(), "one-final-answer", textOf(id));
     auto request = std::move(it->second);
     m_requests.erase(it);
-    withdraw(request, {});
+    m_reservations.withdraw(request, {});
     const bool untrue = refusal.verdict == Verdict::NotRun && request.mayRun;
     checkInvariant(!untrue, "not-run-is-true", textOf(id) + " is with claim " + textOf(request.claim));
     if (request.mayRun) {
@@ -453,7 +411,7 @@
     auto &request = it->second;
     const auto now = m_clock.now();
     if (request.state == EntryState::Waiting) {
-        reserve(request);
+        m_reservations.reserve(request);
     } else if (request.state == EntryState::HandedOver && now >= request.spec.deadline + m_options.overrunLimit) {
         apply(id, EntryEvent::Overrun);
     } else if (asksHolder(request.state) && now >= request.settleBy) {
--- a/packages/decisions/src/entryrequests.h
+++ b/packages/decisions/src/entryrequests.h
@@ -1,11 +1,8 @@
 #pragma once
 
-#include "entrytable.h"
-#include "membership.h"
+#include "reservations.h"
 #include "retrybudget.h"
 
-#include "monsoonward/decisions/entrymachine.h"
-
 #include <unordered_map>
 
 namespace monsoonward
@@ -21,20 +18,6 @@
     virtual void ended(const RequestSpec &spec, Verdict verdict) = 0;
 };
 
-/// @brief One request at its entry.
-struct EntryRequest
-{
-    RequestSpec spec;
-    EntryState state = EntryState::Keying;
-    std::vector<TargetName> reserved;
-    ClaimId claim; ///< the one it is handed over to
-    Peer holder; ///< of the claim
-    bool mayRun = false; ///< handed over, and the holder hasn't said that it never will be dispatched
-    bool crashed = false; ///< its end looks like a crash of its target or engine
-    TimePoint settleBy {};
-    std::optional<Refusal> ifLost; ///< the refusal when the holder's word is bad or doesn't come
-};
-
 /// @brief The requests of one entry, each moved through the entry table.
 class EntryRequests
 {
@@ -90,14 +73,13 @@
     void handOver(EntryRequest &request, const Peer &from, const Claim &claim);
     void askHolder(EntryRequest &request, EntryEvent why);
     void replace(EntryRequest &request);
-    void reserve(EntryRequest &request);
-    void withdraw(EntryRequest &request, const TargetName &except);
     void end(const RequestId &id, const Refusal &refusal);
     void complete(const RequestId &id, const AnswerEnd &end);
     void runTimers(const RequestId &id);
 
     EntryOptions m_options;
     const Clock &m_clock;
+    Reservations m_reservations;
     EntryPolicy &m_policy;
     Membership &m_membership;
     EntryOutput &m_output;
