--- /dev/null
+++ b/packages/daemon/src/callerstream.h
@@ -0,0 +1,93 @@
+#pragma once
+
+#include "entrynode.h"
+
+#include <monsoonward/transport/transport.h>
+
+#include <deque>
+#include <memory>
+#include <unordered_map>
+
+namespace monsoonward
+{
+
+class CallerConnection;
+
+/// @brief Passes one answer to a stream of a CallerConnection. Any thread.
+class StreamSink : public AnswerSink
+{
+public:
+    StreamSink(IoLoop &loop, std::weak_ptr<CallerConnection> connection, StreamId stream);
+
+    void accepted(const RequestId &id) override;
+    void begin(unsigned status, const HeaderList &headers) override;
+    bool bytes(const std::string &bytes, std::size_t wireBytes, const std::shared_ptr<AnswerCredit> &credit) override;
+    void completed() override;
+    void refused(const RequestId &id, const Refusal &refusal) override;
+
+private:
+    void onLoop(std::function<void(CallerConnection &)> task);
+
+    IoLoop &m_loop;
+    std::weak_ptr<CallerConnection> m_connection;
+    StreamId m_stream;
+};
+
+/// @brief One caller's HTTP/2 connection, on the listener's I/O thread.
+class CallerConnection : public H2Handler, public std::enable_shared_from_this<CallerConnection>
+{
+public:
+    using Gone = std::function<void(CallerConnection &)>;
+
+    CallerConnection(IoLoop &loop, const H2Limits &limits, std::size_t maxBodyBytes, EntryNode &node, Gone gone);
+
+    void accept(cxxtools::net::TcpServer &server);
+    /// Cancels what is in progress and ends the connection.
+    void close();
+
+    // what a StreamSink passes on
+    void accepted(StreamId stream, const RequestId &id);
+    void answerBegin(StreamId stream, unsigned status, const HeaderList &headers);
+    void answerBytes(StreamId stream, std::string bytes, std::size_t wireBytes, std::shared_ptr<AnswerCredit> credit);
+    void answerCompleted(StreamId stream);
+    void answerRefused(StreamId stream, const HttpReply &reply);
+
+    void connected() override;
+    void streamHeaders(StreamId stream, const Headers &headers) override;
+    void streamData(StreamId stream, std::string_view bytes) override;
+    void streamEnded(StreamId stream) override;
+    void streamClosed(StreamId stream) override;
+    void streamSent(StreamId stream, std::size_t sent) override;
+    void disconnected(const std::string &why) override;
+
+private:
+    /// Bytes on their way to the caller, with the window that they hold at the target.
+    struct Untaken
+    {
+        std::size_t bytes = 0;
+        std::size_t wireBytes = 0;
+        std::shared_ptr<AnswerCredit> credit;
+    };
+    struct Stream
+    {
+        HttpRequest request;
+        std::optional<RequestId> id;
+        std::deque<Untaken> untaken;
+        bool begun = false;
+        bool submitted = false;
+        bool ended = false; // the final answer was passed on
+    };
+
+    Stream *find(StreamId stream);
+    void reply(StreamId stream, const HttpReply &reply);
+    void cancel(const Stream &stream);
+
+    IoLoop &m_loop;
+    std::size_t m_maxBodyBytes;
+    EntryNode &m_node;
+    Gone m_gone;
+    std::shared_ptr<H2Connection> m_connection;
+    std::unordered_map<StreamId, Stream> m_streams;
+};
+
+} // namespace monsoonward
--- a/packages/daemon/src/path_test.cpp
+++ b/packages/daemon/src/path_test.cpp
@@ -1,6 +1,7 @@
 #include "../../transport/src/loopback.h"
 #include "handlers.h"
 #include "httplistener.h"
+#include "streamlistener.h"
 #include "targetnode.h"
 #include "wholeanswersink.h"
 
@@ -165,6 +166,96 @@
     HttpListener m_server;
 };
 
+/// An HTTP/2 caller; tests wait for what it receives.
+class StreamCaller : public H2Handler
+{
+public:
+    explicit StreamCaller(const Address &entry)
+        : m_connection(std::make_shared<H2Connection>(m_loop, H2Side::Client, H2Limits {10, 64 * 1024}, *this))
+    {
+        m_loop.start([] {});
+        m_loop.post([this, entry] { m_connection->connect(entry); });
+    }
+    ~StreamCaller() override
+    {
+        m_loop.post([this] { m_connection->close(); });
+        m_loop.stop();
+    }
+    StreamCaller(const StreamCaller &) = delete;
+    StreamCaller &operator=(const StreamCaller &) = delete;
+
+    void ask(const HttpRequest &request)
+    {
+        waitFor([this] { return m_connected; });
+        m_loop.post([this, request] {
+            m_stream = m_connection->open({{":method", request.method},
+                                           {":scheme", "http"},
+                                           {":authority", "e1"},
+                                           {":path", request.path},
+                                           {"authorization", "Bearer " + key}});
+            m_connection->write(m_stream, request.body);
+            m_connection->finish(m_stream);
+        });
+    }
+    void reset()
+    {
+        m_loop.post([this] { m_connection->reset(m_stream); });
+    }
+    bool waitFor(const std::function<bool()> &holds)
+    {
+        std::unique_lock lock(m_mutex);
+        return m_changed.wait_for(lock, std::chrono::seconds(20), holds);
+    }
+
+    HeaderList headers; // trailers included
+    std::string body;
+    bool ended = false;
+    bool closed = false;
+
+private:
+    void change(const std::function<void()> &apply)
+    {
+        const std::lock_guard lock(m_mutex);
+        apply();
+        m_changed.notify_all();
+    }
+    void connected() override
+    {
+        change([this] { m_connected = true; });
+    }
+    void streamHeaders(StreamId /*stream*/, const Headers &list) override
+    {
+        change([&] { headers.insert(headers.end(), list.begin(), list.end()); });
+    }
+    void streamData(StreamId stream, std::string_view bytes) override
+    {
+        m_connection->consume(stream, bytes.size());
+        change([&] { body.append(bytes); });
+    }
+    void streamEnded(StreamId /*stream*/) override
+    {
+        change([this] { ended = true; });
+    }
+    void streamClosed(StreamId /*stream*/) override
+    {
+        change([this] { closed = true; });
+    }
+    void streamSent(StreamId /*stream*/, std::size_t /*sent*/) override
+    {
+    }
+    void disconnected(const std::string & /*why*/) override
+    {
+        change([this] { closed = true; });
+    }
+
+    std::mutex m_mutex;
+    std::condition_variable m_changed;
+    IoLoop m_loop;
+    std::shared_ptr<H2Connection> m_connection;
+    StreamId m_stream = 0;
+    bool m_connected = false;
+};
+
 std::string verdictOf(const HttpReply &reply)
 {
     const auto *verdict = findHeader(reply.headers, verdictHeader);
@@ -400,3 +491,73 @@
     CHECK(reply.status == 200);
     CHECK(fleet.entry().idle());
 }
+
+TEST_CASE("over HTTP/2 tokens come as the engine sends them, and the verdict follows")
+{
+    std::atomic<bool> finish {false};
+    Fleet fleet(engineWith([&](const standin::HttpRequest & /*request*/, standin::HttpResponder &responder) {
+                    responder.begin(200, "text/event-stream");
+                    responder.chunk(wholeEvents.substr(0, 60));
+                    while (!finish) {
+                        std::this_thread::sleep_for(std::chrono::milliseconds(5));
+                    }
+                    responder.chunk(wholeEvents.substr(60));
+                    responder.end();
+                }),
+                answerNothing);
+    const Address address {"127.0.0.1", freePort()};
+    StreamListener listener({address, 1024 * 1024}, fleet.entry());
+    REQUIRE(listener.start());
+    StreamCaller caller(address);
+    caller.ask(Fleet::completion("x"));
+    CHECK(caller.waitFor([&] { return caller.body.size() == 60; }));
+    finish = true;
+    CHECK(caller.waitFor([&] { return caller.ended; }));
+    CHECK(caller.body == wholeEvents);
+    const auto *verdict = findHeader(caller.headers, verdictHeader);
+    REQUIRE(verdict != nullptr);
+    CHECK(*verdict == "completed");
+}
+
+TEST_CASE("over HTTP/2 a caller that resets its stream cancels the run at the engine")
+{
+    std::atomic<bool> gone {false};
+    Fleet fleet(engineWith([&](const standin::HttpRequest & /*request*/, standin::HttpResponder &responder) {
+                    responder.begin(200, "text/event-stream");
+                    responder.chunk(wholeEvents.substr(0, 60));
+                    while (!responder.clientGone()) {
+                        std::this_thread::sleep_for(std::chrono::milliseconds(5));
+                    }
+                    gone = true;
+                    responder.cut();
+                }),
+                answerNothing);
+    const Address address {"127.0.0.1", freePort()};
+    StreamListener listener({address, 1024 * 1024}, fleet.entry());
+    REQUIRE(listener.start());
+    StreamCaller caller(address);
+    caller.ask(Fleet::completion("x"));
+    CHECK(caller.waitFor([&] { return !caller.body.empty(); }));
+    caller.reset();
+    while (!gone) { // a run that isn't cancelled hangs here until the test's timeout
+        std::this_thread::sleep_for(std::chrono::milliseconds(5));
+    }
+    CHECK(fleet.entry().openRequests() == 0);
+}
+
+TEST_CASE("over HTTP/2 an answer that breaks off resets the stream")
+{
+    Fleet fleet(engineWith([](const standin::HttpRequest & /*request*/, standin::HttpResponder &responder) {
+                    responder.begin(200, "text/event-stream");
+                    responder.chunk(wholeEvents.substr(0, 60));
+                    responder.cut();
+                }),
+                answerNothing);
+    const Address address {"127.0.0.1", freePort()};
+    StreamListener listener({address, 1024 * 1024}, fleet.entry());
+    REQUIRE(listener.start());
+    StreamCaller caller(address);
+    caller.ask(Fleet::completion("x"));
+    CHECK(caller.waitFor([&] { return caller.closed; }));
+    CHECK_FALSE(caller.ended);
+}
--- a/packages/daemon/src/process.cpp
+++ b/packages/daemon/src/process.cpp
@@ -1,6 +1,7 @@
 #include "monsoonward/daemon/process.h"
 
 #include "handlers.h"
+#include "streamlistener.h"
 #include "supervisor.h"
 #include "targetnode.h"
 
@@ -172,6 +173,14 @@
                 *m_callers);
             add(
                 "callers", [this] { return m_callerServer->start(); }, [this] { m_callerServer->stop(); });
+            if (m_settings.streamListen.port != 0) {
+                m_streamListener = std::make_unique<StreamListener>(
+                    StreamListenerOptions {m_settings.streamListen, m_settings.maxBodyBytes}, *m_entry);
+                add(
+                    "stream-callers",
+                    [this] { return m_streamListener->start(); },
+                    [this] { m_streamListener->stop(); });
+            }
         }
         add(
             "admin", [this] { return m_adminServer->start(); }, [this] { m_adminServer->stop(); });
@@ -228,6 +237,7 @@
     std::unique_ptr<ControlPart> m_control;
     std::unique_ptr<CallerHandler> m_callers;
     std::unique_ptr<HttpListener> m_callerServer;
+    std::unique_ptr<StreamListener> m_streamListener;
     std::unique_ptr<AdminHandler> m_admin;
     std::unique_ptr<HttpListener> m_adminServer;
     Supervisor m_supervisor;
--- a/packages/transport/src/h2connection.h
+++ b/packages/transport/include/monsoonward/transport/h2connection.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "tcpstream.h"
+#include "monsoonward/transport/tcpstream.h"
 
 #include <nghttp2/nghttp2.h>
 
@@ -72,8 +72,9 @@
     /// Sends the response headers of a server's stream; the body follows by write() and finish().
     void respond(StreamId stream, const Headers &headers);
     void write(StreamId stream, std::string bytes);
-    /// Nothing more is written to the stream.
-    void finish(StreamId stream);
+    /// Nothing more is written to the stream. @param trailer headers that follow the body
+    void finish(StreamId stream, const Headers &trailer = {});
+    /// Cuts the stream; the other side sees that its body isn't whole.
     void reset(StreamId stream);
     /// Gives @p n received bytes of the stream back to its window.
     void consume(StreamId stream, std::size_t n);
@@ -94,6 +95,7 @@
         std::size_t offset = 0; // into out.front()
         std::size_t queued = 0;
         bool finished = false;
+        Headers trailer;
         bool sending = false; // headers were submitted
     };
 
--- a/packages/transport/src/tcpstream.h
+++ b/packages/transport/include/monsoonward/transport/tcpstream.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "ioloop.h"
+#include "monsoonward/transport/ioloop.h"
 
 #include <cxxtools/net/tcpserver.h>
 #include <cxxtools/net/tcpsocket.h>
--- a/packages/transport/src/h2connection.cpp
+++ b/packages/transport/src/h2connection.cpp
@@ -1,4 +1,4 @@
-#include "h2connection.h"
+#include "monsoonward/transport/h2connection.h"
 
 #include <algorithm>
 #include <array>
@@ -100,13 +100,14 @@
     flushLater();
 }
 
-void H2Connection::finish(StreamId stream)
+void H2Connection::finish(StreamId stream, const Headers &trailer)
 {
     const auto it = m_streams.find(stream);
     if (it == m_streams.end() || it->second.finished) {
         return;
     }
     it->second.finished = true;
+    it->second.trailer = trailer;
     nghttp2_session_resume_data(m_session, stream);
     flushLater();
 }
@@ -336,6 +337,11 @@
     stream.queued -= copied;
     if (stream.finished && stream.out.empty()) {
         *flags |= NGHTTP2_DATA_FLAG_EOF;
+        if (!stream.trailer.empty()) {
+            *flags |= NGHTTP2_DATA_FLAG_NO_END_STREAM;
+            const auto nv = toNv(stream.trailer);
+            nghttp2_submit_trailer(m_session, id, nv.data(), nv.size());
+        }
     } else if (copied == 0) {
         return NGHTTP2_ERR_DEFERRED;
     }
--- a/packages/transport/src/ioloop.cpp
+++ b/packages/transport/src/ioloop.cpp
@@ -1,4 +1,4 @@
-#include "ioloop.h"
+#include "monsoonward/transport/ioloop.h"
 
 namespace monsoonward
 {
--- a/packages/transport/src/peerlink.h
+++ b/packages/transport/src/peerlink.h
@@ -1,7 +1,7 @@
 #pragma once
 
 #include "frame.h"
-#include "h2connection.h"
+#include "monsoonward/transport/h2connection.h"
 
 #include "monsoonward/transport/transport.h"
 
--- a/packages/transport/src/tcpstream.cpp
+++ b/packages/transport/src/tcpstream.cpp
@@ -1,4 +1,4 @@
-#include "tcpstream.h"
+#include "monsoonward/transport/tcpstream.h"
 
 #include <netinet/in.h>
 #include <netinet/tcp.h>
