--- a/bench/path/main.cpp
+++ b/bench/path/main.cpp
@@ -101,6 +101,7 @@
 void report(const Load &load, const std::vector<std::string> &pids)
 {
     std::vector<ProcessUse> before;
+    before.reserve(pids.size());
     for (const auto &it : pids) {
         before.push_back(useOf(it));
     }
@@ -108,6 +109,7 @@
     const auto end = began + std::chrono::seconds(load.seconds);
     std::vector<Seen> seen(load.callers);
     std::vector<std::thread> threads;
+    threads.reserve(seen.size());
     for (auto &it : seen) {
         threads.emplace_back([&load, &it, end] { it = runCaller(load, end); });
     }
--- a/packages/daemon/src/path_test.cpp
+++ b/packages/daemon/src/path_test.cpp
@@ -506,7 +506,7 @@
                 }),
                 answerNothing);
     const Address address {"127.0.0.1", freePort()};
-    StreamListener listener({address, 1024 * 1024}, fleet.entry());
+    StreamListener listener({address, std::size_t {1024} * 1024}, fleet.entry());
     REQUIRE(listener.start());
     StreamCaller caller(address);
     caller.ask(Fleet::completion("x"));
@@ -533,7 +533,7 @@
                 }),
                 answerNothing);
     const Address address {"127.0.0.1", freePort()};
-    StreamListener listener({address, 1024 * 1024}, fleet.entry());
+    StreamListener listener({address, std::size_t {1024} * 1024}, fleet.entry());
     REQUIRE(listener.start());
     StreamCaller caller(address);
     caller.ask(Fleet::completion("x"));
@@ -554,7 +554,7 @@
                 }),
                 answerNothing);
     const Address address {"127.0.0.1", freePort()};
-    StreamListener listener({address, 1024 * 1024}, fleet.entry());
+    StreamListener listener({address, std::size_t {1024} * 1024}, fleet.entry());
     REQUIRE(listener.start());
     StreamCaller caller(address);
     caller.ask(Fleet::completion("x"));
