--- a/packages/daemon/src/targetnode.cpp
+++ b/packages/daemon/src/targetnode.cpp
@@ -212,9 +212,21 @@
     writer->write(end);
 }
 
+void TargetNode::recordReach(const EngineState &state)
+{
+    const auto it = m_engineUp.emplace(state.name, true).first;
+    if (it->second == state.up) {
+        return;
+    }
+    it->second = state.up;
+    const auto event = state.up ? Event::EngineReachable : Event::EngineUnreachable;
+    events().record(event, state.up ? Severity::Info : Severity::Warning, "engine " + state.name.text());
+}
+
 void TargetNode::reportEngine(const EngineState &state)
 {
     loop().post([this, state] {
+        recordReach(state);
         m_machine.engineUp(state.name, state.up);
         if (!state.load) {
             return;
--- a/packages/daemon/src/targetnode.h
+++ b/packages/daemon/src/targetnode.h
@@ -48,12 +48,15 @@
              const std::shared_ptr<AnswerWriter> &writer);
     void endWithoutRun(const Claim &claim, const std::shared_ptr<AnswerWriter> &writer, const std::string &detail);
     void reportEngine(const EngineState &state);
+    /// Logs when an engine is lost or answers again.
+    void recordReach(const EngineState &state);
 
     EngineClient &m_engines;
     ConfigurationPtr m_configuration; // control thread
     TargetMachine m_machine;
     WorkerPool m_workers;
     std::unordered_map<ClaimId, std::shared_ptr<EngineRun>> m_runs; // control thread
+    std::unordered_map<EngineName, bool> m_engineUp; // control thread
     EngineProbe m_probe;
 };
 
