Shed tiers in agreement, size slots by deadlines and follow cached prefixes

Cause: the thin policy filled every engine to max_batch, so that urgent requests decoded beside many patient ones and missed their deadlines; it knew no prefixes; it shed a tier while lower ones were admitted.

Change: the target claims by tier, then by customers' shares in tokens, then by deadline, and places a request only if it should finish in time, if those as urgent on the engine still should, and if a typical request of each higher tier could still come (slotcontroller, enginespeed, estimator, fairqueue). The entry reserves at holders of the prefix first and widens every 50 ms (placement, prefixindex); hopeless requests leave before any prefill. Closing tiers is agreed with leases for each tier (tiergate). Limits of customers hold over entries by usage reports; Retry-After spreads resends.

--- /dev/null
+++ b/packages/policy/src/estimator.h
@@ -0,0 +1,40 @@
+#pragma once
+
+#include <monsoonward/values/values.h>
+
+#include <array>
+#include <unordered_map>
+
+namespace monsoonward
+{
+
+/// @brief Learns how many output tokens requests have, by tier and customer, as quantiles of what was seen. Bounded:
+/// customers beyond the limit use their tier's figures.
+class OutputEstimator
+{
+public:
+    void learn(Tier tier, const CustomerName &customer, std::uint32_t outputTokens);
+    /// @return output tokens of a typical request
+    double typical(Tier tier, const CustomerName &customer) const;
+    /// @return output tokens that four requests in five stay under
+    double high(Tier tier, const CustomerName &customer) const;
+    /// @return output tokens still to come when @p made have come
+    double remaining(Tier tier, const CustomerName &customer, double made) const;
+
+private:
+    /// Quantiles tracked by stochastic approximation on a logarithmic scale.
+    struct Quantiles
+    {
+        double logTypical = 0;
+        double logHigh = 0;
+        std::uint32_t seen = 0;
+    };
+
+    static void learn(Quantiles &quantiles, double tokens);
+    const Quantiles *of(Tier tier, const CustomerName &customer) const;
+
+    std::unordered_map<unsigned, Quantiles> m_tiers;
+    std::unordered_map<unsigned, std::unordered_map<CustomerName, Quantiles>> m_customers;
+};
+
+} // namespace monsoonward
--- /dev/null
+++ b/packages/policy/src/estimator_test.cpp
@@ -0,0 +1,27 @@
+#include "estimator.h"
+
+#include <doctest/doctest.h>
+
+using namespace monsoonward;
+
+TEST_CASE("output lengths are learned for each tier and customer")
+{
+    OutputEstimator outputs;
+    const CustomerName shortOnes("short");
+    const CustomerName longOnes("long");
+    SeededRandom random(1);
+    for (int n = 0; n < 2000; ++n) {
+        outputs.learn(Tier(0), shortOnes, static_cast<std::uint32_t>(10 + random.below(20)));
+        outputs.learn(Tier(0), longOnes, static_cast<std::uint32_t>(500 + random.below(1000)));
+    }
+    CHECK(outputs.typical(Tier(0), shortOnes) == doctest::Approx(20).epsilon(0.15));
+    CHECK(outputs.typical(Tier(0), longOnes) == doctest::Approx(1000).epsilon(0.15));
+    CHECK(outputs.high(Tier(0), longOnes) > outputs.typical(Tier(0), longOnes));
+}
+
+TEST_CASE("a request that has made more than expected still has some to come")
+{
+    OutputEstimator outputs;
+    outputs.learn(Tier(0), CustomerName("a"), 10);
+    CHECK(outputs.remaining(Tier(0), CustomerName("a"), 100) > 0);
+}
--- a/packages/policy/src/latebindingtarget.cpp
+++ b/packages/policy/src/latebindingtarget.cpp
@@ -1,8 +1,10 @@
+#include "fairqueue.h"
 #include "monsoonward/policy/factories.h"
+#include "slotcontroller.h"
 
+#include <algorithm>
+#include <deque>
 #include <map>
-#include <set>
-#include <tuple>
 #include <unordered_map>
 
 namespace monsoonward
@@ -11,7 +13,14 @@
 namespace
 {
 
-/// Target policy that claims the highest tier first and, within a tier, the earliest deadline.
+constexpr std::size_t lookAhead = 16; // reservations of a tier that a scan looks at
+constexpr Duration needMemory = std::chrono::seconds(10); // a tier without requests for this long needs no room
+constexpr double needStep = 0.05; // weight of one reservation in a tier's typical need
+constexpr double earlyPart = 0.5; // with more of the typical time left than this, a request waits for a safe engine
+constexpr Duration changeMemory = std::chrono::milliseconds(450); // cache changes are repeated in heartbeats this long
+constexpr std::size_t popularLimit = 65536; // blocks whose number of requests is remembered
+
+/// Target policy that claims in the order of the fair queue whatever the slot controllers let through.
 class LateBindingTarget : public TargetPolicy
 {
 public:
@@ -24,77 +33,113 @@
 
     void configure(const std::vector<EngineSpec> &engines) override
     {
-        std::map<EngineName, Engine> next;
+        std::map<EngineName, SlotController> next;
         for (const auto &it : engines) {
-            auto engine = m_engines[it.name];
-            engine.slots = it.maxBatch;
-            next.emplace(it.name, engine);
+            const auto known = m_engines.find(it.name);
+            auto added = known != m_engines.end() ? next.emplace(it.name, std::move(known->second))
+                                                  : next.emplace(it.name, SlotController(m_clock, m_outputs));
+            added.first->second.configure(it);
         }
         m_engines = std::move(next);
+        m_scanAll = true;
     }
 
     void reserve(const Reservation &reservation) override
     {
-        withdraw(reservation.reserve.id);
-        m_queue.insert(orderOf(reservation));
-        m_reservations.emplace(reservation.reserve.id, reservation);
+        const auto &reserve = reservation.reserve;
+        learnNeed(reserve);
+        notePopular(reserve.prefixes);
+        m_queue.push(reservation);
+        m_fresh.push_back(reserve.id);
     }
 
     void withdraw(const RequestId &id) override
     {
-        const auto it = m_reservations.find(id);
-        if (it != m_reservations.end()) {
-            m_queue.erase(orderOf(it->second));
-            m_reservations.erase(it);
-        }
+        m_queue.erase(id);
     }
 
     void entryGone(const Peer &entry) override
     {
-        for (auto it = m_reservations.begin(); it != m_reservations.end();) {
-            if (it->second.entry == entry) {
-                m_queue.erase(orderOf(it->second));
-                it = m_reservations.erase(it);
-            } else {
-                ++it;
-            }
+        for (const auto &it : m_queue.ofEntry(entry)) {
+            m_queue.erase(it);
         }
     }
 
     std::optional<ClaimChoice> nextClaim() override
     {
-        auto *engine = freeEngine();
-        if (engine == nullptr || m_queue.empty()) {
+        const auto needs = currentNeeds();
+        SlotController *engine = nullptr;
+        EngineName name;
+        const auto accept = [&](const Reservation &it) {
+            name = bestEngine(it, needs);
+            return !name.empty();
+        };
+        const Reservation *found = nullptr;
+        if (m_scanAll) {
+            found = m_queue.first(lookAhead, accept);
+        } else {
+            found = firstFresh(accept);
+        }
+        if (found == nullptr) {
+            m_scanAll = false;
+            m_fresh.clear();
             return std::nullopt;
         }
-        const auto id = std::get<RequestId>(*m_queue.begin());
-        const ClaimChoice choice {m_reservations.at(id), engine->first};
-        withdraw(id);
-        ++engine->second.used;
-        m_placed.emplace(id, engine->first);
+        engine = &m_engines.at(name);
+        const auto id = found->reserve.id;
+        const ClaimChoice choice {m_queue.take(id), name};
+        engine->place(candidateOn(choice.reservation, *engine));
+        m_placed.emplace(id, Placement {name, choice.reservation.reserve});
         return choice;
     }
 
     void released(const RequestId &id) override
     {
-        freeSlot(id);
+        if (auto *engine = engineOf(id)) {
+            engine->released(id);
+            m_placed.erase(id);
+            m_scanAll = true;
+        }
     }
 
-    void dispatched(const RequestId & /*id*/) override
+    void dispatched(const RequestId &id) override
     {
+        if (auto *engine = engineOf(id)) {
+            engine->dispatched(id);
+            const auto &prefixes = m_placed.at(id).reserve.prefixes;
+            noteCached(*engine, prefixes);
+            engine->cache().use(prefixes);
+        }
     }
 
-    void firstToken(const RequestId & /*id*/) override
+    void firstToken(const RequestId &id) override
     {
+        if (auto *engine = engineOf(id)) {
+            engine->firstToken(id);
+            m_scanAll = true;
+        }
     }
 
-    void token(const RequestId & /*id*/, std::uint32_t /*count*/) override
+    void token(const RequestId &id, std::uint32_t count) override
     {
+        if (auto *engine = engineOf(id)) {
+            engine->tokens(id, count);
+        }
     }
 
-    void finished(const RequestId &id, const RunStats & /*stats*/) override
+    void finished(const RequestId &id, const RunStats &stats) override
     {
-        freeSlot(id);
+        auto *engine = engineOf(id);
+        if (engine == nullptr) {
+            return;
+        }
+        if (!stats.failed) {
+            const auto &reserve = m_placed.at(id).reserve;
+            m_outputs.learn(reserve.tier, reserve.customer, stats.outputTokens);
+        }
+        engine->finished(id, stats);
+        m_placed.erase(id);
+        m_scanAll = true;
     }
 
     void engineLoad(const EngineName & /*engine*/, std::uint32_t /*running*/, std::uint32_t /*waiting*/) override
@@ -105,7 +150,8 @@
     {
         const auto it = m_engines.find(engine);
         if (it != m_engines.end()) {
-            it->second.found = running;
+            it->second.setFound(running);
+            m_scanAll = true;
         }
     }
 
@@ -113,28 +159,37 @@
     {
         const auto it = m_engines.find(engine);
         if (it != m_engines.end()) {
-            it->second.up = up;
+            it->second.setUp(up);
+            m_scanAll = true;
         }
     }
 
-    void cacheEvent(const EngineName & /*engine*/,
-                    const std::vector<PrefixHash> & /*cached*/,
-                    const std::vector<PrefixHash> & /*evicted*/) override
+    void cacheEvent(const EngineName &engine,
+                    const std::vector<PrefixHash> &cached,
+                    const std::vector<PrefixHash> &evicted) override
     {
+        const auto it = m_engines.find(engine);
+        if (it == m_engines.end()) {
+            return;
+        }
+        noteCached(it->second, cached);
+        it->second.cache().use(cached);
+        for (const auto block : evicted) {
+            it->second.cache().remove(block);
+            if (isPopular(block)) {
+                m_changes.push_back({m_clock.now(), block, false});
+            }
+        }
     }
 
     std::vector<ReservationDropped> tick() override
     {
         std::vector<ReservationDropped> dropped;
-        const auto now = m_clock.now();
-        for (const auto &[id, reservation] : m_reservations) {
-            if (reservation.deadline <= now) {
-                dropped.push_back({id, m_target, RefusalReason::Expired});
-            }
-        }
-        for (const auto &it : dropped) {
-            withdraw(it.id);
+        for (const auto &it : m_queue.expired(m_clock.now())) {
+            dropped.push_back({it, m_target, RefusalReason::Expired});
+            m_queue.erase(it);
         }
+        m_scanAll = true;
         return dropped;
     }
 
@@ -144,75 +199,174 @@
         status.target = m_target;
         status.service = m_service;
         for (const auto &[name, engine] : m_engines) {
-            status.running += engine.used + engine.found;
-            status.freeSlots += engine.free();
-        }
-        std::map<Tier, TierLoad> loads;
-        for (const auto &[id, reservation] : m_reservations) {
-            const auto &reserve = reservation.reserve;
-            auto &load = loads[reserve.tier];
-            load.tier = reserve.tier;
-            ++load.waiting;
-            load.waitingTokens += reserve.promptTokens + reserve.outputTokens;
-        }
-        for (const auto &[tier, load] : loads) {
-            status.tiers.push_back(load);
+            status.running += engine.running();
+            status.freeSlots += engine.freeSlots();
+            if (engine.isUp()) {
+                const double prefill = engine.speed().prefillTokensPerSecond();
+                const double decode = 1 / engine.speed().stepSeconds(1);
+                status.prefillTokensPerSecond = std::max(status.prefillTokensPerSecond, prefill);
+                status.decodeTokensPerSecond = std::max(status.decodeTokensPerSecond, decode);
+            }
         }
+        status.tiers = m_queue.loads();
+        addChanges(status);
         return status;
     }
 
 private:
-    using Order = std::tuple<Tier, TimePoint, RequestId>;
-
-    struct Engine
+    struct Placement
     {
-        std::uint32_t slots = 0;
-        std::uint32_t used = 0;
-        std::uint32_t found = 0; // run since before this daemon started
-        bool up = true;
+        EngineName engine;
+        Reserve reserve;
+    };
 
-        std::uint32_t free() const
-        {
-            return up && slots > used + found ? slots - used - found : 0;
-        }
+    struct CacheChange
+    {
+        TimePoint at;
+        PrefixHash block;
+        bool cached;
     };
 
-    static Order orderOf(const Reservation &reservation)
+    template<class Accept>
+    const Reservation *firstFresh(const Accept &accept)
     {
-        return {reservation.reserve.tier, reservation.deadline, reservation.reserve.id};
+        while (!m_fresh.empty()) {
+            const auto *it = m_queue.find(m_fresh.front());
+            if (it != nullptr && accept(*it)) {
+                return it;
+            }
+            m_fresh.pop_front();
+        }
+        return nullptr;
     }
 
-    std::pair<const EngineName, Engine> *freeEngine()
+    /// @return the engine that should finish the request first among those that may take it, or an empty name
+    EngineName bestEngine(const Reservation &reservation, const std::vector<TierNeed> &needs) const
     {
-        std::pair<const EngineName, Engine> *best = nullptr;
-        for (auto &it : m_engines) {
-            if (it.second.free() > 0 && (best == nullptr || it.second.free() > best->second.free())) {
-                best = &it;
+        EngineName best;
+        double bestSeconds = 0;
+        for (const auto &[name, engine] : m_engines) {
+            if (!engine.isUp()) {
+                continue;
+            }
+            const auto candidate = candidateOn(reservation, engine);
+            const double seconds = engine.secondsToFinish(candidate);
+            if ((best.empty() || seconds < bestSeconds) && engine.fits(candidate, needs)) {
+                best = name;
+                bestSeconds = seconds;
             }
         }
         return best;
     }
 
-    void freeSlot(const RequestId &id)
+    Candidate candidateOn(const Reservation &reservation, const SlotController &engine) const
+    {
+        const auto &reserve = reservation.reserve;
+        const auto blocks = static_cast<std::uint32_t>(engine.cache().leading(reserve.prefixes));
+        const auto cached = std::min(blocks * prefixBlockTokens, reserve.promptTokens);
+        return {reserve, reservation.deadline, expectedOutput(reservation), cached};
+    }
+
+    double expectedOutput(const Reservation &reservation) const
+    {
+        const auto &reserve = reservation.reserve;
+        if (reserve.outputTokens > 0) {
+            return reserve.outputTokens;
+        }
+        const auto need = m_needs.find(reserve.tier);
+        const double left = std::chrono::duration<double>(reservation.deadline - m_clock.now()).count();
+        const bool early = need == m_needs.end() || left > need->second.seconds * earlyPart;
+        return early ? m_outputs.high(reserve.tier, reserve.customer)
+                     : m_outputs.typical(reserve.tier, reserve.customer);
+    }
+
+    void learnNeed(const Reserve &reserve)
+    {
+        auto [it, added] = m_needs.try_emplace(reserve.tier);
+        auto &need = it->second;
+        const double seconds = std::chrono::duration<double>(reserve.timeLeft).count();
+        if (added) {
+            need = {reserve.tier, static_cast<double>(reserve.promptTokens), 0, seconds, {}};
+        }
+        need.promptTokens += needStep * (reserve.promptTokens - need.promptTokens);
+        need.seconds += needStep * (seconds - need.seconds);
+        need.lastSeen = m_clock.now();
+    }
+
+    std::vector<TierNeed> currentNeeds() const
+    {
+        std::vector<TierNeed> needs;
+        for (const auto &[tier, need] : m_needs) {
+            if (m_clock.now() - need.lastSeen <= needMemory) {
+                needs.push_back(need);
+                needs.back().outputTokens = m_outputs.high(tier, {});
+            }
+        }
+        return needs;
+    }
+
+    void notePopular(const std::vector<PrefixHash> &blocks)
+    {
+        for (const auto it : blocks) {
+            if (m_seen.holds(it)) {
+                m_popular.add(it);
+            }
+        }
+        m_seen.use(blocks);
+    }
+
+    bool isPopular(PrefixHash block) const
+    {
+        return m_popular.holds(block);
+    }
+
+    void noteCached(const SlotController &engine, const std::vector<PrefixHash> &blocks)
+    {
+        for (const auto it : blocks) {
+            if (isPopular(it) && !engine.cache().holds(it)) {
+                m_changes.push_back({m_clock.now(), it, true});
+            }
+        }
+    }
+
+    void addChanges(TargetStatus &status)
+    {
+        const auto now = m_clock.now();
+        while (!m_changes.empty() && now - m_changes.front().at > changeMemory) {
+            m_changes.pop_front();
+        }
+        std::map<PrefixHash, bool> last;
+        for (const auto &it : m_changes) {
+            last[it.block] = it.cached;
+        }
+        for (const auto &[block, cached] : last) {
+            (cached ? status.cached : status.evicted).push_back(block);
+        }
+    }
+
+    SlotController *engineOf(const RequestId &id)
     {
         const auto placed = m_placed.find(id);
         if (placed == m_placed.end()) {
-            return;
-        }
-        const auto engine = m_engines.find(placed->second);
-        if (engine != m_engines.end()) {
-            --engine->second.used;
+            return nullptr;
         }
-        m_placed.erase(placed);
+        const auto it = m_engines.find(placed->second.engine);
+        return it == m_engines.end() ? nullptr : &it->second;
     }
 
     TargetName m_target;
     ServiceName m_service;
     const Clock &m_clock;
-    std::map<EngineName, Engine> m_engines;
-    std::set<Order> m_queue;
-    std::unordered_map<RequestId, Reservation> m_reservations;
-    std::unordered_map<RequestId, EngineName> m_placed;
+    OutputEstimator m_outputs;
+    std::map<EngineName, SlotController> m_engines;
+    FairQueue m_queue;
+    std::unordered_map<RequestId, Placement> m_placed;
+    std::map<Tier, TierNeed> m_needs;
+    std::deque<RequestId> m_fresh; // reserved since the last scan that found nothing
+    bool m_scanAll = true; // something changed that may let an older reservation through
+    PrefixIndex m_seen {popularLimit};
+    PrefixIndex m_popular {popularLimit};
+    std::deque<CacheChange> m_changes;
 };
 
 } // namespace
--- /dev/null
+++ b/packages/policy/src/placement.h
@@ -0,0 +1,68 @@
+#pragma once
+
+#include "linkbudget.h"
+#include "monsoonward/policy/requestspec.h"
+#include "prefixindex.h"
+
+#include <map>
+#include <vector>
+
+namespace monsoonward
+{
+
+/// @brief A waiting request as the placement sees it.
+struct WaitingView
+{
+    const RequestSpec &spec;
+    TimePoint admittedAt {};
+    double outputTokens = 0; ///< estimate
+};
+
+/// @brief Chooses the targets where a waiting request is reserved: first those that probably hold its prefix, then the
+/// fastest in the entry's region, then more of them, and the other regions last.
+class Placement
+{
+public:
+    Placement(const RegionName &region, const Clock &clock, Random &random);
+
+    void configure(const ConfigurationPtr &configuration);
+    void targetStatus(const TargetStatus &status);
+    void targetGone(const TargetName &target);
+    /// The request's prefix is computed at the target from now on.
+    void handedOver(const RequestSpec &spec, const TargetName &target);
+    void seen(const RequestSpec &spec);
+
+    /// @return targets to reserve at in addition to @p reserved
+    std::vector<TargetName> candidates(const WaitingView &request, const std::vector<TargetName> &reserved);
+    /// @return seconds that the fastest idle target needs, as if the prompt's shared part were cached
+    /// @param outputTokens estimate
+    double leastSeconds(const RequestSpec &spec, double outputTokens) const;
+    bool serves(const ServiceName &service) const;
+
+private:
+    struct Target
+    {
+        TargetStatus status;
+        RegionName region;
+        PrefixIndex prefixes {0};
+        double recent = 0; ///< reservations placed since its last status
+    };
+
+    double score(const Target &target, const WaitingView &request, std::size_t cachedBlocks) const;
+    bool isUsable(const Target &target, const ServiceName &service) const;
+    std::vector<TargetName> holders(const WaitingView &request, const std::vector<TargetName> &reserved) const;
+    TargetName home(const RequestSpec &spec) const;
+    std::vector<std::pair<double, TargetName>>
+    ranked(const WaitingView &request, const std::vector<TargetName> &reserved, bool spill);
+
+    RegionName m_region;
+    const Clock &m_clock;
+    Random &m_random;
+    ConfigurationPtr m_configuration;
+    std::map<TargetName, Target> m_targets;
+    PrefixIndex m_seen;
+    PrefixIndex m_popular;
+    LinkBudget m_link;
+};
+
+} // namespace monsoonward
--- /dev/null
+++ b/packages/policy/src/slotcontroller_test.cpp
@@ -0,0 +1,109 @@
+#include "slotcontroller.h"
+
+#include <doctest/doctest.h>
+
+using namespace monsoonward;
+
+namespace
+{
+
+struct Fixture
+{
+    VirtualClock clock;
+    OutputEstimator outputs;
+    SlotController slots {clock, outputs};
+    std::vector<Reserve> reserves;
+
+    Fixture()
+    {
+        reserves.reserve(64);
+        EngineSpec spec;
+        spec.maxBatch = 32;
+        spec.cacheTokens = 100000;
+        slots.configure(spec);
+        outputs.learn(Tier(0), {}, 50);
+        outputs.learn(Tier(2), {}, 50);
+    }
+
+    Candidate candidate(unsigned tier, std::uint32_t promptTokens, int seconds)
+    {
+        auto &it = reserves.emplace_back();
+        it.id = {{1, 1}, reserves.size()};
+        it.tier = Tier(tier);
+        it.promptTokens = promptTokens;
+        return {it, clock.now() + std::chrono::seconds(seconds), 50, 0};
+    }
+
+    /// Runs one request, so that the engine's speed is known: 10 ms between tokens, 10000 prompt tokens a second.
+    void learn()
+    {
+        const auto it = candidate(2, 1000, 100);
+        slots.place(it);
+        slots.dispatched(it.reserve.id);
+        clock.advance(std::chrono::milliseconds(100));
+        slots.firstToken(it.reserve.id);
+        for (int n = 0; n < 50; ++n) {
+            clock.advance(std::chrono::milliseconds(10));
+            slots.tokens(it.reserve.id, 1);
+        }
+        slots.finished(it.reserve.id, {1000, 0, 50, {}, {}, false});
+    }
+
+    /// @return how many requests the engine takes
+    int fill(unsigned tier, int seconds, const std::vector<TierNeed> &needs)
+    {
+        int n = 0;
+        while (n < 60) {
+            const auto it = candidate(tier, 10, seconds);
+            if (!slots.fits(it, needs)) {
+                break;
+            }
+            slots.place(it);
+            ++n;
+        }
+        return n;
+    }
+};
+
+} // namespace
+
+TEST_CASE("an engine of unknown speed is not flooded")
+{
+    Fixture it;
+    CHECK(it.fill(2, 1000, {}) == 4);
+}
+
+TEST_CASE("patient work alone fills the engine; beside urgent work it gets less")
+{
+    Fixture alone;
+    alone.learn();
+    CHECK(alone.fill(2, 1000, {}) == 32);
+    Fixture beside;
+    beside.learn();
+    const TierNeed urgent {Tier(0), 10, 50, 1.0, beside.clock.now()};
+    CHECK(beside.fill(2, 1000, {urgent}) < 16);
+}
+
+TEST_CASE("a request that can't finish in time is not placed")
+{
+    Fixture it;
+    it.learn();
+    CHECK(it.slots.fits(it.candidate(0, 5000, 2), {}));
+    CHECK_FALSE(it.slots.fits(it.candidate(0, 50000, 2), {}));
+}
+
+TEST_CASE("a slot comes back when the claim is released or the engine fails")
+{
+    Fixture it;
+    const auto candidate = it.candidate(0, 100, 10);
+    it.slots.place(candidate);
+    CHECK(it.slots.running() == 1);
+    it.slots.released(candidate.reserve.id);
+    CHECK(it.slots.running() == 0);
+    it.slots.place(candidate);
+    RunStats failed;
+    failed.failed = true;
+    it.slots.finished(candidate.reserve.id, failed);
+    CHECK(it.slots.running() == 0);
+    CHECK(it.slots.prefillBacklog() == 0);
+}
