Look up holders of a prefix in log time and guess nothing of unmeasured engines

Cause: the entry walked every target's index for each waiting request. A plain service, which reports no tokens, never left the 4 slots of an unknown engine.

Change: holders are found by block; the fastest speed is kept for 100 ms; runs keep their estimate. Unmeasured speeds refuse nothing; 4 completions without tokens make an engine known. A holder that would take longer than 0.3 of the time is no reason to wait.

--- a/packages/policy/src/estimator.cpp
+++ b/packages/policy/src/estimator.cpp
@@ -15,7 +15,6 @@
 constexpr double typicalQuantile = 0.5;
 constexpr double highQuantile = 0.95;
 constexpr double smallestStep = 0.01; // on the natural logarithm of tokens
-constexpr double leastLeftPart = 0.5; // of what has come, once more came than expected
 
 } // namespace
 
@@ -41,11 +40,6 @@
     return quantiles == nullptr ? unknownOutputTokens : std::exp(quantiles->logHigh);
 }
 
-double OutputEstimator::remaining(Tier tier, const CustomerName &customer, double made) const
-{
-    return std::max(high(tier, customer) - made, made * leastLeftPart);
-}
-
 void OutputEstimator::learn(Quantiles &quantiles, double tokens)
 {
     const double sample = std::log(tokens);
--- a/packages/policy/src/estimator.h
+++ b/packages/policy/src/estimator.h
@@ -16,10 +16,8 @@
     void learn(Tier tier, const CustomerName &customer, std::uint32_t outputTokens);
     /// @return output tokens of a typical request
     double typical(Tier tier, const CustomerName &customer) const;
-    /// @return output tokens that four requests in five stay under
+    /// @return output tokens that 19 requests in 20 stay under
     double high(Tier tier, const CustomerName &customer) const;
-    /// @return output tokens still to come when @p made have come
-    double remaining(Tier tier, const CustomerName &customer, double made) const;
 
 private:
     /// Quantiles tracked by stochastic approximation on a logarithmic scale.
--- a/packages/policy/src/latebindingtarget.cpp
+++ b/packages/policy/src/latebindingtarget.cpp
@@ -201,7 +201,7 @@
         for (const auto &[name, engine] : m_engines) {
             status.running += engine.running();
             status.freeSlots += engine.freeSlots();
-            if (engine.isUp()) {
+            if (engine.isUp() && engine.speed().isKnown()) {
                 const double prefill = engine.speed().prefillTokensPerSecond();
                 const double decode = 1 / engine.speed().stepSeconds(1);
                 status.prefillTokensPerSecond = std::max(status.prefillTokensPerSecond, prefill);
--- a/packages/policy/src/placement.cpp
+++ b/packages/policy/src/placement.cpp
@@ -16,6 +16,9 @@
 constexpr std::size_t sampledTargets = 16;
 constexpr double holderPatience = 0.3; // of the time to the deadline, kept for targets that hold the prefix
 constexpr double homePatience = 0.03; // the same, for a prompt whose beginning is new to the entry
+constexpr double exclusivePart = 0.3; // of the time to the deadline: a slower holder of the prefix is no reason to wait
+constexpr Duration bestSpeedAge = std::chrono::milliseconds(100);
+constexpr std::size_t maxHolderLists = 262144; // then the lists are made anew
 constexpr double spillPart = 0.05; // of the time to the deadline, kept for the own region
 constexpr std::size_t indexBlocks = 4096; // of each target
 constexpr std::size_t popularBlocks = 65536;
@@ -35,9 +38,9 @@
     return std::find(list.begin(), list.end(), name) != list.end();
 }
 
-std::uint64_t rendezvous(const TargetName &target, PrefixHash block)
+std::uint64_t rendezvous(std::uint64_t nameHash, PrefixHash block)
 {
-    std::uint64_t n = std::hash<TargetName>()(target) ^ (block * 0x9e3779b97f4a7c15ULL);
+    std::uint64_t n = nameHash ^ (block * 0x9e3779b97f4a7c15ULL);
     n ^= n >> 32U;
     n *= 0xff51afd7ed558ccdULL;
     return n ^ (n >> 29U);
@@ -65,12 +68,15 @@
     auto [it, added] = m_targets.try_emplace(status.target);
     auto &target = it->second;
     if (added) {
+        target.name = status.target;
+        target.nameHash = std::hash<TargetName>()(status.target);
         target.prefixes.setMaxBlocks(indexBlocks);
+        m_list.push_back(&target);
         const auto *spec = m_configuration ? find(m_configuration->targets, status.target) : nullptr;
         target.region = spec == nullptr ? m_region : regionOf(*m_configuration, spec->host);
     }
     for (const auto block : status.cached) {
-        target.prefixes.add(block);
+        hold(target, block);
     }
     for (const auto block : status.evicted) {
         target.prefixes.remove(block);
@@ -83,7 +89,18 @@
 
 void Placement::targetGone(const TargetName &target)
 {
-    m_targets.erase(target);
+    const auto it = m_targets.find(target);
+    if (it == m_targets.end()) {
+        return;
+    }
+    m_list.erase(std::find(m_list.begin(), m_list.end(), &it->second));
+    m_targets.erase(it);
+    m_holders.clear();
+    for (auto *other : m_list) {
+        for (const auto block : other->prefixes.blocks()) {
+            m_holders[block].push_back(other);
+        }
+    }
 }
 
 void Placement::handedOver(const RequestSpec &spec, const TargetName &target)
@@ -92,13 +109,12 @@
     if (it == m_targets.end()) {
         return;
     }
-    std::vector<PrefixHash> shared;
-    for (const auto block : spec.prefixes) {
-        if (m_popular.holds(block)) {
-            shared.push_back(block);
+    auto &held = it->second;
+    for (auto block = spec.prefixes.rbegin(); block != spec.prefixes.rend(); ++block) {
+        if (m_popular.holds(*block)) {
+            hold(held, *block);
         }
     }
-    it->second.prefixes.use(shared);
     if (it->second.region != m_region) {
         m_link.spend(static_cast<double>(spec.bodyBytes));
     }
@@ -123,13 +139,15 @@
         return {};
     }
     const double total = secondsOf(request.spec.deadline - request.admittedAt);
-    const double patience = total * holderPatience;
-    const bool patient = secondsOf(waited) < patience;
     std::vector<TargetName> chosen;
-    if (patient) {
-        chosen = holders(request, reserved);
-        const bool waitsAtHolder = chosen.empty() && !reserved.empty() && !holders(request, {}).empty();
-        if (!chosen.empty() || waitsAtHolder) {
+    if (secondsOf(waited) < total * holderPatience) {
+        const auto known = holders(request);
+        for (const auto &[score, name] : known) {
+            if (!contains(reserved, name)) {
+                chosen.push_back(name);
+            }
+        }
+        if (!known.empty() && known.front().first <= total * exclusivePart) {
             return chosen;
         }
     }
@@ -138,8 +156,10 @@
         if (reserved.size() + chosen.size() >= wanted) {
             break;
         }
-        chosen.push_back(name);
-        m_targets.at(name).recent += 1;
+        if (!contains(chosen, name)) {
+            chosen.push_back(name);
+            m_targets.at(name).recent += 1;
+        }
     }
     return chosen;
 }
@@ -152,17 +172,28 @@
     }
     const double cached = static_cast<double>(shared) * prefixBlockTokens;
     const double prompt = std::max(0.0, spec.promptTokens - cached);
-    double best = -1;
-    for (const auto &[name, it] : m_targets) {
-        if (!isUsable(it, spec.service)) {
-            continue;
+    const auto &best = bestSpeed(spec.service);
+    if (best.prefillTokensPerSecond <= 0 || best.decodeTokensPerSecond <= 0) {
+        return 0; // not measured yet
+    }
+    return prompt / best.prefillTokensPerSecond + outputTokens / best.decodeTokensPerSecond;
+}
+
+const Placement::BestSpeed &Placement::bestSpeed(const ServiceName &service) const
+{
+    const auto now = m_clock.now();
+    auto &best = m_best[service];
+    if (now - best.at < bestSpeedAge && best.prefillTokensPerSecond > 0) {
+        return best;
+    }
+    best = {0, 0, now};
+    for (const auto *it : m_list) {
+        if (isUsable(*it, service)) {
+            best.prefillTokensPerSecond = std::max(best.prefillTokensPerSecond, it->status.prefillTokensPerSecond);
+            best.decodeTokensPerSecond = std::max(best.decodeTokensPerSecond, it->status.decodeTokensPerSecond);
         }
-        const double prefill = std::max(1.0, it.status.prefillTokensPerSecond);
-        const double decode = std::max(1.0, it.status.decodeTokensPerSecond);
-        const double seconds = prompt / prefill + outputTokens / decode;
-        best = best < 0 ? seconds : std::min(best, seconds);
     }
-    return std::max(0.0, best);
+    return best;
 }
 
 bool Placement::serves(const ServiceName &service) const
@@ -171,7 +202,7 @@
         m_targets.begin(), m_targets.end(), [&](const auto &it) { return isUsable(it.second, service); });
 }
 
-double Placement::score(const Target &target, const WaitingView &request, std::size_t cachedBlocks) const
+double Placement::score(const Target &target, const WaitingView &request, std::size_t cachedBlocks)
 {
     const auto &status = target.status;
     const double prefill =
@@ -189,74 +220,97 @@
     return prompt / prefill + request.outputTokens / decode * (1 + slowdownOfOne * waiting);
 }
 
-bool Placement::isUsable(const Target &target, const ServiceName &service) const
+bool Placement::isUsable(const Target &target, const ServiceName &service)
 {
     return target.status.service == service && target.status.accepting;
 }
 
-std::vector<TargetName> Placement::holders(const WaitingView &request, const std::vector<TargetName> &reserved) const
+void Placement::hold(Target &target, PrefixHash block)
+{
+    if (!target.prefixes.holds(block)) {
+        auto &list = m_holders[block];
+        if (std::find(list.begin(), list.end(), &target) == list.end()) {
+            list.push_back(&target);
+        }
+    }
+    target.prefixes.add(block);
+    if (m_holders.size() > maxHolderLists) {
+        m_holders.clear();
+        for (auto *it : m_list) {
+            for (const auto held : it->prefixes.blocks()) {
+                m_holders[held].push_back(it);
+            }
+        }
+    }
+}
+
+std::vector<Placement::Target *> Placement::holdersOf(PrefixHash block)
+{
+    const auto it = m_holders.find(block);
+    if (it == m_holders.end()) {
+        return {};
+    }
+    auto &list = it->second;
+    const auto forgotten = [block](const Target *target) { return !target->prefixes.holds(block); };
+    list.erase(std::remove_if(list.begin(), list.end(), forgotten), list.end());
+    auto found = list;
+    if (list.empty()) {
+        m_holders.erase(it);
+    }
+    return found;
+}
+
+/// @return the targets with the longest cached beginning of the prompt, best first, else its home
+Placement::Scored Placement::holders(const WaitingView &request)
 {
     const auto &spec = request.spec;
     if (spec.prefixes.empty()) {
         return {};
     }
     std::size_t most = 0;
-    std::vector<std::pair<double, TargetName>> best;
-    for (const auto &[name, it] : m_targets) {
-        if (!isUsable(it, spec.service)) {
-            continue;
-        }
-        const auto blocks = it.prefixes.leading(spec.prefixes);
-        if (blocks == 0 || blocks < most) {
+    Scored best;
+    for (const auto *it : holdersOf(spec.prefixes.front())) {
+        const auto blocks = it->prefixes.leading(spec.prefixes);
+        if (!isUsable(*it, spec.service) || blocks < most) {
             continue;
         }
         if (blocks > most) {
             most = blocks;
             best.clear();
         }
-        best.emplace_back(score(it, request, blocks), name);
+        best.emplace_back(score(*it, request, blocks), it->name);
     }
     std::sort(best.begin(), best.end());
-    std::vector<TargetName> names;
-    for (const auto &[score, name] : best) {
-        if (names.size() < firstReservations && !contains(reserved, name)) {
-            names.push_back(name);
-        }
-    }
+    best.resize(std::min(best.size(), firstReservations));
     const double waited = secondsOf(m_clock.now() - request.admittedAt);
     const double total = secondsOf(spec.deadline - request.admittedAt);
     const bool known = m_popular.holds(spec.prefixes.front());
     if (best.empty() && (known || waited < total * homePatience)) {
-        const auto name = home(spec);
-        if (!name.empty() && !contains(reserved, name)) {
-            names.push_back(name);
+        if (const auto *target = home(spec)) {
+            best.emplace_back(score(*target, request, 0), target->name);
         }
     }
-    return names;
+    return best;
 }
 
-TargetName Placement::home(const RequestSpec &spec) const
+Placement::Target *Placement::home(const RequestSpec &spec)
 {
-    TargetName best;
+    Target *best = nullptr;
     std::uint64_t highest = 0;
-    for (const auto &[name, it] : m_targets) {
-        if (!isUsable(it, spec.service)) {
-            continue;
-        }
-        const auto value = rendezvous(name, spec.prefixes.front());
-        if (best.empty() || value > highest) {
-            best = name;
+    for (auto *it : m_list) {
+        const auto value = rendezvous(it->nameHash, spec.prefixes.front());
+        if ((best == nullptr || value > highest) && isUsable(*it, spec.service)) {
+            best = it;
             highest = value;
         }
     }
     return best;
 }
 
-std::vector<std::pair<double, TargetName>>
-Placement::ranked(const WaitingView &request, const std::vector<TargetName> &reserved, bool spill)
+Placement::Scored Placement::ranked(const WaitingView &request, const std::vector<TargetName> &reserved, bool spill)
 {
     const bool mayCross = spill && m_link.allows(static_cast<double>(request.spec.bodyBytes));
-    std::vector<std::pair<double, TargetName>> list;
+    Scored list;
     const auto consider = [&](const TargetName &name, const Target &it) {
         const bool reachable = it.region == m_region || mayCross;
         if (reachable && isUsable(it, request.spec.service) && !contains(reserved, name)) {
@@ -264,16 +318,16 @@
         }
     };
     if (m_targets.size() < scanAllBelow) {
-        for (const auto &[name, it] : m_targets) {
-            consider(name, it);
+        for (const auto *it : m_list) {
+            consider(it->name, *it);
         }
     } else {
         for (std::size_t n = 0; n < sampledTargets; ++n) {
-            const auto it = std::next(m_targets.begin(), static_cast<long>(m_random.below(m_targets.size())));
+            const auto *it = m_list[m_random.below(m_list.size())];
             const bool listed =
-                std::any_of(list.begin(), list.end(), [&](const auto &other) { return other.second == it->first; });
+                std::any_of(list.begin(), list.end(), [it](const auto &other) { return other.second == it->name; });
             if (!listed) {
-                consider(it->first, it->second);
+                consider(it->name, *it);
             }
         }
     }
--- a/packages/policy/src/placement.h
+++ b/packages/policy/src/placement.h
@@ -5,6 +5,7 @@
 #include "prefixindex.h"
 
 #include <map>
+#include <unordered_map>
 #include <vector>
 
 namespace monsoonward
@@ -43,23 +44,40 @@
     struct Target
     {
         TargetStatus status;
+        TargetName name;
         RegionName region;
+        std::uint64_t nameHash = 0;
         PrefixIndex prefixes {0};
         double recent = 0; ///< reservations placed since its last status
     };
 
-    double score(const Target &target, const WaitingView &request, std::size_t cachedBlocks) const;
-    bool isUsable(const Target &target, const ServiceName &service) const;
-    std::vector<TargetName> holders(const WaitingView &request, const std::vector<TargetName> &reserved) const;
-    TargetName home(const RequestSpec &spec) const;
-    std::vector<std::pair<double, TargetName>>
-    ranked(const WaitingView &request, const std::vector<TargetName> &reserved, bool spill);
+    /// @brief Speeds of the fastest target of a service, refreshed now and then.
+    struct BestSpeed
+    {
+        double prefillTokensPerSecond = 0;
+        double decodeTokensPerSecond = 0;
+        TimePoint at {};
+    };
+
+    using Scored = std::vector<std::pair<double, TargetName>>;
+
+    static double score(const Target &target, const WaitingView &request, std::size_t cachedBlocks);
+    static bool isUsable(const Target &target, const ServiceName &service);
+    void hold(Target &target, PrefixHash block);
+    std::vector<Target *> holdersOf(PrefixHash block);
+    Scored holders(const WaitingView &request);
+    Target *home(const RequestSpec &spec);
+    Scored ranked(const WaitingView &request, const std::vector<TargetName> &reserved, bool spill);
+    const BestSpeed &bestSpeed(const ServiceName &service) const;
 
     RegionName m_region;
     const Clock &m_clock;
     Random &m_random;
     ConfigurationPtr m_configuration;
     std::map<TargetName, Target> m_targets;
+    std::vector<Target *> m_list; // of m_targets
+    std::unordered_map<PrefixHash, std::vector<Target *>> m_holders; // may name targets that have forgotten the block
+    mutable std::map<ServiceName, BestSpeed> m_best;
     PrefixIndex m_seen;
     PrefixIndex m_popular;
     LinkBudget m_link;
--- a/packages/policy/src/prefixindex.cpp
+++ b/packages/policy/src/prefixindex.cpp
@@ -67,6 +67,11 @@
     return m_order.size();
 }
 
+const std::list<PrefixHash> &PrefixIndex::blocks() const
+{
+    return m_order;
+}
+
 void PrefixIndex::forgetOldest()
 {
     while (m_order.size() > m_maxBlocks) {
--- a/packages/policy/src/prefixindex.h
+++ b/packages/policy/src/prefixindex.h
@@ -26,6 +26,8 @@
     /// @return how many leading blocks of @p blocks are held
     std::size_t leading(const std::vector<PrefixHash> &blocks) const;
     std::size_t size() const;
+    /// @return the blocks, most recently used first
+    const std::list<PrefixHash> &blocks() const;
 
 private:
     void forgetOldest();
--- a/packages/policy/src/slotcontroller.cpp
+++ b/packages/policy/src/slotcontroller.cpp
@@ -9,8 +9,10 @@
 {
 
 constexpr std::uint32_t unknownEngineSlots = 4; // until its speed is known
+constexpr std::uint32_t knownPlainRequests = 4; // completed without tokens: a plain service, whose speed stays unknown
 constexpr double roomPart = 0.5; // of a higher tier's time that a typical request may need
 constexpr double lastChancePart = 1.3; // a request that needs so little less than is left must be placed now
+constexpr double leastLeftPart = 0.5; // of the tokens made, once more came than expected
 constexpr double defaultBatch = 16;
 
 double secondsOf(Duration duration)
@@ -56,7 +58,7 @@
         return false;
     }
     const double seconds = secondsToFinish(candidate);
-    if (seconds > secondsLeft(candidate.deadline)) {
+    if (m_speed.isKnown() && seconds > secondsLeft(candidate.deadline)) {
         return false;
     }
     const double prefill = candidate.reserve.promptTokens - candidate.cachedTokens;
@@ -83,7 +85,7 @@
             continue;
         }
         const double left = secondsLeft(it.deadline);
-        const double tokens = m_outputs.remaining(it.tier, it.customer, it.made);
+        const double tokens = std::max(it.highOutput - it.made, it.made * leastLeftPart);
         const double waits = it.decoding ? 0 : backlog;
         const bool inTime = waits + tokens * before <= left;
         if (inTime && waits + slowed + tokens * after > left) {
@@ -119,7 +121,7 @@
 {
     Run run;
     run.tier = candidate.reserve.tier;
-    run.customer = candidate.reserve.customer;
+    run.highOutput = m_outputs.high(candidate.reserve.tier, candidate.reserve.customer);
     run.deadline = candidate.deadline;
     run.promptTokens = candidate.reserve.promptTokens;
     run.prefillTokens = candidate.reserve.promptTokens - candidate.cachedTokens;
@@ -195,6 +197,7 @@
     if (measured) {
         m_speed.learnPrefill(stats.promptTokens - stats.cachedTokens, run.firstTokenAt - run.prefillBegan);
     }
+    m_tokenless += !stats.failed && stats.outputTokens == 0 ? 1 : 0;
     released(id);
 }
 
@@ -239,7 +242,8 @@
 std::uint32_t SlotController::limit() const
 {
     const auto batch = m_spec.maxBatch == 0 ? static_cast<std::uint32_t>(defaultBatch) : m_spec.maxBatch;
-    return m_speed.isKnown() ? batch : std::min(batch, unknownEngineSlots);
+    const bool plain = m_tokenless >= knownPlainRequests;
+    return plain || m_speed.isKnown() ? batch : std::min(batch, unknownEngineSlots);
 }
 
 } // namespace monsoonward
--- a/packages/policy/src/slotcontroller.h
+++ b/packages/policy/src/slotcontroller.h
@@ -67,7 +67,7 @@
     struct Run
     {
         Tier tier;
-        CustomerName customer;
+        double highOutput = 0; // tokens that it will hardly exceed
         TimePoint deadline {};
         double prefillTokens = 0; // expected
         std::uint32_t promptTokens = 0;
@@ -93,6 +93,7 @@
     std::unordered_map<RequestId, Run> m_runs;
     std::uint32_t m_decoding = 0;
     std::uint32_t m_lastChances = 0;
+    std::uint32_t m_tokenless = 0; // requests that completed without tokens
     std::uint32_t m_found = 0; // run since before this daemon started
     double m_prefillTokensWaiting = 0;
     TimePoint m_lastFirstToken {};
--- a/packages/policy/src/slotcontroller_test.cpp
+++ b/packages/policy/src/slotcontroller_test.cpp
@@ -107,3 +107,15 @@
     CHECK(it.slots.running() == 0);
     CHECK(it.slots.prefillBacklog() == 0);
 }
+
+TEST_CASE("a plain service, which reports no tokens, gets all its slots and no guesses about deadlines")
+{
+    Fixture it;
+    for (int n = 0; n < 4; ++n) {
+        const auto candidate = it.candidate(2, 0, 1);
+        REQUIRE(it.slots.fits(candidate, {}));
+        it.slots.place(candidate);
+        it.slots.finished(candidate.reserve.id, {});
+    }
+    CHECK(it.fill(2, 1, {}) == 32);
+}
