--- /dev/null
+++ b/bench/policy/main.cpp
@@ -0,0 +1,78 @@
+#include "fairqueue.h"
+#include "placement.h"
+
+#include <benchmark/benchmark.h>
+
+/// Cost of single decisions over the number of waiting requests, customers and targets.
+namespace monsoonward
+{
+
+namespace
+{
+
+constexpr std::uint64_t customers = 10000;
+const ServiceName service("service");
+
+Reservation makeReservation(std::uint64_t number, Random &random)
+{
+    Reservation it;
+    it.reserve.id = {{1, 1}, number};
+    it.reserve.tier = Tier(static_cast<unsigned>(random.below(5)));
+    it.reserve.customer = CustomerName("customer-" + std::to_string(random.below(customers)));
+    it.reserve.promptTokens = static_cast<std::uint32_t>(random.below(4000));
+    it.deadline = TimePoint(std::chrono::milliseconds(random.below(100000)));
+    return it;
+}
+
+/// One reservation comes, the best one is taken; the argument is the number that wait.
+void takeBest(benchmark::State &state)
+{
+    SeededRandom random(1);
+    FairQueue queue;
+    std::uint64_t number = 0;
+    for (std::int64_t n = 0; n < state.range(0); ++n) {
+        queue.push(makeReservation(++number, random));
+    }
+    for ([[maybe_unused]] auto _ : state) {
+        queue.push(makeReservation(++number, random));
+        const auto *first = queue.first(1, [](const Reservation &) { return true; });
+        benchmark::DoNotOptimize(queue.take(first->reserve.id));
+    }
+    state.SetComplexityN(state.range(0));
+}
+
+/// Candidates of one request; the argument is the number of targets (2,300 engines on 370 hosts).
+void chooseTargets(benchmark::State &state)
+{
+    VirtualClock clock;
+    SeededRandom random(1);
+    Placement placement(RegionName("south"), clock, random);
+    placement.configure(std::make_shared<Configuration>());
+    for (std::int64_t n = 0; n < state.range(0); ++n) {
+        TargetStatus status;
+        status.target = TargetName("target-" + std::to_string(n));
+        status.service = service;
+        status.prefillTokensPerSecond = 10000;
+        status.decodeTokensPerSecond = 50;
+        status.cached = {random.below(1000), random.below(1000)};
+        placement.targetStatus(status);
+    }
+    RequestSpec spec;
+    spec.service = service;
+    spec.deadline = clock.now() + std::chrono::seconds(10);
+    spec.promptTokens = 1024;
+    for ([[maybe_unused]] auto _ : state) {
+        spec.prefixes = {random.below(1000), random.below(1000), random.next(), random.next()};
+        benchmark::DoNotOptimize(placement.candidates({spec, clock.now(), 100}, {}));
+    }
+    state.SetComplexityN(state.range(0));
+}
+
+BENCHMARK(takeBest)->RangeMultiplier(10)->Range(100, 100000)->Complexity(benchmark::oLogN);
+BENCHMARK(chooseTargets)->Arg(12)->Arg(37)->Arg(370)->Arg(2300)->Complexity();
+
+} // namespace
+
+} // namespace monsoonward
+
+BENCHMARK_MAIN();
