--- /dev/null
+++ b/apps/monsoonctl/client.cpp
@@ -0,0 +1,46 @@
+#include "client.h"
+
+#include <future>
+
+namespace monsoonctl
+{
+
+namespace
+{
+
+constexpr monsoonward::Duration callTimeout = std::chrono::seconds(15); // the daemon settles lost answers within 10 s
+
+/// Runs tasks at once, on the thread that posts them.
+class DirectExecutor : public monsoonward::Executor
+{
+public:
+    void post(std::function<void()> task) override
+    {
+        task();
+    }
+};
+
+} // namespace
+
+Client::Client(const monsoonward::Address &address, const std::string &token)
+    : m_address(address)
+    , m_token(token)
+{
+}
+
+monsoonward::Result<monsoonward::HttpAnswer>
+Client::call(const std::string &method, const std::string &path, const std::string &body) const
+{
+    monsoonward::HttpCall call {m_address, method, path, {{"Content-Type", "application/json"}}, body, callTimeout};
+    if (!m_token.empty()) {
+        call.headers.emplace_back("Authorization", "Bearer " + m_token);
+    }
+    std::promise<monsoonward::Result<monsoonward::HttpAnswer>> promise;
+    auto answer = promise.get_future();
+    DirectExecutor executor;
+    monsoonward::HttpWorkers workers(executor, 1);
+    workers.submit(call, [&promise](const auto &result) { promise.set_value(result); });
+    return answer.get();
+}
+
+} // namespace monsoonctl
