--- a/packages/control/include/monsoonward/control/controlnode.h
+++ b/packages/control/include/monsoonward/control/controlnode.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include "monsoonward/control/wallclock.h"
+
 #include <monsoonward/platform/platform.h>
 
 #include <functional>
@@ -45,7 +47,8 @@
     RegionName region;
     std::string bootstrapTokenHash; ///< SHA-256 of the token that may declare while no operator is configured
     Duration pollInterval = std::chrono::seconds(1); ///< how often the head row is read
-    MONSOONWARD_FIELDS(own, role, region, bootstrapTokenHash, pollInterval)
+    const WallClock *wallClock = nullptr; ///< null: the host's
+    MONSOONWARD_FIELDS(own, role, region, bootstrapTokenHash, pollInterval, wallClock)
 };
 
 /// @brief The part of every daemon that learns the configuration, answers operators and executes plans.
@@ -68,7 +71,7 @@
 
     void peerUp(const Peer &peer, HostRole role);
     void peerDown(const Peer &peer);
-    /// Heartbeat, ConfigurationOffer and ConfigurationRequest.
+    /// Heartbeat, ConfigurationOffer, ConfigurationRequest and TargetStatus; others are ignored.
     void message(const Peer &from, const Message &message);
     /// @param done called exactly once, on the control thread
     void handle(const OperatorRequest &request, ReplyCallback done);
--- a/packages/control/include/monsoonward/control/declarations.h
+++ b/packages/control/include/monsoonward/control/declarations.h
@@ -2,6 +2,7 @@
 
 #include <monsoonward/ini/ini.h>
 
+#include <set>
 #include <string>
 #include <vector>
 
@@ -20,6 +21,8 @@
 struct DeclarationResult
 {
     Configuration configuration;
+    std::set<HostName> hostsWithState; ///< hosts whose declaration has the key "state"
+    std::set<TargetName> targetsWithState;
     std::vector<IniError> errors; ///< sorted by file and line
 };
 
--- /dev/null
+++ b/packages/control/include/monsoonward/control/wallclock.h
@@ -0,0 +1,25 @@
+#pragma once
+
+#include <cstdint>
+
+namespace monsoonward
+{
+
+/// @brief Source of the time of day, for records that people read and for the expiry of plans. Clocks of two hosts
+/// differ; nothing that must hold depends on it.
+class WallClock
+{
+public:
+    virtual ~WallClock() = default;
+    /// @return milliseconds since 1970-01-01 00:00 UTC
+    virtual std::int64_t milliseconds() const = 0;
+};
+
+/// @brief The host's time of day.
+class SystemWallClock : public WallClock
+{
+public:
+    std::int64_t milliseconds() const override;
+};
+
+} // namespace monsoonward
--- a/packages/control/src/change.cpp
+++ b/packages/control/src/change.cpp
@@ -1,19 +1,26 @@
 #include "change.h"
 
-#include <algorithm>
-
 #include "configurationlists.h"
+#include "monsoonward/control/declarations.h"
 
 #include <monsoonward/transport/transport.h>
 
 #include <xxhash.h>
 
+#include <array>
+#include <charconv>
+#include <cstdio>
+#include <set>
+#include <sstream>
+
 namespace monsoonward
 {
 
 namespace
 {
 
+constexpr std::size_t hashDigits = 16;
+
 /// Puts @p spec into the list of @p configuration that holds its kind.
 template<class Spec>
 void add(Configuration &configuration, const Spec &spec)
@@ -69,6 +76,64 @@
     return once;
 }
 
+/// @return the hash in 16 hexadecimal digits, then @p bytes
+std::string withHash(ContentHash hash, const std::string &bytes)
+{
+    std::array<char, hashDigits + 1> buf {};
+    std::snprintf(buf.data(), buf.size(), "%016llx", static_cast<unsigned long long>(hash));
+    return buf.data() + bytes;
+}
+
+/// Takes the hash off the beginning of @p bytes.
+Result<ContentHash> takeHash(std::string_view &bytes)
+{
+    ContentHash hash = 0;
+    const auto digits = bytes.substr(0, hashDigits);
+    const auto result = std::from_chars(digits.data(), digits.data() + digits.size(), hash, 16);
+    if (digits.size() < hashDigits || result.ec != std::errc() || result.ptr != digits.data() + digits.size()) {
+        return Error {ErrorCode::Invalid, "a configuration or a change of it doesn't begin with its hash"};
+    }
+    bytes.remove_prefix(hashDigits);
+    return hash;
+}
+
+/// @return the declaration of @p spec, a line for each key
+template<class Spec>
+std::set<std::string> declarationLines(const Spec &spec)
+{
+    Configuration one;
+    add(one, spec);
+    std::istringstream in(writeDeclarations(one));
+    std::set<std::string> lines;
+    std::string line;
+    while (std::getline(in, line)) {
+        lines.insert(line);
+    }
+    return lines;
+}
+
+/// @return ": " and the keys of @p after that differ from @p before; keys that go have "no" before them
+template<class Spec>
+std::string changedKeys(const Spec &before, const Spec &after)
+{
+    const auto old = declarationLines(before);
+    const auto now = declarationLines(after);
+    std::string text;
+    for (const auto &it : now) {
+        if (old.count(it) == 0) {
+            text += (text.empty() ? ": " : ", ") + it;
+        }
+    }
+    for (const auto &it : old) {
+        const auto key = it.substr(0, it.find('=') + 1);
+        const auto next = now.lower_bound(key);
+        if (next == now.end() || next->compare(0, key.size(), key) != 0) {
+            text += (text.empty() ? ": no longer " : ", no longer ") + it;
+        }
+    }
+    return text;
+}
+
 } // namespace
 
 void sortLists(Configuration &configuration)
@@ -163,19 +228,47 @@
     return change;
 }
 
+std::string encodeDelta(const Delta &delta)
+{
+    return withHash(delta.hash, encodeChange(delta.change));
+}
+
+Result<Delta> decodeDelta(std::string_view bytes)
+{
+    BOOST_OUTCOME_TRY(hash, takeHash(bytes));
+    BOOST_OUTCOME_TRY(change, decodeChange(bytes));
+    return Delta {std::move(change), hash};
+}
+
+std::string encodeSnapshot(const Snapshot &snapshot)
+{
+    return withHash(snapshot.hash, encodeConfiguration(snapshot.configuration));
+}
+
+Result<Snapshot> decodeSnapshot(std::string_view bytes)
+{
+    BOOST_OUTCOME_TRY(hash, takeHash(bytes));
+    BOOST_OUTCOME_TRY(configuration, decodeConfiguration(bytes));
+    sortLists(configuration);
+    if (contentHash(configuration) != hash) {
+        return Error {ErrorCode::Invalid, "a snapshot of the configuration doesn't match its hash"};
+    }
+    return Snapshot {std::move(configuration), hash};
+}
+
 std::vector<std::string> describe(const ConfigurationChange &change, const Configuration &base)
 {
     std::vector<std::string> lines;
-    const auto collect =
-        [&lines](const std::string &kind, const auto &before, const auto &upserted, const auto &removed) {
-            for (const auto &it : upserted) {
-                const bool isNew = findByKey(before, keyOf(it)) == nullptr;
-                lines.push_back((isNew ? "add " : "change ") + kind + " " + keyText(keyOf(it)));
-            }
-            for (const auto &it : removed) {
-                lines.push_back("remove " + kind + " " + keyText(keyOf(it)));
-            }
-        };
+    const auto collect = [&](const std::string &kind, const auto &before, const auto &upserted, const auto &removed) {
+        for (const auto &it : upserted) {
+            const auto *old = findByKey(before, keyOf(it));
+            const auto name = kind + " " + keyText(keyOf(it));
+            lines.push_back(old == nullptr ? "add " + name : "change " + name + changedKeys(*old, it));
+        }
+        for (const auto &it : removed) {
+            lines.push_back("remove " + kind + " " + keyText(keyOf(it)));
+        }
+    };
     forEachList(collect, base, change.upserted, change.removed);
     return lines;
 }
--- a/packages/control/src/change.h
+++ b/packages/control/src/change.h
@@ -4,6 +4,7 @@
 
 #include <string>
 #include <string_view>
+#include <vector>
 
 namespace monsoonward
 {
@@ -34,7 +35,30 @@
 /// @return the change, or Invalid
 Result<ConfigurationChange> decodeChange(std::string_view bytes);
 
-/// @return one line for each entry of the change, such as "change target isole-3"
+/// @brief A change and the content hash after it.
+struct Delta
+{
+    ConfigurationChange change;
+    ContentHash hash = 0;
+    MONSOONWARD_FIELDS(change, hash)
+};
+
+/// @brief A whole configuration and its content hash.
+struct Snapshot
+{
+    Configuration configuration;
+    ContentHash hash = 0;
+    MONSOONWARD_FIELDS(configuration, hash)
+};
+
+std::string encodeDelta(const Delta &delta);
+/// @return the delta, or Invalid
+Result<Delta> decodeDelta(std::string_view bytes);
+std::string encodeSnapshot(const Snapshot &snapshot);
+/// @return the snapshot, or Invalid when it is malformed or its hash doesn't match
+Result<Snapshot> decodeSnapshot(std::string_view bytes);
+
+/// @return one line for each entry of the change, such as "change target isole-3: state = draining"
 std::vector<std::string> describe(const ConfigurationChange &change, const Configuration &base);
 
 } // namespace monsoonward
--- /dev/null
+++ b/packages/control/src/committer.h
@@ -0,0 +1,47 @@
+#pragma once
+
+#include "distribution.h"
+
+namespace monsoonward
+{
+
+/// @brief A change of the configuration and the other rows that are written with it, all or none.
+struct Commit
+{
+    ConfigurationChange change;
+    std::vector<RowWrite> rows;
+    MONSOONWARD_FIELDS(change, rows)
+};
+
+/// @brief Writes changes of the configuration on top of the revision in force here.
+class Committer
+{
+public:
+    /// Revision that the change led to. Errors: Conflict (another revision is in force, or a condition of a row did not
+    /// hold), Unavailable, Unknown.
+    using Callback = std::function<void(const Result<Revision> &)>;
+
+    Committer(GuardedStore &store, Distribution &distribution);
+
+    void commit(const Commit &commit, const Callback &done);
+
+private:
+    struct Prepared
+    {
+        Commit commit;
+        Configuration next;
+        Delta delta;
+        std::string deltaBytes;
+        HeadRecord head;
+        std::uint64_t headVersion = 0;
+    };
+
+    void headRead(const Commit &commit, const std::optional<Row> &row, const Callback &done);
+    void putSnapshot(const Prepared &prepared, const Callback &done);
+    void write(const Prepared &prepared, const Callback &done);
+
+    GuardedStore &m_store;
+    Distribution &m_distribution;
+};
+
+} // namespace monsoonward
--- a/packages/control/src/configurationlists.h
+++ b/packages/control/src/configurationlists.h
@@ -2,6 +2,9 @@
 
 #include <monsoonward/values/values.h>
 
+#include <algorithm>
+#include <string>
+
 /// Visits the lists of one or several configurations side by side.
 namespace monsoonward
 {
--- /dev/null
+++ b/packages/control/src/controlfleet.h
@@ -0,0 +1,374 @@
+#pragma once
+
+#include "operators.h"
+
+#include "monsoonward/control/control.h"
+
+#include <nlohmann/json.hpp>
+
+#include <deque>
+#include <map>
+#include <memory>
+#include <set>
+
+/// Several control nodes on a virtual clock, with a fake store and a network that can be cut; for tests.
+namespace monsoonward
+{
+
+class FakeObjects : public ObjectStore
+{
+public:
+    void get(const std::string &name, GetCallback done) override
+    {
+        const auto it = m_objects.find(name);
+        if (down) {
+            done(Error {ErrorCode::Unavailable, "the object store is down"});
+        } else if (it == m_objects.end()) {
+            done(Error {ErrorCode::NotFound, name});
+        } else {
+            done(it->second);
+        }
+    }
+    void put(const std::string &name, const std::string &bytes, PutCallback done) override
+    {
+        if (down) {
+            done(Error {ErrorCode::Unavailable, "the object store is down"});
+            return;
+        }
+        m_objects.emplace(name, bytes);
+        done(boost::outcome_v2::success());
+    }
+    bool down = false;
+
+private:
+    std::map<std::string, std::string> m_objects;
+};
+
+class FakeWallClock : public WallClock
+{
+public:
+    explicit FakeWallClock(const Clock &clock)
+        : m_clock(clock)
+    {
+    }
+    std::int64_t milliseconds() const override
+    {
+        return std::chrono::duration_cast<std::chrono::milliseconds>(m_clock.now().time_since_epoch()).count();
+    }
+
+private:
+    const Clock &m_clock;
+};
+
+class ControlFleet;
+
+/// @brief One daemon's control part.
+class FleetNode : public ControlOutput
+{
+public:
+    FleetNode(
+        ControlFleet &fleet, const std::string &host, const std::string &region, HostRole role, std::uint64_t run);
+
+    void send(const Peer &to, const Message &message) override;
+    void adopt(const ConfigurationPtr &configuration) override
+    {
+        checkInvariant(configuration->revision > m_adopted,
+                       "configuration-never-reverts",
+                       std::to_string(configuration->revision) + " after " + std::to_string(m_adopted));
+        m_adopted = configuration->revision;
+    }
+    Revision revision() const
+    {
+        return control->configuration() ? control->configuration()->revision : 0;
+    }
+
+    ControlOptions options;
+    bool paused = false; ///< neither ticks nor receives
+    std::unique_ptr<ControlNode> control;
+    std::uint64_t heartbeats = 0;
+
+private:
+    ControlFleet &m_fleet;
+    Revision m_adopted = 0;
+};
+
+/// @brief What an operator call gave; empty until it is answered.
+struct FleetReply
+{
+    unsigned status = 0;
+    nlohmann::json body;
+};
+
+class ControlFleet
+{
+public:
+    explicit ControlFleet(std::uint64_t seed)
+        : random(seed)
+    {
+    }
+
+    /// Starts a daemon, or starts it again, and connects it.
+    FleetNode &start(const std::string &host, const std::string &region, HostRole role = HostRole::Entry)
+    {
+        stop(host);
+        nodes[host] = std::make_unique<FleetNode>(*this, host, region, role, ++m_runs);
+        connect();
+        return *nodes[host];
+    }
+    void stop(const std::string &host)
+    {
+        const auto it = nodes.find(host);
+        if (it == nodes.end()) {
+            return;
+        }
+        const auto peer = it->second->options.own;
+        nodes.erase(it);
+        for (auto &other : nodes) {
+            if (m_links.erase({other.first, host}) + m_links.erase({host, other.first}) > 0) {
+                other.second->control->peerDown(peer);
+            }
+        }
+    }
+    void cutRegion(const std::string &region)
+    {
+        m_cut.insert(region);
+        connect();
+    }
+    void healRegion(const std::string &region)
+    {
+        m_cut.erase(region);
+        connect();
+    }
+    /// Lets time pass in steps of 100 ms.
+    void run(Duration time)
+    {
+        for (Duration it {}; it < time; it += tickLength) {
+            step();
+        }
+    }
+    void step()
+    {
+        clock.advance(tickLength);
+        ++m_ticks;
+        for (auto &[host, node] : nodes) {
+            if (!node->paused) {
+                node->control->tick();
+            }
+        }
+        deliver();
+        if (m_ticks % ticksPerHeartbeat == 0) {
+            heartbeat();
+        }
+        deliver();
+    }
+    void deliver()
+    {
+        bool any = true;
+        while (any) {
+            any = !storeHangs && table.deliverOne();
+            if (!m_messages.empty()) {
+                auto [from, to, message] = m_messages.front();
+                m_messages.pop_front();
+                const auto it = nodes.find(to);
+                if (it != nodes.end() && !it->second->paused && m_links.count({from.host.text(), to}) != 0) {
+                    it->second->control->message(from, message);
+                }
+                any = true;
+            }
+        }
+    }
+    void post(const Peer &from, const std::string &to, const Message &message)
+    {
+        m_messages.emplace_back(from, to, message);
+        ++sent;
+    }
+    /// Calls without waiting; run() lets the answer come.
+    std::shared_ptr<FleetReply> call(const std::string &host,
+                                     const std::string &method,
+                                     const std::string &path,
+                                     const nlohmann::json &body = {},
+                                     const std::string &token = "boot")
+    {
+        auto reply = std::make_shared<FleetReply>();
+        const OperatorRequest request {token, method, path, body.is_null() ? "" : body.dump()};
+        nodes.at(host)->control->handle(request, [reply](const OperatorReply &it) {
+            checkInvariant(reply->status == 0, "operator-answered-once", it.body);
+            *reply = {it.status, nlohmann::json::parse(it.body)};
+        });
+        return reply;
+    }
+    FleetReply ask(const std::string &host,
+                   const std::string &method,
+                   const std::string &path,
+                   const nlohmann::json &body = {},
+                   const std::string &token = "boot")
+    {
+        const auto reply = call(host, method, path, body, token);
+        for (int n = 0; n < 200 && reply->status == 0; ++n) {
+            deliver();
+            if (reply->status == 0) {
+                step();
+            }
+        }
+        return *reply;
+    }
+    FleetReply
+    plan(const std::string &host, const std::string &kind, const std::string &subject, const std::string &value = "")
+    {
+        return ask(host, "POST", "/operator/plan", {{"intent", kind}, {"subject", subject}, {"value", value}});
+    }
+    FleetReply confirm(const std::string &host, const std::string &id, const std::vector<std::string> &overrides = {})
+    {
+        return ask(host, "POST", "/operator/confirm/" + id, {{"override", overrides}});
+    }
+    FleetReply declare(const std::string &host, const std::string &text)
+    {
+        const auto reply = ask(
+            host, "POST", "/operator/plan", {{"intent", "declare"}, {"files", {{{"name", "f.ini"}, {"text", text}}}}});
+        if (reply.status != 200 || !reply.body.contains("id")) {
+            return reply;
+        }
+        return confirm(host, reply.body["id"]);
+    }
+
+    VirtualClock clock;
+    FakeWallClock wallClock {clock};
+    SeededRandom random;
+    FakeTable table;
+    FakeObjects objects;
+    NullEventLog events;
+    std::map<std::string, std::unique_ptr<FleetNode>> nodes;
+    bool storeHangs = false; ///< answers of the table wait
+    std::uint64_t sent = 0;
+    std::map<TargetName, std::uint32_t> running; ///< requests in progress at targets
+
+private:
+    static constexpr Duration tickLength = std::chrono::milliseconds(100);
+    static constexpr unsigned ticksPerHeartbeat = 5;
+
+    struct Posted
+    {
+        Peer from;
+        std::string to;
+        Message message;
+        Posted(const Peer &peer, const std::string &host, const Message &it)
+            : from(peer)
+            , to(host)
+            , message(it)
+        {
+        }
+    };
+
+    bool mayTalk(const FleetNode &a, const FleetNode &b) const
+    {
+        const auto &first = a.options.region.text();
+        const auto &second = b.options.region.text();
+        const bool isEntryLink = a.options.role == HostRole::Entry || b.options.role == HostRole::Entry;
+        return isEntryLink && (first == second || (m_cut.count(first) == 0 && m_cut.count(second) == 0));
+    }
+    void connect()
+    {
+        for (auto &[host, node] : nodes) {
+            for (auto &[otherHost, other] : nodes) {
+                if (host == otherHost) {
+                    continue;
+                }
+                const std::pair<std::string, std::string> link {otherHost, host};
+                const bool linked = m_links.count(link) != 0;
+                if (mayTalk(*node, *other) && !linked) {
+                    m_links.insert(link);
+                    node->control->peerUp(other->options.own, other->options.role);
+                } else if (!mayTalk(*node, *other) && linked) {
+                    m_links.erase(link);
+                    node->control->peerDown(other->options.own);
+                }
+            }
+        }
+    }
+    void heartbeat()
+    {
+        for (auto &[host, node] : nodes) {
+            if (node->paused) {
+                continue;
+            }
+            const Heartbeat heartbeat {
+                node->options.own, node->options.role, ++node->heartbeats, node->revision(), false};
+            for (auto &[otherHost, other] : nodes) {
+                if (host != otherHost && m_links.count({host, otherHost}) != 0) {
+                    post(node->options.own, otherHost, heartbeat);
+                    postStatus(*node, otherHost);
+                }
+            }
+        }
+    }
+    void postStatus(const FleetNode &node, const std::string &to)
+    {
+        const auto configuration = node.control->configuration();
+        if (!configuration) {
+            return;
+        }
+        for (const auto &it : configuration->targets) {
+            if (it.host != node.options.own.host) {
+                continue;
+            }
+            TargetStatus status;
+            status.target = it.name;
+            status.service = it.service;
+            const auto *host = find(configuration->hosts, it.host);
+            status.accepting = it.state == ServingState::InService && host->state == ServingState::InService;
+            status.running = running[it.name];
+            post(node.options.own, to, status);
+        }
+    }
+
+    std::deque<Posted> m_messages;
+    std::set<std::pair<std::string, std::string>> m_links; ///< from, to
+    std::set<std::string> m_cut;
+    std::uint64_t m_runs = 0;
+    std::uint64_t m_ticks = 0;
+};
+
+inline FleetNode::FleetNode(
+    ControlFleet &fleet, const std::string &host, const std::string &region, HostRole role, std::uint64_t run)
+    : m_fleet(fleet)
+{
+    options.own = {HostName(host), {1, run}};
+    options.role = role;
+    options.region = RegionName(region);
+    options.bootstrapTokenHash = sha256("boot");
+    options.wallClock = &fleet.wallClock;
+    control = std::make_unique<ControlNode>(
+        options, fleet.clock, fleet.random, fleet.table, fleet.objects, *this, fleet.events);
+}
+
+inline void FleetNode::send(const Peer &to, const Message &message)
+{
+    m_fleet.post(options.own, to.host.text(), message);
+}
+
+/// @return declarations of two regions with an entry each, and @p targets targets of one service in the first region
+inline std::string fleetText(unsigned targets)
+{
+    std::string text =
+        "[region south]\n[region north]\n[data-centre s]\nregion = south\n[data-centre n]\nregion = north\n"
+        "[tier 0]\nname = press\n[tier 1]\nname = office\n"
+        "[service model]\nmodel = motif\nversion = 1\n[service other]\nkind = plain\n";
+    const auto host =
+        [&text](const std::string &name, const std::string &dataCentre, const std::string &role, int port) {
+            text += "[host " + name + "]\ndata-centre = " + dataCentre + "\nrole = " + role
+                + "\npeer = 127.0.0.1:" + std::to_string(port) + "\n";
+        };
+    host("e1", "s", "entry", 1);
+    host("e2", "s", "entry", 2);
+    host("e3", "n", "entry", 3);
+    for (unsigned n = 1; n <= targets; ++n) {
+        const auto name = std::to_string(n);
+        host("h" + name, "s", "target", 10 + static_cast<int>(n));
+        text += "[target t" + name + "]\nhost = h" + name + "\nservice = model\n[engine g" + name + "]\ntarget = t"
+            + name + "\naddress = 127.0.0.1:1\nmax-batch = 4\n";
+    }
+    text += "[customer rouleaux]\ntiers = 0, 1\nkey-hashes = " + sha256("key") + "\n";
+    return text;
+}
+
+} // namespace monsoonward
--- /dev/null
+++ b/packages/control/src/controlnode_test.cpp
@@ -0,0 +1,312 @@
+#include "controlfleet.h"
+
+#include <doctest/doctest.h>
+
+using namespace monsoonward;
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+namespace
+{
+
+/// Two entries in the south, one in the north, and targets in the south; fleetText() is in force everywhere.
+struct Fixture
+{
+    ControlFleet fleet {7};
+
+    Fixture()
+    {
+        for (const auto *it : {"e1", "e2"}) {
+            fleet.start(it, "south");
+        }
+        fleet.start("e3", "north");
+        for (const auto *it : {"h1", "h2", "h3"}) {
+            fleet.start(it, "south", HostRole::Target);
+        }
+        fleet.run(seconds(1));
+        REQUIRE(fleet.declare("e1", fleetText(3)).status == 200);
+        fleet.run(seconds(4));
+    }
+
+    std::string
+    propose(const std::string &host, const std::string &kind, const std::string &subject, const std::string &value = "")
+    {
+        const auto reply = fleet.plan(host, kind, subject, value);
+        CAPTURE(reply.body.dump());
+        REQUIRE(reply.status == 200);
+        REQUIRE(reply.body.contains("id"));
+        return reply.body["id"];
+    }
+    bool isEverywhere(Revision revision)
+    {
+        for (const auto &it : fleet.nodes) {
+            if (it.second->revision() != revision) {
+                return false;
+            }
+        }
+        return true;
+    }
+    std::string stateOf(const std::string &plan)
+    {
+        return fleet.ask("e1", "GET", "/operator/plan/" + plan).body.value("state", "");
+    }
+    Revision limitOf(const std::string &host)
+    {
+        return find(fleet.nodes.at(host)->control->configuration()->customers, CustomerName("rouleaux"))
+            ->limits.requestsInProgress;
+    }
+};
+
+} // namespace
+
+TEST_CASE_FIXTURE(Fixture, "a declaration comes into force everywhere")
+{
+    CHECK(isEverywhere(1));
+    CHECK(fleet.nodes.at("e3")->control->configuration()->targets.size() == 3);
+}
+
+TEST_CASE_FIXTURE(Fixture, "a confirmed change is in force everywhere within 2 s, from peers alone")
+{
+    const auto plan = propose("e2", "set-limit", "rouleaux", "requests-in-progress=5");
+    CHECK(isEverywhere(1));
+    CHECK(fleet.confirm("e2", plan).body["outcome"] == "accepted");
+    fleet.table.setFault(TableFault::Down); // right after the acceptance
+    fleet.run(seconds(2));
+    CHECK(isEverywhere(2));
+    CHECK(limitOf("e3") == 5);
+}
+
+TEST_CASE_FIXTURE(Fixture, "of two operators who race, the second is told what changed")
+{
+    const auto first = propose("e1", "set-limit", "rouleaux", "requests-in-progress=5");
+    const auto second = propose("e2", "drain-host", "h1");
+    CHECK(fleet.confirm("e1", first).status == 200);
+    const auto reply = fleet.confirm("e2", second);
+    CHECK(reply.status == 409);
+    CHECK(reply.body["outcome"] == "not accepted");
+    CHECK(reply.body["error"].get<std::string>().find("requests-in-progress=5") != std::string::npos);
+    const auto again = propose("e2", "drain-host", "h1");
+    CHECK(fleet.confirm("e2", again).status == 200);
+}
+
+TEST_CASE_FIXTURE(Fixture, "confirming twice does nothing twice")
+{
+    const auto plan = propose("e1", "set-limit", "rouleaux", "requests-in-progress=5");
+    CHECK(fleet.confirm("e1", plan).body["revision"] == 2);
+    CHECK(fleet.confirm("e2", plan).body["revision"] == 2);
+    fleet.run(seconds(3));
+    CHECK(isEverywhere(2));
+    CHECK(fleet.ask("e1", "GET", "/operator/log").body["log"].size() == 2);
+}
+
+TEST_CASE_FIXTURE(Fixture, "a lost answer is settled by reading back")
+{
+    const auto plan = propose("e1", "set-limit", "rouleaux", "requests-in-progress=5");
+    SUBCASE("the write took effect")
+    {
+        fleet.table.setNextWriteFault(TableFault::LostAnswer);
+        CHECK(fleet.confirm("e1", plan).body["outcome"] == "accepted");
+        fleet.run(seconds(3));
+        CHECK(isEverywhere(2));
+    }
+    SUBCASE("the write did not")
+    {
+        fleet.table.setNextWriteFault(TableFault::LostCall);
+        const auto reply = fleet.confirm("e1", plan);
+        CHECK(reply.status == 409);
+        CHECK(reply.body["outcome"] == "not accepted");
+        fleet.run(seconds(3));
+        CHECK(isEverywhere(1));
+    }
+    SUBCASE("nothing can be read back")
+    {
+        fleet.table.setNextWriteFault(TableFault::LostAnswer);
+        const auto reply = fleet.call("e1", "POST", "/operator/confirm/" + plan, nlohmann::json::object());
+        while (fleet.table.rows().at("config/head").version == 1) {
+            REQUIRE(fleet.table.deliverOne());
+        }
+        fleet.table.setFault(TableFault::Down);
+        fleet.run(seconds(8));
+        CHECK(reply->status == 502);
+        CHECK(reply->body["outcome"] == "unknown");
+        CHECK(reply->body["command"] == "monsoonctl plan " + plan);
+        fleet.table.setFault(TableFault::None);
+        fleet.run(seconds(12));
+        CHECK(isEverywhere(2));
+        CHECK(stateOf(plan) == "done");
+    }
+}
+
+TEST_CASE_FIXTURE(Fixture, "a drain waits for the requests in progress")
+{
+    fleet.running[TargetName("t1")] = 2;
+    fleet.run(seconds(1));
+    const auto reply = fleet.plan("e1", "drain-host", "h1");
+    CHECK(reply.body["requestsTouched"] == 2);
+    CHECK(reply.body["capacity"][0]["during"] == 8);
+    const std::string plan = reply.body["id"];
+    CHECK(fleet.confirm("e1", plan).status == 200);
+    fleet.run(seconds(10));
+    CHECK(stateOf(plan) == "executing");
+    CHECK(fleet.ask("e1", "GET", "/operator/plan/" + plan).body["waitsFor"] == "requests in progress at t1 (2)");
+    fleet.running[TargetName("t1")] = 0;
+    fleet.run(seconds(3));
+    CHECK(stateOf(plan) == "done");
+}
+
+TEST_CASE_FIXTURE(Fixture, "another daemon takes over the plan of a dead executor, and each step takes effect once")
+{
+    fleet.running[TargetName("t1")] = 1;
+    const auto plan = propose("e2", "remove-host", "h1");
+    CHECK(fleet.confirm("e2", plan).status == 200);
+    fleet.run(seconds(3));
+    fleet.stop("e2");
+    fleet.run(seconds(5));
+    fleet.start("e2", "south");
+    fleet.running[TargetName("t1")] = 0;
+    fleet.run(seconds(20));
+    CHECK(stateOf(plan) == "done");
+    CHECK(isEverywhere(3));
+    CHECK(find(fleet.nodes.at("e3")->control->configuration()->targets, TargetName("t1")) == nullptr);
+}
+
+TEST_CASE_FIXTURE(Fixture, "an executor that was paused past its lease does no step")
+{
+    fleet.running[TargetName("t1")] = 1;
+    const auto plan = propose("e2", "move-target", "t1", "other");
+    CHECK(fleet.confirm("e2", plan).status == 200);
+    fleet.run(seconds(3));
+    fleet.nodes.at("e2")->paused = true;
+    fleet.run(seconds(20)); // another daemon takes the lease; the step still waits for the request
+    CHECK(stateOf(plan) == "executing");
+    fleet.nodes.at("e2")->paused = false;
+    fleet.running[TargetName("t1")] = 0;
+    fleet.run(seconds(20));
+    CHECK(stateOf(plan) == "done");
+    CHECK(isEverywhere(4)); // drain, move, return: one revision each
+}
+
+TEST_CASE_FIXTURE(Fixture, "abort stops between steps and says what stands")
+{
+    fleet.running[TargetName("t1")] = 1;
+    const auto plan = propose("e1", "remove-host", "h1");
+    CHECK(fleet.confirm("e1", plan).status == 200);
+    fleet.run(seconds(3));
+    const auto reply = fleet.ask("e2", "POST", "/operator/abort/" + plan, nlohmann::json::object());
+    CHECK(reply.body["state"] == "aborted");
+    CHECK(reply.body["outcome"].get<std::string>().find("after step 2 of 5") != std::string::npos);
+    fleet.running[TargetName("t1")] = 0;
+    fleet.run(seconds(20));
+    CHECK(stateOf(plan) == "aborted");
+    CHECK(isEverywhere(2));
+}
+
+TEST_CASE_FIXTURE(Fixture, "a plan that would break a promise is refused unless it is named")
+{
+    for (const auto *it : {"t1", "t2"}) {
+        CHECK(fleet.confirm("e1", propose("e1", "drain-target", it)).status == 200);
+        fleet.run(seconds(5));
+    }
+    const auto plan = propose("e1", "drain-target", "t3");
+    const auto refused = fleet.confirm("e1", plan);
+    CHECK(refused.status == 422);
+    CHECK(refused.body["error"].get<std::string>().rfind("service-without-target", 0) == 0);
+    CHECK(fleet.confirm("e1", plan, {"service-without-target"}).status == 200);
+    const auto log = fleet.ask("e1", "GET", "/operator/log").body["log"];
+    CHECK(log.back()["overrides"][0] == "service-without-target");
+}
+
+TEST_CASE_FIXTURE(Fixture, "a region that doesn't answer refuses a confirmation, and learns what came later")
+{
+    fleet.cutRegion("north");
+    const auto plan = propose("e1", "set-limit", "rouleaux", "requests-in-progress=5");
+    const auto refused = fleet.confirm("e1", plan);
+    CHECK(refused.status == 422);
+    CHECK(refused.body["error"].get<std::string>().rfind("region-unreachable: region north", 0) == 0);
+    CHECK(fleet.confirm("e1", plan, {"region-unreachable"}).status == 200);
+    fleet.run(seconds(5));
+    CHECK(stateOf(plan) == "executing"); // it says that e3 doesn't have it, or learnt it from the store itself
+    fleet.healRegion("north");
+    fleet.run(seconds(5));
+    CHECK(isEverywhere(2));
+    CHECK(stateOf(plan) == "done");
+}
+
+TEST_CASE_FIXTURE(Fixture, "a daemon that starts during an outage of the store learns the revision from its peers")
+{
+    fleet.table.setFault(TableFault::Down);
+    auto &node = fleet.start("h2", "south", HostRole::Target);
+    fleet.run(seconds(1));
+    CHECK_FALSE(node.control->configuration());
+    fleet.run(seconds(3));
+    REQUIRE(node.control->configuration());
+    CHECK(node.revision() == 1);
+}
+
+TEST_CASE("a daemon that starts during an outage without peers takes no configuration")
+{
+    ControlFleet fleet(1);
+    fleet.table.setFault(TableFault::Down);
+    auto &node = fleet.start("e1", "south");
+    fleet.run(std::chrono::hours(1));
+    CHECK_FALSE(node.control->configuration());
+    CHECK(fleet.ask("e1", "GET", "/operator/status").status == 503);
+}
+
+TEST_CASE_FIXTURE(Fixture, "operators need a known token and the right")
+{
+    const auto text = fleetText(3) + "[operator reader]\ntoken-hash = " + sha256("r")
+        + "\nrights = read\n[operator chief]\n" + "token-hash = " + sha256("c") + "\nrights = read, plan, confirm\n";
+    REQUIRE(fleet.declare("e1", text).status == 200);
+    fleet.run(seconds(3));
+    CHECK(fleet.ask("e1", "GET", "/operator/status").status == 401); // the bootstrap token has ended
+    CHECK(fleet.ask("e1", "GET", "/operator/status", {}, "").status == 401);
+    CHECK(fleet.ask("e1", "GET", "/operator/status", {}, "r").status == 200);
+    const nlohmann::json intent {{"intent", "drain-host"}, {"subject", "h1"}};
+    CHECK(fleet.ask("e1", "POST", "/operator/plan", intent, "r").status == 403);
+    CHECK(fleet.ask("e1", "POST", "/operator/plan", intent, "c").status == 200);
+}
+
+TEST_CASE_FIXTURE(Fixture,
+                  "declaring the files again doesn't return a drained host, and an export gives the state back")
+{
+    CHECK(fleet.confirm("e1", propose("e1", "drain-host", "h1")).status == 200);
+    fleet.run(seconds(5));
+    CHECK_FALSE(fleet.declare("e1", fleetText(3)).body.contains("id"));
+    const std::string text = fleet.ask("e1", "GET", "/operator/export").body["text"];
+    const auto parsed = parseDeclarations({{"export.ini", text}});
+    CHECK(parsed.errors.empty());
+    auto expected = *fleet.nodes.at("e1")->control->configuration();
+    expected.revision = 0;
+    CHECK(parsed.configuration == expected);
+}
+
+TEST_CASE_FIXTURE(Fixture, "malformed calls get a clear answer")
+{
+    CHECK(fleet.ask("e1", "POST", "/operator/plan", "text").status == 400);
+    CHECK(fleet.plan("e1", "fly", "h1").status == 400);
+    CHECK(fleet.plan("e1", "drain-host", "nowhere").status == 400);
+    CHECK(fleet.plan("e1", "set-limit", "rouleaux", "weight=0").status == 400);
+    CHECK(fleet.confirm("e1", "p0").status == 404);
+    CHECK(fleet.ask("e1", "GET", "/operator/plan/../x").status == 404);
+    const auto reply = fleet.declare("e1", "[region a]\n[data-centre b]\nregion = c\nx = 1\n");
+    CHECK(reply.status == 400);
+    CHECK(reply.body["errors"].size() == 2);
+}
+
+TEST_CASE("many changes: a daemon that starts late reads a snapshot and the changes after it")
+{
+    ControlFleet fleet(3);
+    fleet.start("e1", "south");
+    fleet.run(seconds(1));
+    REQUIRE(fleet.declare("e1", "[customer c]\n").status == 200);
+    for (int n = 1; n <= 150; ++n) {
+        const auto plan = fleet.plan("e1", "set-limit", "c", "tokens-in-progress=" + std::to_string(n));
+        REQUIRE(fleet.confirm("e1", plan.body["id"]).status == 200);
+    }
+    fleet.stop("e1");
+    auto &late = fleet.start("e2", "south");
+    fleet.run(seconds(2));
+    CHECK(late.revision() == 151);
+    CHECK(late.control->configuration()->customers[0].limits.tokensInProgress == 150);
+}
--- a/packages/control/src/declarations.cpp
+++ b/packages/control/src/declarations.cpp
@@ -134,12 +134,16 @@
         spec.role = reader.choice("role", {"entry", "target"}, 1) == 0 ? HostRole::Entry : HostRole::Target;
         spec.peerAddress = reader.address("peer", true);
         spec.adminAddress = reader.address("admin", false);
-        spec.state = readState(reader);
+        spec.state = readState(reader, m_result.hostsWithState, spec.name);
         m_result.configuration.hosts.push_back(spec);
     }
 
-    static ServingState readState(SectionReader &reader)
+    template<class Name>
+    static ServingState readState(SectionReader &reader, std::set<Name> &withState, const Name &name)
     {
+        if (reader.has("state")) {
+            withState.insert(name);
+        }
         const auto draining = reader.choice("state", {"in-service", "draining"}, 0) == 1;
         return draining ? ServingState::Draining : ServingState::InService;
     }
@@ -186,7 +190,7 @@
         spec.name = TargetName(name);
         spec.host = HostName(reader.text("host"));
         spec.service = ServiceName(reader.text("service"));
-        spec.state = readState(reader);
+        spec.state = readState(reader, m_result.targetsWithState, spec.name);
         spec.checksFencing = reader.truth("checks-fencing", false);
         m_result.configuration.targets.push_back(spec);
     }
--- /dev/null
+++ b/packages/control/src/distribution.cpp
@@ -0,0 +1,363 @@
+#include "distribution.h"
+
+#include <algorithm>
+
+namespace monsoonward
+{
+
+namespace
+{
+
+constexpr std::size_t maxRecentDeltas = 256;
+constexpr std::size_t maxRecentBytes = std::size_t {1024} * 1024;
+constexpr std::size_t deltasPerScan = 64;
+constexpr Revision maxDeltaGap = 256; // a daemon that is further behind reads the snapshot
+constexpr unsigned followerPollFactor = 10; // a daemon whose region has a leader polls so many times more rarely
+constexpr Duration askTimeout = std::chrono::milliseconds(500);
+constexpr Duration crossRegionDelay = std::chrono::seconds(2); // a follower asks another region after this
+constexpr Duration trustDelay = std::chrono::seconds(2); // time for all peers to say what they have in force
+
+} // namespace
+
+Distribution::Distribution(const ControlOptions &options,
+                           const Clock &clock,
+                           Random &random,
+                           GuardedStore &store,
+                           Membership &membership,
+                           ControlOutput &output,
+                           EventLog &events)
+    : m_options(options)
+    , m_clock(clock)
+    , m_random(random)
+    , m_store(store)
+    , m_membership(membership)
+    , m_output(output)
+    , m_events(events)
+    , m_nextPoll(clock.now())
+{
+}
+
+ConfigurationPtr Distribution::current() const
+{
+    return m_current;
+}
+
+Revision Distribution::revision() const
+{
+    return m_current ? m_current->revision : 0;
+}
+
+ContentHash Distribution::hash() const
+{
+    return m_hash;
+}
+
+bool Distribution::isTrusted() const
+{
+    return m_trusted;
+}
+
+const std::optional<Row> &Distribution::headRow() const
+{
+    return m_headRow;
+}
+
+void Distribution::tick()
+{
+    if (!m_polling && m_clock.now() >= m_nextPoll) {
+        readHead();
+    }
+    if (!m_trusted) {
+        adoptCandidate();
+    }
+    askPeers();
+}
+
+void Distribution::pollNow()
+{
+    m_pollAgain = true;
+    m_nextPoll = m_clock.now();
+}
+
+// ---- the store
+
+void Distribution::readHead()
+{
+    m_polling = true;
+    m_store.read(headKey, [this](const Result<std::optional<Row>> &result) { headRead(result); });
+}
+
+void Distribution::headRead(const Result<std::optional<Row>> &result)
+{
+    if (!result) {
+        endPoll();
+        return;
+    }
+    m_headRow = result.value();
+    if (!m_headRow) {
+        m_trusted = true; // nothing was ever declared
+        endPoll();
+        return;
+    }
+    const auto head = decodeRecord<HeadRecord>(m_headRow->value);
+    if (!head) {
+        m_events.record(Event::ConfigurationRejected, Severity::Error, head.error().message);
+        endPoll();
+        return;
+    }
+    catchUp(head.value());
+}
+
+void Distribution::catchUp(const HeadRecord &head)
+{
+    if (revision() >= head.revision) {
+        m_trusted = true;
+        endPoll();
+        return;
+    }
+    const bool isClose = revision() >= head.snapshot || (revision() > 0 && head.revision - revision() <= maxDeltaGap);
+    if (isClose) {
+        readDeltas(head);
+    } else {
+        readSnapshot(head);
+    }
+}
+
+void Distribution::readDeltas(const HeadRecord &head)
+{
+    const auto after = deltaPrefix + paddedText(revision());
+    m_store.scan(deltaPrefix, after, deltasPerScan, [this, head](const Result<std::vector<Row>> &result) {
+        if (!result) {
+            endPoll();
+            return;
+        }
+        const auto before = revision();
+        for (const auto &it : result.value()) {
+            const auto next = revision() + 1;
+            if (it.key != deltaPrefix + paddedText(next) || !applyDelta(next, it.value)) {
+                break;
+            }
+        }
+        if (revision() > before) {
+            catchUp(head);
+        } else if (head.snapshot > revision()) {
+            readSnapshot(head);
+        } else {
+            endPoll();
+        }
+    });
+}
+
+void Distribution::readSnapshot(const HeadRecord &head)
+{
+    m_store.get(head.snapshotObject, [this, head](const Result<std::string> &result) {
+        const auto before = revision();
+        if (!result || !applySnapshot(result.value()) || revision() <= before) {
+            endPoll();
+            return;
+        }
+        catchUp(head);
+    });
+}
+
+void Distribution::endPoll()
+{
+    m_polling = false;
+    const bool isFollower = m_trusted && !m_membership.isLeader(m_current);
+    const auto interval = m_options.pollInterval * (isFollower ? followerPollFactor : 1);
+    m_nextPoll = m_clock.now() + (m_pollAgain ? Duration::zero() : interval);
+    m_pollAgain = false;
+}
+
+// ---- adoption
+
+bool Distribution::applyDelta(Revision revision, const std::string &bytes)
+{
+    const auto delta = decodeDelta(bytes);
+    if (!delta) {
+        m_events.record(Event::ConfigurationRejected, Severity::Error, delta.error().message);
+        return false;
+    }
+    const Configuration empty;
+    const auto &base = m_current ? *m_current : empty;
+    checkInvariant(revision == base.revision + 1, "configuration-delta-follows", std::to_string(revision));
+    const auto hash = hashAfter(m_hash, base, delta.value().change);
+    if (hash != delta.value().hash) {
+        m_events.record(Event::ConfigurationRejected,
+                        Severity::Error,
+                        "the change to revision " + std::to_string(revision) + " doesn't match its hash");
+        return false;
+    }
+    auto next = applied(base, delta.value().change);
+    remember(revision, bytes);
+    adopt(std::move(next), hash);
+    return true;
+}
+
+bool Distribution::applySnapshot(const std::string &bytes)
+{
+    const auto snapshot = decodeSnapshot(bytes);
+    if (!snapshot) {
+        m_events.record(Event::ConfigurationRejected, Severity::Error, snapshot.error().message);
+        return false;
+    }
+    if (snapshot.value().configuration.revision <= revision()) {
+        return true;
+    }
+    m_recent.clear();
+    m_recentBytes = 0;
+    auto configuration = snapshot.value().configuration;
+    adopt(std::move(configuration), snapshot.value().hash);
+    return true;
+}
+
+void Distribution::adopt(Configuration &&configuration, ContentHash hash)
+{
+    checkInvariant(configuration.revision > revision(),
+                   "configuration-never-reverts",
+                   std::to_string(configuration.revision) + " after " + std::to_string(revision()));
+    m_current = std::make_shared<const Configuration>(std::move(configuration));
+    m_hash = hash;
+    m_askedAt.reset();
+    m_behindSince.reset();
+    m_events.record(Event::ConfigurationAdopted, Severity::Info, "revision " + std::to_string(revision()));
+    m_output.adopt(m_current);
+    announce();
+}
+
+void Distribution::accepted(const Delta &delta)
+{
+    m_trusted = true;
+    applyDelta(revision() + 1, encodeDelta(delta));
+}
+
+void Distribution::remember(Revision revision, const std::string &bytes)
+{
+    m_recent.push_back({revision, bytes});
+    m_recentBytes += bytes.size();
+    while (m_recent.size() > maxRecentDeltas || m_recentBytes > maxRecentBytes) {
+        m_recentBytes -= m_recent.front().bytes.size();
+        m_recent.pop_front();
+    }
+}
+
+// ---- peers
+
+void Distribution::announce()
+{
+    if (m_options.role != HostRole::Entry) {
+        return;
+    }
+    const ConfigurationOffer notice {revision(), revision(), {}};
+    for (const auto &[host, view] : m_membership.peers()) {
+        if (view.revision >= revision()) {
+            continue;
+        }
+        const bool isLocal = m_membership.isLocal(view.peer, m_current);
+        const auto region = regionOf(*m_current, host);
+        if (isLocal || m_membership.leaderOf(region, *m_current) == &view) {
+            m_output.send(view.peer, notice);
+        }
+    }
+}
+
+void Distribution::peerRevision(const Peer &peer, Revision revision)
+{
+    m_membership.heard(peer, revision);
+    askPeers();
+}
+
+void Distribution::askPeers()
+{
+    const auto now = m_clock.now();
+    if (m_askedAt && now - *m_askedAt < askTimeout) {
+        return;
+    }
+    const auto *peer = choosePeer();
+    if (peer == nullptr) {
+        return;
+    }
+    if (!m_behindSince) {
+        m_behindSince = now;
+    }
+    const bool mayCross = m_membership.isLeader(m_current) || now - *m_behindSince >= crossRegionDelay;
+    if (!mayCross && !m_membership.isLocal(peer->peer, m_current)) {
+        return;
+    }
+    m_askedAt = now;
+    m_output.send(peer->peer, ConfigurationRequest {revision()});
+}
+
+const PeerView *Distribution::choosePeer() const
+{
+    const auto have = std::max(revision(), m_candidateRevision);
+    std::vector<const PeerView *> local;
+    std::vector<const PeerView *> far;
+    for (const auto &[host, view] : m_membership.peers()) {
+        if (view.revision > have && m_membership.answering(host) != nullptr) {
+            (m_membership.isLocal(view.peer, m_current) ? local : far).push_back(&view);
+        }
+    }
+    const auto &list = local.empty() ? far : local;
+    return list.empty() ? nullptr : list[m_random.below(list.size())];
+}
+
+void Distribution::request(const Peer &from, const ConfigurationRequest &request)
+{
+    m_membership.heard(from, request.have);
+    if (request.have >= revision() || sendDeltas(from, request.have)) {
+        return;
+    }
+    m_output.send(from, ConfigurationOffer {0, revision(), encodeSnapshot({*m_current, m_hash})});
+}
+
+bool Distribution::sendDeltas(const Peer &to, Revision have)
+{
+    if (have == 0 || m_recent.empty() || m_recent.front().revision > have + 1) {
+        return false;
+    }
+    for (const auto &it : m_recent) {
+        if (it.revision > have) {
+            m_output.send(to, ConfigurationOffer {it.revision - 1, it.revision, it.bytes});
+        }
+    }
+    return true;
+}
+
+void Distribution::offer(const Peer &from, const ConfigurationOffer &offer)
+{
+    m_membership.heard(from, offer.revision);
+    if (offer.revision <= revision()) {
+        return;
+    }
+    if (offer.payload.empty()) {
+        askPeers();
+        return;
+    }
+    if (offer.base != 0) {
+        if (m_trusted && offer.base == revision() && offer.revision == offer.base + 1) {
+            applyDelta(offer.revision, offer.payload);
+        }
+        return;
+    }
+    if (m_trusted) {
+        applySnapshot(offer.payload);
+    } else if (offer.revision > m_candidateRevision) {
+        m_candidate = offer.payload;
+        m_candidateRevision = offer.revision;
+    }
+}
+
+void Distribution::adoptCandidate()
+{
+    const auto firstUp = m_membership.firstUp();
+    const bool peersHadTime = firstUp && m_clock.now() - *firstUp >= trustDelay;
+    if (!m_candidate || !m_store.tableIsDown() || !peersHadTime) {
+        return;
+    }
+    const auto candidate = std::exchange(m_candidate, std::nullopt);
+    m_candidateRevision = 0;
+    m_trusted = applySnapshot(*candidate);
+}
+
+} // namespace monsoonward
--- /dev/null
+++ b/packages/control/src/distribution.h
@@ -0,0 +1,88 @@
+#pragma once
+
+#include "guardedstore.h"
+#include "membership.h"
+#include "records.h"
+
+#include <deque>
+
+namespace monsoonward
+{
+
+/// @brief Learns the configuration from the store and from peers and adopts higher revisions only.
+class Distribution
+{
+public:
+    Distribution(const ControlOptions &options,
+                 const Clock &clock,
+                 Random &random,
+                 GuardedStore &store,
+                 Membership &membership,
+                 ControlOutput &output,
+                 EventLog &events);
+
+    void tick();
+    /// Asks the peer for what is missing, if it has a higher revision.
+    void peerRevision(const Peer &peer, Revision revision);
+    void offer(const Peer &from, const ConfigurationOffer &offer);
+    void request(const Peer &from, const ConfigurationRequest &request);
+    /// This daemon's own write of @p delta took effect.
+    void accepted(const Delta &delta);
+    /// Reads the head row as soon as possible.
+    void pollNow();
+
+    /// @return the configuration in force, or null
+    ConfigurationPtr current() const;
+    Revision revision() const;
+    ContentHash hash() const;
+    /// @return whether the store, or peers during an outage of the store, have said what is in force
+    bool isTrusted() const;
+    /// @return the head row as last read, with its version
+    const std::optional<Row> &headRow() const;
+
+private:
+    struct RecentDelta
+    {
+        Revision revision = 0;
+        std::string bytes;
+    };
+
+    void readHead();
+    void headRead(const Result<std::optional<Row>> &result);
+    void catchUp(const HeadRecord &head);
+    void readDeltas(const HeadRecord &head);
+    void readSnapshot(const HeadRecord &head);
+    void endPoll();
+    bool applyDelta(Revision revision, const std::string &bytes);
+    bool applySnapshot(const std::string &bytes);
+    void adopt(Configuration &&configuration, ContentHash hash);
+    void remember(Revision revision, const std::string &bytes);
+    void announce();
+    void askPeers();
+    const PeerView *choosePeer() const;
+    void adoptCandidate();
+    bool sendDeltas(const Peer &to, Revision have);
+
+    const ControlOptions &m_options;
+    const Clock &m_clock;
+    Random &m_random;
+    GuardedStore &m_store;
+    Membership &m_membership;
+    ControlOutput &m_output;
+    EventLog &m_events;
+    ConfigurationPtr m_current;
+    ContentHash m_hash = 0;
+    bool m_trusted = false;
+    std::optional<Row> m_headRow;
+    std::deque<RecentDelta> m_recent; ///< consecutive, the newest last
+    std::size_t m_recentBytes = 0;
+    bool m_polling = false;
+    bool m_pollAgain = false;
+    TimePoint m_nextPoll;
+    std::optional<TimePoint> m_askedAt;
+    std::optional<TimePoint> m_behindSince;
+    std::optional<std::string> m_candidate; ///< a whole configuration from a peer, while none may be trusted
+    Revision m_candidateRevision = 0;
+};
+
+} // namespace monsoonward
--- /dev/null
+++ b/packages/control/src/effects.cpp
@@ -0,0 +1,216 @@
+#include "configurationlists.h"
+#include "edit.h"
+#include "planner.h"
+
+#include <algorithm>
+#include <map>
+#include <set>
+
+namespace monsoonward
+{
+
+namespace
+{
+
+using SlotsByService = std::map<std::string, std::uint64_t>;
+
+bool isInService(const Configuration &configuration, const TargetSpec &target)
+{
+    const auto *host = find(configuration.hosts, target.host);
+    return target.state == ServingState::InService && host != nullptr && host->state == ServingState::InService;
+}
+
+/// A target without engines, such as one of a plain service, counts as one slot; so does an engine without max-batch.
+SlotsByService slotsOf(const Configuration &configuration)
+{
+    std::map<TargetName, std::uint64_t> byTarget;
+    for (const auto &it : configuration.engines) {
+        byTarget[it.target] += std::max<std::uint32_t>(it.maxBatch, 1);
+    }
+    SlotsByService slots;
+    for (const auto &it : configuration.services) {
+        slots[it.name.text()] = 0;
+    }
+    for (const auto &it : configuration.targets) {
+        if (isInService(configuration, it)) {
+            slots[it.service.text()] += std::max<std::uint64_t>(byTarget[it.name], 1);
+        }
+    }
+    return slots;
+}
+
+/// Walks through the steps of a plan and notes what each leaves.
+class EffectsWalk
+{
+public:
+    EffectsWalk(PlanRecord &plan, const Configuration &base, const Membership &membership)
+        : m_plan(plan)
+        , m_base(base)
+        , m_membership(membership)
+        , m_before(slotsOf(base))
+        , m_fewest(m_before)
+        , m_now(base)
+    {
+    }
+
+    Result<void> run()
+    {
+        for (const auto &it : m_plan.steps) {
+            if (it.kind == StepKind::WaitDrained) {
+                m_drained.insert(it.targets.begin(), it.targets.end());
+            }
+            if (it.kind != StepKind::Change) {
+                continue;
+            }
+            BOOST_OUTCOME_TRY(change, changeOf(m_now, it.edits));
+            const auto lines = describe(change, m_now);
+            m_plan.changes.insert(m_plan.changes.end(), lines.begin(), lines.end());
+            noteChange(change);
+            m_now = applied(m_now, change);
+            noteCapacity();
+        }
+        writeCapacity();
+        checkServices();
+        checkOperators();
+        return boost::outcome_v2::success();
+    }
+
+private:
+    void noteChange(const ConfigurationChange &change)
+    {
+        const auto next = applied(m_now, change);
+        for (const auto &it : m_now.targets) {
+            const auto *after = find(next.targets, it.name);
+            const bool leaves = after == nullptr || after->service != it.service;
+            const bool stops = isInService(m_now, it) && (leaves || !isInService(next, *after));
+            if (stops || leaves) {
+                touch(it);
+            }
+            if (leaves && m_drained.count(it.name.text()) == 0 && !isIdle(it)) {
+                breakPromise("cuts-requests",
+                             "target " + it.name.text()
+                                 + " would go while requests may be in progress there; drain it "
+                                   "first");
+            }
+        }
+    }
+
+    bool isIdle(const TargetSpec &target) const
+    {
+        const auto *status = m_membership.target(target.name);
+        return !isInService(m_now, target) && status != nullptr && status->running == 0;
+    }
+
+    void touch(const TargetSpec &target)
+    {
+        const auto *status = m_membership.target(target.name);
+        if (m_touched.insert(target.name).second && status != nullptr) {
+            m_plan.requestsTouched += status->running;
+        }
+    }
+
+    void noteCapacity()
+    {
+        const auto slots = slotsOf(m_now);
+        for (auto &[service, fewest] : m_fewest) {
+            const auto it = slots.find(service);
+            fewest = std::min(fewest, it == slots.end() ? 0 : it->second);
+        }
+        for (const auto &[service, count] : slots) {
+            m_fewest.emplace(service, count);
+        }
+    }
+
+    std::uint64_t waitingOf(const std::string &service, Tier tier) const
+    {
+        std::uint64_t waiting = 0;
+        for (const auto &target : m_base.targets) {
+            const auto *status = m_membership.target(target.name);
+            if (status == nullptr || target.service.text() != service) {
+                continue;
+            }
+            for (const auto &it : status->tiers) {
+                waiting += it.tier == tier ? it.waiting : 0;
+            }
+        }
+        return waiting;
+    }
+
+    void writeCapacity()
+    {
+        auto after = slotsOf(m_now);
+        for (const auto &[service, fewest] : m_fewest) {
+            const bool changes = m_before[service] != fewest || m_before[service] != after[service];
+            for (const auto &it : m_now.tiers) {
+                if (changes) {
+                    const auto waiting = waitingOf(service, it.tier);
+                    m_plan.capacity.push_back(
+                        {service, it.tier.level(), m_before[service], fewest, after[service], waiting});
+                }
+            }
+        }
+    }
+
+    std::uint64_t runningOf(const std::string &service) const
+    {
+        std::uint64_t running = 0;
+        for (const auto &it : m_base.targets) {
+            const auto *status = m_membership.target(it.name);
+            running += status != nullptr && it.service.text() == service ? status->running : 0;
+        }
+        return running;
+    }
+
+    void checkServices()
+    {
+        for (const auto &[service, fewest] : m_fewest) {
+            const auto before = m_before[service];
+            const bool stays = find(m_now.services, ServiceName(service)) != nullptr;
+            if (before == 0 || fewest >= before) {
+                continue;
+            }
+            if (fewest == 0 && stays) {
+                breakPromise("service-without-target", "service " + service + " would have no target in service");
+            } else if (fewest < runningOf(service)) {
+                breakPromise("capacity-below-load",
+                             "service " + service + " would have " + std::to_string(fewest) + " slots for "
+                                 + std::to_string(runningOf(service)) + " requests in progress");
+            }
+        }
+    }
+
+    void checkOperators()
+    {
+        const auto mayConfirm = [](const OperatorSpec &it) {
+            return std::find(it.rights.begin(), it.rights.end(), OperatorRight::Confirm) != it.rights.end();
+        };
+        const auto &operators = m_now.operators;
+        const bool hasOne = std::any_of(operators.begin(), operators.end(), mayConfirm);
+        if (!operators.empty() && !hasOne) {
+            breakPromise("no-confirming-operator", "no operator would have the right to confirm");
+        }
+    }
+
+    void breakPromise(const std::string &reason, const std::string &detail)
+    {
+        m_plan.broken.push_back({reason, detail});
+    }
+
+    PlanRecord &m_plan;
+    const Configuration &m_base;
+    const Membership &m_membership;
+    SlotsByService m_before;
+    SlotsByService m_fewest;
+    Configuration m_now;
+    std::set<TargetName> m_touched;
+    std::set<std::string> m_drained; ///< targets that a step before waited for
+};
+
+} // namespace
+
+Result<void> addEffects(PlanRecord &plan, const Configuration &base, const Membership &membership)
+{
+    return EffectsWalk(plan, base, membership).run();
+}
+
+} // namespace monsoonward
--- /dev/null
+++ b/packages/control/src/guardedstore.cpp
@@ -0,0 +1,126 @@
+#include "guardedstore.h"
+
+namespace monsoonward
+{
+
+namespace
+{
+
+/// A refused condition or a missing object is an answer, too.
+template<class T>
+bool isAnswer(const Result<T> &result)
+{
+    return result.has_value()
+        || (result.error().code != ErrorCode::Unavailable && result.error().code != ErrorCode::Unknown);
+}
+
+template<class T>
+std::string whyOf(const Result<T> &result)
+{
+    return result.has_value() ? std::string() : result.error().message;
+}
+
+} // namespace
+
+GuardedStore::GuardedStore(TableService &table, ObjectStore &objects, EventLog &events)
+    : m_table(table)
+    , m_objects(objects)
+    , m_events(events)
+{
+}
+
+void GuardedStore::noteTable(bool answered, const std::string &why)
+{
+    if (answered && m_tableIsDown) {
+        m_events.record(Event::StoreRecovered, Severity::Info, "the table service answers again");
+    } else if (!answered && !m_tableIsDown) {
+        m_events.record(Event::StoreUnavailable, Severity::Warning, why);
+    }
+    m_tableIsDown = !answered;
+}
+
+void GuardedStore::read(const std::string &key, const TableService::ReadCallback &done)
+{
+    ++m_use.reads;
+    m_table.read(key, [this, done, alive = std::weak_ptr<bool>(m_alive)](const Result<std::optional<Row>> &result) {
+        if (alive.expired()) {
+            return;
+        }
+        noteTable(isAnswer(result), whyOf(result));
+        if (result.has_value() && result.value()) {
+            m_use.bytesRead += result.value()->key.size() + result.value()->value.size();
+        }
+        done(result);
+    });
+}
+
+void GuardedStore::scan(const std::string &prefix,
+                        const std::string &after,
+                        std::size_t limit,
+                        const TableService::ScanCallback &done)
+{
+    ++m_use.reads;
+    const auto finish = [this, done, alive = std::weak_ptr<bool>(m_alive)](const Result<std::vector<Row>> &result) {
+        if (alive.expired()) {
+            return;
+        }
+        noteTable(isAnswer(result), whyOf(result));
+        if (result.has_value()) {
+            for (const auto &it : result.value()) {
+                m_use.bytesRead += it.key.size() + it.value.size();
+            }
+        }
+        done(result);
+    };
+    m_table.scan(prefix, after, limit, finish);
+}
+
+void GuardedStore::write(const std::vector<RowWrite> &writes, const TableService::WriteCallback &done)
+{
+    ++m_use.writes;
+    for (const auto &it : writes) {
+        m_use.bytesWritten += it.key.size() + (it.value ? it.value->size() : 0);
+    }
+    m_table.write(writes, [this, done, alive = std::weak_ptr<bool>(m_alive)](const Result<void> &result) {
+        if (alive.expired()) {
+            return;
+        }
+        noteTable(isAnswer(result), whyOf(result));
+        done(result);
+    });
+}
+
+void GuardedStore::get(const std::string &name, const ObjectStore::GetCallback &done)
+{
+    ++m_use.objectReads;
+    m_objects.get(name, [this, done, alive = std::weak_ptr<bool>(m_alive)](const Result<std::string> &result) {
+        if (alive.expired()) {
+            return;
+        }
+        m_use.bytesRead += result.has_value() ? result.value().size() : 0;
+        done(result);
+    });
+}
+
+void GuardedStore::put(const std::string &name, const std::string &bytes, const ObjectStore::PutCallback &done)
+{
+    ++m_use.objectWrites;
+    m_use.bytesWritten += bytes.size();
+    m_objects.put(name, bytes, [done, alive = std::weak_ptr<bool>(m_alive)](const Result<void> &result) {
+        if (!alive.expired()) {
+            done(result);
+        }
+    });
+}
+
+bool GuardedStore::tableIsDown() const
+{
+    return m_tableIsDown;
+}
+
+const StoreUse &GuardedStore::use() const
+{
+    return m_use;
+}
+
+} // namespace monsoonward
--- /dev/null
+++ b/packages/control/src/guardedstore.h
@@ -0,0 +1,53 @@
+#pragma once
+
+#include <monsoonward/platform/platform.h>
+
+#include <memory>
+
+namespace monsoonward
+{
+
+/// @brief What the store was asked for since the start.
+struct StoreUse
+{
+    std::uint64_t reads = 0; ///< of the table, scans included
+    std::uint64_t writes = 0; ///< of the table
+    std::uint64_t objectReads = 0;
+    std::uint64_t objectWrites = 0;
+    std::uint64_t bytesRead = 0; ///< keys and values
+    std::uint64_t bytesWritten = 0;
+    MONSOONWARD_FIELDS(reads, writes, objectReads, objectWrites, bytesRead, bytesWritten)
+};
+
+/// @brief The platform's store as control uses it: counts the use, reports outages once, and drops answers that come
+/// after its owner was destroyed.
+class GuardedStore
+{
+public:
+    GuardedStore(TableService &table, ObjectStore &objects, EventLog &events);
+
+    void read(const std::string &key, const TableService::ReadCallback &done);
+    void scan(const std::string &prefix,
+              const std::string &after,
+              std::size_t limit,
+              const TableService::ScanCallback &done);
+    void write(const std::vector<RowWrite> &writes, const TableService::WriteCallback &done);
+    void get(const std::string &name, const ObjectStore::GetCallback &done);
+    void put(const std::string &name, const std::string &bytes, const ObjectStore::PutCallback &done);
+
+    /// @return whether the last answer of the table service was none
+    bool tableIsDown() const;
+    const StoreUse &use() const;
+
+private:
+    void noteTable(bool answered, const std::string &why);
+
+    TableService &m_table;
+    ObjectStore &m_objects;
+    EventLog &m_events;
+    StoreUse m_use;
+    bool m_tableIsDown = false;
+    std::shared_ptr<bool> m_alive = std::make_shared<bool>(true);
+};
+
+} // namespace monsoonward
--- /dev/null
+++ b/packages/control/src/operatorapi.h
@@ -0,0 +1,59 @@
+#pragma once
+
+#include "confirmation.h"
+#include "operators.h"
+#include "planexecutor.h"
+
+namespace monsoonward
+{
+
+/// @brief Answers the calls on the operators' address. docs/OPERATOR-API.md has the paths.
+class OperatorApi
+{
+public:
+    using Callback = ControlNode::ReplyCallback;
+
+    OperatorApi(const ControlOptions &options,
+                const WallClock &wallClock,
+                Random &random,
+                GuardedStore &store,
+                Distribution &distribution,
+                Membership &membership,
+                Confirmation &confirmation,
+                PlanExecutor &executor,
+                EventLog &events);
+
+    void handle(const OperatorRequest &request, const Callback &done);
+    /// @return revision in force at each daemon and plans that this one executes, as JSON text
+    std::string statusText() const;
+
+private:
+    void route(const OperatorRequest &request, const OperatorIdentity &who, const Callback &done);
+    void plan(const OperatorRequest &request, const OperatorIdentity &who, const Callback &done);
+    void store(const PlanRecord &plan, const Callback &done);
+    void
+    confirm(const std::string &id, const OperatorRequest &request, const OperatorIdentity &who, const Callback &done);
+    void abort(const std::string &id, const OperatorIdentity &who, const Callback &done);
+    void abortRead(const PlanRecord &plan,
+                   const Row &planRow,
+                   const Row &executionRow,
+                   const OperatorIdentity &who,
+                   const Callback &done);
+    void showPlan(const std::string &id, const Callback &done);
+    void status(const Callback &done);
+    void log(const std::string &after, const Callback &done);
+    void exportDeclarations(const Callback &done);
+    void diff(const OperatorRequest &request, const Callback &done);
+
+    const ControlOptions &m_options;
+    const WallClock &m_wallClock;
+    Random &m_random;
+    GuardedStore &m_store;
+    Distribution &m_distribution;
+    Membership &m_membership;
+    Confirmation &m_confirmation;
+    PlanExecutor &m_executor;
+    EventLog &m_events;
+};
+
+} // namespace monsoonward
--- /dev/null
+++ b/packages/control/src/planexecutor.h
@@ -0,0 +1,81 @@
+#pragma once
+
+#include "committer.h"
+
+#include <map>
+
+namespace monsoonward
+{
+
+/// @brief Executes confirmed plans whose lease this daemon holds, and takes over plans whose holder stopped renewing.
+///
+/// The lease is the plan's execution row. Every step is written together with that row, under the condition that its
+/// version is the one that the holder knows: a holder that was paused past its lease can't do a step twice.
+class PlanExecutor
+{
+public:
+    PlanExecutor(const ControlOptions &options,
+                 const Clock &clock,
+                 GuardedStore &store,
+                 Distribution &distribution,
+                 Membership &membership,
+                 Committer &committer,
+                 EventLog &events);
+
+    void tick();
+    /// Looks for plans to execute as soon as possible.
+    void scanNow();
+    /// @return what each plan that this daemon executes waits for, by plan ID
+    std::map<std::string, std::string> waits() const;
+
+    /// @return what @p step waits for after @p revision was accepted, or nothing when it is done
+    std::string waitOf(const Step &step, Revision revision) const;
+
+private:
+    /// A plan that another daemon executes, as last seen.
+    struct Watched
+    {
+        std::uint64_t version = 0;
+        TimePoint since; ///< when that version was first seen
+    };
+    struct Held
+    {
+        PlanRecord plan;
+        ExecutionRecord execution;
+        std::uint64_t version = 0; ///< of the execution row; the fencing number
+        TimePoint leaseEnd;
+        std::string wait;
+        bool busy = false;
+    };
+
+    void scan();
+    void seen(const Row &row);
+    void take(const Row &row, ExecutionRecord execution);
+    void load(const ExecutionRecord &execution);
+    void loaded(const ExecutionRecord &execution, const Row &executionRow, const Row &planRow);
+    void run(const std::string &id);
+    void change(Held &held, const Step &step);
+    void advance(const std::string &id, const ExecutionRecord &next);
+    void finish(const std::string &id);
+    void stepDone(const std::string &id, const ExecutionRecord &next, const Result<void> &result);
+    void reload(const std::string &id);
+    void drop(const std::string &id);
+    bool isOwn(const ExecutionRecord &execution) const;
+    std::string inForceWait(Revision revision) const;
+    std::string drainedWait(const std::vector<std::string> &targets) const;
+
+    const ControlOptions &m_options;
+    const Clock &m_clock;
+    GuardedStore &m_store;
+    Distribution &m_distribution;
+    Membership &m_membership;
+    Committer &m_committer;
+    EventLog &m_events;
+    std::map<std::string, Held> m_held;
+    std::map<std::string, Watched> m_watched;
+    bool m_scanning = false;
+    bool m_scanWanted = true; ///< scan although another daemon leads the region
+    TimePoint m_nextScan;
+};
+
+} // namespace monsoonward
--- /dev/null
+++ b/packages/control/src/replies.cpp
@@ -0,0 +1,132 @@
+#include "replies.h"
+
+#include "recordsjson.h"
+
+namespace monsoonward::replies
+{
+
+namespace
+{
+
+using Json = nlohmann::json;
+
+constexpr unsigned statusOk = 200;
+constexpr unsigned statusInvalid = 400;
+constexpr unsigned statusNotFound = 404;
+constexpr unsigned statusConflict = 409;
+constexpr unsigned statusRefused = 422;
+constexpr unsigned statusUnknown = 502;
+constexpr unsigned statusUnavailable = 503;
+
+std::string textOfJson(const Json &json)
+{
+    return json.dump(-1, ' ', false, Json::error_handler_t::replace);
+}
+
+/// Edits are for the program; operators read the steps' texts.
+Json planJson(const PlanRecord &plan)
+{
+    Json json(plan);
+    for (auto &it : json["steps"]) {
+        it.erase("edits");
+    }
+    return json;
+}
+
+struct Outcome
+{
+    unsigned status = 0;
+    const char *word = "";
+};
+
+Outcome outcomeOf(ConfirmOutcome outcome)
+{
+    switch (outcome) {
+    case ConfirmOutcome::Accepted:
+        return {statusOk, "accepted"};
+    case ConfirmOutcome::NotAccepted:
+        return {statusConflict, "not accepted"};
+    case ConfirmOutcome::Unavailable:
+        return {statusUnavailable, "not accepted"};
+    case ConfirmOutcome::NotFound:
+        return {statusNotFound, "not accepted"};
+    case ConfirmOutcome::Refused:
+        return {statusRefused, "not accepted"};
+    case ConfirmOutcome::Unknown:
+        break;
+    }
+    return {statusUnknown, "unknown"};
+}
+
+} // namespace
+
+OperatorReply error(unsigned status, const std::string &message)
+{
+    return {status, textOfJson({{"error", message}})};
+}
+
+OperatorReply errors(const std::vector<IniError> &errors)
+{
+    Json list = Json::array();
+    for (const auto &it : errors) {
+        list.push_back({{"file", it.file}, {"line", it.line}, {"key", it.key}, {"message", it.message}});
+    }
+    return {statusInvalid, textOfJson({{"errors", list}})};
+}
+
+OperatorReply unavailable(const std::string &message)
+{
+    return error(statusUnavailable, message);
+}
+
+OperatorReply nothingToChange(Revision revision)
+{
+    return {statusOk, textOfJson({{"changes", Json::array()}, {"revision", revision}})};
+}
+
+OperatorReply plan(const PlanRecord &plan)
+{
+    return {statusOk, textOfJson(planJson(plan))};
+}
+
+OperatorReply
+planProgress(const PlanRecord &plan, const std::optional<ExecutionRecord> &execution, const std::string &wait)
+{
+    auto json = planJson(plan);
+    if (execution) {
+        json["execution"] = *execution;
+        json["waitsFor"] = wait;
+    }
+    return {statusOk, textOfJson(json)};
+}
+
+OperatorReply confirmation(const ConfirmReply &reply)
+{
+    const auto outcome = outcomeOf(reply.outcome);
+    Json json {{"outcome", outcome.word}, {"plan", reply.plan.id}};
+    if (reply.outcome == ConfirmOutcome::Accepted) {
+        json["revision"] = reply.plan.revision;
+        json["note"] = reply.message;
+    } else {
+        json["error"] = reply.message;
+    }
+    if (reply.outcome == ConfirmOutcome::Unknown) {
+        json["command"] = "monsoonctl plan " + reply.plan.id;
+    }
+    return {outcome.status, textOfJson(json)};
+}
+
+OperatorReply notAborted(const std::string &id, const Error &error)
+{
+    if (error.code == ErrorCode::Unknown) {
+        const auto command = "monsoonctl plan " + id;
+        return {statusUnknown,
+                textOfJson({{"outcome", "unknown"}, {"command", command}, {"error", "the store's answer was lost"}})};
+    }
+    if (error.code == ErrorCode::Conflict) {
+        return replies::error(statusConflict, "the plan went on meanwhile; abort it again");
+    }
+    return unavailable(error.message);
+}
+
+} // namespace monsoonward::replies
--- /dev/null
+++ b/packages/control/src/replies.h
@@ -0,0 +1,22 @@
+#pragma once
+
+#include "confirmation.h"
+
+#include <monsoonward/ini/ini.h>
+
+/// Answers to operators.
+namespace monsoonward::replies
+{
+
+OperatorReply error(unsigned status, const std::string &message);
+OperatorReply errors(const std::vector<IniError> &errors);
+OperatorReply unavailable(const std::string &message);
+OperatorReply nothingToChange(Revision revision);
+OperatorReply plan(const PlanRecord &plan);
+/// @param wait what the current step waits for
+OperatorReply
+planProgress(const PlanRecord &plan, const std::optional<ExecutionRecord> &execution, const std::string &wait);
+OperatorReply confirmation(const ConfirmReply &reply);
+OperatorReply notAborted(const std::string &id, const Error &error);
+
+} // namespace monsoonward::replies
--- a/packages/control/src/sectionreader.cpp
+++ b/packages/control/src/sectionreader.cpp
@@ -39,6 +39,12 @@
     return found;
 }
 
+bool SectionReader::has(const std::string &key) const
+{
+    const auto &entries = m_section.ini.entries;
+    return std::any_of(entries.begin(), entries.end(), [&key](const IniEntry &it) { return it.key == key; });
+}
+
 void SectionReader::failAt(unsigned line, const std::string &key, const std::string &message)
 {
     const auto place = m_section.kind + " " + m_section.name + (key.empty() ? "" : "." + key);
--- a/packages/control/src/sectionreader.h
+++ b/packages/control/src/sectionreader.h
@@ -36,6 +36,7 @@
     /// @return the tier written as @p text in the value of @p key
     std::optional<Tier> tier(const std::string &text, const std::string &key);
 
+    bool has(const std::string &key) const;
     /// Notes an error at the line of @p key, or at the heading when the key is missing.
     void fail(const std::string &key, const std::string &message);
     /// Notes keys that nothing has read.
--- a/packages/values/include/monsoonward/values/eventlog.h
+++ b/packages/values/include/monsoonward/values/eventlog.h
@@ -43,6 +43,13 @@
     TiersReopened = 3002,
     // 4000: configuration and plans
     ConfigurationAdopted = 4001,
+    ConfigurationRejected = 4002,
+    PlanAccepted = 4003,
+    PlanStep = 4004,
+    PlanFinished = 4005,
+    PlanAborted = 4006,
+    PlanLeaseTaken = 4007,
+    OperatorDenied = 4008,
     // 5000: platform services
     StoreUnavailable = 5001,
     StoreRecovered = 5002,
