--- a/packages/control/src/controlfleet.h
+++ b/packages/control/src/controlfleet.h
@@ -353,19 +353,20 @@
         "[region south]\n[region north]\n[data-centre s]\nregion = south\n[data-centre n]\nregion = north\n"
         "[tier 0]\nname = press\n[tier 1]\nname = office\n"
         "[service model]\nmodel = motif\nversion = 1\n[service other]\nkind = plain\n";
-    const auto host =
-        [&text](const std::string &name, const std::string &dataCentre, const std::string &role, int port) {
-            text += "[host " + name + "]\ndata-centre = " + dataCentre + "\nrole = " + role
-                + "\npeer = 127.0.0.1:" + std::to_string(port) + "\n";
-        };
+    const auto host = [&text](
+                          const std::string &name, const std::string &dataCentre, const std::string &role, int port) {
+        text.append("[host ").append(name).append("]\ndata-centre = ").append(dataCentre);
+        text.append("\nrole = ").append(role).append("\npeer = 127.0.0.1:").append(std::to_string(port)).append("\n");
+    };
     host("e1", "s", "entry", 1);
     host("e2", "s", "entry", 2);
     host("e3", "n", "entry", 3);
     for (unsigned n = 1; n <= targets; ++n) {
         const auto name = std::to_string(n);
         host("h" + name, "s", "target", 10 + static_cast<int>(n));
-        text += "[target t" + name + "]\nhost = h" + name + "\nservice = model\n[engine g" + name + "]\ntarget = t"
-            + name + "\naddress = 127.0.0.1:1\nmax-batch = 4\n";
+        text.append("[target t").append(name).append("]\nhost = h").append(name).append("\nservice = model\n");
+        text.append("[engine g").append(name).append("]\ntarget = t").append(name);
+        text.append("\naddress = 127.0.0.1:1\nmax-batch = 4\n");
     }
     text += "[customer rouleaux]\ntiers = 0, 1\nkey-hashes = " + sha256("key") + "\n";
     return text;
