--- a/packages/control/src/controlfleet.h
+++ b/packages/control/src/controlfleet.h
@@ -223,7 +223,7 @@
     }
     FleetReply declare(const std::string &host, const std::string &text)
     {
-        const auto reply = ask(
+        auto reply = ask(
             host, "POST", "/operator/plan", {{"intent", "declare"}, {"files", {{{"name", "f.ini"}, {"text", text}}}}});
         if (reply.status != 200 || !reply.body.contains("id")) {
             return reply;
--- a/packages/control/src/controlnode.cpp
+++ b/packages/control/src/controlnode.cpp
@@ -123,7 +123,8 @@
 
 void ControlNode::handle(const OperatorRequest &request, ReplyCallback done)
 {
-    m_impl->operators().handle(request, done);
+    const auto reply = std::move(done);
+    m_impl->operators().handle(request, reply);
 }
 
 void ControlNode::tick()
--- a/packages/daemon/src/node.cpp
+++ b/packages/daemon/src/node.cpp
@@ -34,7 +34,7 @@
 bool concernsControl(const Message &message)
 {
     return std::holds_alternative<Heartbeat>(message) || std::holds_alternative<ConfigurationOffer>(message)
-        || std::holds_alternative<ConfigurationRequest>(message);
+        || std::holds_alternative<ConfigurationRequest>(message) || std::holds_alternative<TargetStatus>(message);
 }
 
 } // namespace
