--- a/packages/daemon/src/eventcatalogue_test.cpp
+++ b/packages/daemon/src/eventcatalogue_test.cpp
@@ -36,9 +36,10 @@
     const auto numbers = matches(readSource("/docs/EVENTS.md"), std::regex("\\n\\| (\\d{4}) \\| (\\w+) \\|"));
     REQUIRE(code.size() > 10);
     CHECK(page.size() == code.size());
-    for (const auto &[name, number] : code) {
-        const auto it = numbers.find(number);
-        CHECK_MESSAGE(it != numbers.end(), "event " << number << " " << name << " is not in docs/EVENTS.md");
-        CHECK_MESSAGE((it == numbers.end() || it->second == name), "event " << number << " has another name");
+    for (const auto &event : code) {
+        const auto it = numbers.find(event.second);
+        CHECK_MESSAGE(it != numbers.end(), "event " << event.second << " " << event.first << " is not in the page");
+        CHECK_MESSAGE((it == numbers.end() || it->second == event.first),
+                      "event " << event.second << " has another name there");
     }
 }
