Reserve in the other region at once when the own one doesn't serve the service

Cause: a request kept to its own region for a twentieth of its deadline even when no target there served its service, so a booking from the entry of the other region took 0.55 s (deadline 10 s) and 3.03 s (60 s) instead of 0.03 s, as the example fleet showed. Ruled out: the idempotency claim (0.03 s at the other entry). The test fails without the change.

--- a/packages/policy/src/placement.cpp
+++ b/packages/policy/src/placement.cpp
@@ -151,7 +151,7 @@
             return chosen;
         }
     }
-    const bool spill = secondsOf(waited) >= total * spillPart;
+    const bool spill = secondsOf(waited) >= total * spillPart || !servesInOwnRegion(request.spec.service);
     for (const auto &[score, name] : ranked(request, reserved, spill)) {
         if (reserved.size() + chosen.size() >= wanted) {
             break;
@@ -202,6 +202,13 @@
         m_targets.begin(), m_targets.end(), [&](const auto &it) { return isUsable(it.second, service); });
 }
 
+bool Placement::servesInOwnRegion(const ServiceName &service) const
+{
+    return std::any_of(m_list.begin(), m_list.end(), [&](const Target *it) {
+        return it->region == m_region && isUsable(*it, service);
+    });
+}
+
 double Placement::score(const Target &target, const WaitingView &request, std::size_t cachedBlocks)
 {
     const auto &status = target.status;
--- a/packages/policy/src/placement.h
+++ b/packages/policy/src/placement.h
@@ -39,6 +39,8 @@
     /// @param outputTokens estimate
     double leastSeconds(const RequestSpec &spec, double outputTokens) const;
     bool serves(const ServiceName &service) const;
+    /// @return whether a target of the own region may get requests of the service
+    bool servesInOwnRegion(const ServiceName &service) const;
 
 private:
     struct Target
--- a/packages/policy/src/placement_test.cpp
+++ b/packages/policy/src/placement_test.cpp
@@ -85,6 +85,16 @@
     CHECK(it.placement.candidates({spec, admitted, 10}, first) == std::vector<TargetName> {TargetName("c")});
 }
 
+TEST_CASE("a service without a target in the own region is reserved in the other at once")
+{
+    Fixture it;
+    it.placement.targetGone(TargetName("a"));
+    it.placement.targetGone(TargetName("b"));
+    const auto spec = it.request({});
+    const auto chosen = it.placement.candidates({spec, it.clock.now(), 10}, {});
+    CHECK(chosen == std::vector<TargetName> {TargetName("c")});
+}
+
 TEST_CASE("the least time is that of the fastest target, with shared prefixes cached")
 {
     Fixture it;
