--- a/bench/load/caller.cpp
+++ b/bench/load/caller.cpp
@@ -127,6 +127,7 @@
     Sample sample;
     sample.status = response.result_int();
     sample.verdict = std::string(response["Monsoonward-Verdict"]);
+    sample.requestId = std::string(response["Monsoonward-Request-Id"]);
     if (sample.status == 200) {
         sample.ownWholeAnswer = isOwnWholeAnswer(requestClass, prompt, response.body());
         return sample;
--- a/bench/load/caller.h
+++ b/bench/load/caller.h
@@ -12,6 +12,7 @@
 struct Sample
 {
     unsigned status = 0; ///< HTTP status; 0: the connection failed
+    std::string requestId; ///< of the request ID header
     std::string verdict; ///< of the verdict header
     std::string reason; ///< of a refusal's body
     bool ownWholeAnswer = false; ///< status 200 and the whole answer to this very request
--- a/bench/load/main.cpp
+++ b/bench/load/main.cpp
@@ -3,6 +3,7 @@
 
 #include <boost/program_options.hpp>
 
+#include <fstream>
 #include <future>
 #include <iostream>
 
@@ -17,6 +18,7 @@
 struct Options
 {
     std::string mix;
+    std::string record; ///< file; empty: none
     std::vector<monsoonward::Address> entries;
 };
 
@@ -25,6 +27,7 @@
 {
     Options options;
     options.mix = map["mix"].as<std::string>();
+    options.record = map["record"].as<std::string>();
     for (const auto &it : monsoonward::splitList(map["entries"].as<std::string>())) {
         options.entries.push_back(monsoonward::parseAddress(it).value());
     }
@@ -64,6 +67,7 @@
     auto add = described.add_options();
     add("help", "print this text");
     add("mix", po::value<std::string>()->required(), "INI file with [class NAME] sections");
+    add("record", po::value<std::string>()->default_value(""), "file for a line a request: ID, status, verdict");
     add("entries", po::value<std::string>()->required(), "addresses, separated by commas");
     Options options;
     try {
@@ -90,6 +94,10 @@
     const auto reports = run(mix, options.entries);
     const std::chrono::duration<double> length = std::chrono::steady_clock::now() - begin;
     load::printReport(std::cout, reports, length.count());
+    if (!options.record.empty()) {
+        std::ofstream record(options.record);
+        load::writeRecord(record, reports);
+    }
     if (!load::allOwnAndWhole(reports)) {
         std::cerr << "an answer was not whole or not its caller's own\n";
         return exitWrongAnswer;
--- a/bench/load/report.cpp
+++ b/bench/load/report.cpp
@@ -61,6 +61,16 @@
     }
 }
 
+void writeRecord(std::ostream &out, const std::vector<ClassReport> &reports)
+{
+    const auto orDash = [](const std::string &text) { return text.empty() ? std::string("-") : text; };
+    for (const auto &report : reports) {
+        for (const auto &it : report.samples) {
+            out << orDash(it.requestId) << " " << it.status << " " << orDash(it.verdict) << "\n";
+        }
+    }
+}
+
 bool allOwnAndWhole(const std::vector<ClassReport> &reports)
 {
     return std::all_of(reports.begin(), reports.end(), [](const ClassReport &report) {
--- a/bench/load/report.h
+++ b/bench/load/report.h
@@ -21,6 +21,9 @@
 /// @param seconds length of the run
 void printReport(std::ostream &out, const std::vector<ClassReport> &reports, double seconds);
 
+/// Writes a line for each request: its ID, HTTP status and verdict; "-" for what the caller wasn't told.
+void writeRecord(std::ostream &out, const std::vector<ClassReport> &reports);
+
 /// @return whether every answer with status 200 was whole and its caller's own
 bool allOwnAndWhole(const std::vector<ClassReport> &reports);
 
