Refuse to write a change on another revision than it was computed against

Cause: the executor computed a step's change, then the commit read the head; when this daemon adopted another revision in between, the change, made of whole entries, was applied on top of that one. A field that another operator had just changed could revert. The commit now carries its base and is refused on any other.

--- a/apps/monsoonctl/commands.cpp
+++ b/apps/monsoonctl/commands.cpp
@@ -133,7 +133,7 @@
 
     void print(const Json &answer, std::string (*text)(const Json &)) const
     {
-        std::cout << (m_options.json ? answer.dump(2) + "\n" : text(answer));
+        std::cout << (m_options.json ? answer.dump() + "\n" : text(answer));
     }
 
     /// A lost answer counts as Unknown for a write and as Unavailable for a read.
@@ -154,7 +154,7 @@
             return code == ExitCode::Done ? ExitCode::NotAccepted : code;
         }
         if (code != ExitCode::Done) {
-            std::cerr << (m_options.json ? answer.dump(2) + "\n" : errorText(answer));
+            std::cerr << (m_options.json ? answer.dump() + "\n" : errorText(answer));
         }
         return code;
     }
--- a/packages/control/src/committer.cpp
+++ b/packages/control/src/committer.cpp
@@ -50,11 +50,11 @@
         }
         head = decoded.value();
     }
-    if (head.revision != m_distribution.revision()) {
+    if (head.revision != commit.base || m_distribution.revision() != commit.base) {
         m_distribution.pollNow();
         done(Error {ErrorCode::Conflict,
-                    "revision " + std::to_string(head.revision) + " is accepted, and this daemon has "
-                        + std::to_string(m_distribution.revision())});
+                    "revision " + std::to_string(head.revision) + " is accepted, and the change was computed against "
+                        + std::to_string(commit.base)});
         return;
     }
     const Configuration empty;
--- a/packages/control/src/committer.h
+++ b/packages/control/src/committer.h
@@ -8,12 +8,13 @@
 /// @brief A change of the configuration and the other rows that are written with it, all or none.
 struct Commit
 {
+    Revision base = 0; ///< that the change was computed against
     ConfigurationChange change;
     std::vector<RowWrite> rows;
-    MONSOONWARD_FIELDS(change, rows)
+    MONSOONWARD_FIELDS(base, change, rows)
 };
 
-/// @brief Writes changes of the configuration on top of the revision in force here.
+/// @brief Writes changes of the configuration on top of the revision that they were computed against.
 class Committer
 {
 public:
--- a/packages/control/src/confirmation.cpp
+++ b/packages/control/src/confirmation.cpp
@@ -158,6 +158,7 @@
                          plan.id,
                          plan.intent.overrides};
     Commit commit;
+    commit.base = plan.base;
     commit.change = change.value();
     commit.rows.push_back({planPrefix + plan.id, encodeRecord(confirmed), row.version});
     commit.rows.push_back(
--- a/packages/control/src/planexecutor.cpp
+++ b/packages/control/src/planexecutor.cpp
@@ -53,6 +53,9 @@
 
 void PlanExecutor::tick()
 {
+    if (m_options.role != HostRole::Entry) {
+        return; // a target daemon isn't connected to other targets, so it can't tell what is in force there
+    }
     const bool isLeader = m_distribution.isTrusted() && m_membership.isLeader(m_distribution.current());
     if (!m_scanning && m_clock.now() >= m_nextScan && (isLeader || m_scanWanted)) {
         scan();
@@ -234,6 +237,7 @@
     next.revision = current->revision + 1;
     const LogRecord log {next.revision, held.plan.confirmedBy, held.plan.confirmedAt, step.text, id, {}};
     Commit commit;
+    commit.base = current->revision;
     commit.change = edits.value();
     commit.rows.push_back({executionPrefix + id, encodeRecord(next), held.version});
     commit.rows.push_back({logPrefix + paddedText(next.revision) + "/" + id, encodeRecord(log), std::nullopt});
