--- /dev/null
+++ b/packages/daemon/src/countingtable.h
@@ -0,0 +1,30 @@
+#pragma once
+
+#include "monsoonward/daemon/metrics.h"
+
+#include <monsoonward/platform/platform.h>
+
+namespace monsoonward
+{
+
+/// @brief Passes calls on to a table service and counts each answer and its time in the metrics.
+class CountingTable : public TableService
+{
+public:
+    /// All three must outlive the last callback.
+    CountingTable(TableService &table, const Clock &clock, Metrics &metrics);
+
+    void read(const std::string &key, ReadCallback done) override;
+    void scan(const std::string &prefix, const std::string &after, std::size_t limit, ScanCallback done) override;
+    void write(const std::vector<RowWrite> &writes, WriteCallback done) override;
+
+private:
+    template<class Answer>
+    std::function<void(Answer)> counted(const char *call, std::function<void(Answer)> done);
+
+    TableService &m_table;
+    const Clock &m_clock;
+    Metrics &m_metrics;
+};
+
+} // namespace monsoonward
--- a/packages/daemon/src/node.cpp
+++ b/packages/daemon/src/node.cpp
@@ -2,6 +2,7 @@
 
 #include <nlohmann/json.hpp>
 
+#include <algorithm>
 #include <future>
 
 namespace monsoonward
@@ -180,9 +181,25 @@
 
 void Node::send(const Peer &to, const Message &message)
 {
+    if (const auto *status = std::get_if<TargetStatus>(&message)) {
+        countStatus(*status);
+    }
     m_transport->send(to, message);
 }
 
+void Node::countStatus(const TargetStatus &status)
+{
+    m_metrics.slots(status.target, status.freeSlots, status.running);
+    if (!m_configuration) {
+        return;
+    }
+    for (const auto &tier : m_configuration->tiers) {
+        const auto isTier = [&tier](const TierLoad &it) { return it.tier == tier.tier; };
+        const auto load = std::find_if(status.tiers.begin(), status.tiers.end(), isTier);
+        m_metrics.waiting(status.service, tier.tier, load == status.tiers.end() ? 0 : load->waiting);
+    }
+}
+
 void Node::adopt(const ConfigurationPtr &configuration)
 {
     m_configuration = configuration;
--- a/packages/daemon/src/node.h
+++ b/packages/daemon/src/node.h
@@ -70,6 +70,7 @@
     void tick();
     void dialPeers();
     void reportTraffic();
+    void countStatus(const TargetStatus &status);
 
     Settings m_settings;
     const Clock &m_clock;
--- a/packages/daemon/src/process.cpp
+++ b/packages/daemon/src/process.cpp
@@ -1,5 +1,6 @@
 #include "monsoonward/daemon/process.h"
 
+#include "countingtable.h"
 #include "handlers.h"
 #include "streamlistener.h"
 #include "supervisor.h"
@@ -132,8 +133,8 @@
     void makeNode()
     {
         if (m_settings.role == HostRole::Entry) {
-            auto entry =
-                std::make_unique<EntryNode>(m_settings, m_clock, m_random, m_table, m_hosts, *m_events, m_metrics);
+            auto entry = std::make_unique<EntryNode>(
+                m_settings, m_clock, m_random, m_countedTable, m_hosts, *m_events, m_metrics);
             m_entry = entry.get();
             m_node = std::move(entry);
         } else {
@@ -148,7 +149,7 @@
         options.region = m_settings.region;
         options.bootstrapTokenHash = m_settings.bootstrapTokenHash;
         m_control = makeControlPart(
-            std::make_unique<ControlNode>(options, m_clock, m_random, m_table, m_objects, *m_node, *m_events));
+            std::make_unique<ControlNode>(options, m_clock, m_random, m_countedTable, m_objects, *m_node, *m_events));
     }
 
     void addChildren()
@@ -230,6 +231,7 @@
     std::unique_ptr<Node> m_node;
     HttpWorkers m_workers {m_executor, platformThreads};
     HttpTable m_table {m_workers, {m_settings.table, m_settings.storeTimeout}};
+    CountingTable m_countedTable {m_table, m_clock, m_metrics};
     HttpObjectStore m_objects {m_workers, {m_settings.objects, m_settings.storeTimeout}};
     HttpHostList m_hosts {m_workers, {m_settings.hostList, m_settings.storeTimeout}};
     EntryNode *m_entry = nullptr;
