Copy what end() still needs before it destroys the request

Cause: a refusal was passed to EntryRequests::end() by reference into the request that end() takes out of the map, so the caller's verdict and reason were read from freed memory. Ruled out: the policies, the idempotency rows.

--- a/packages/decisions/src/entryrequests.cpp
+++ b/packages/decisions/src/entryrequests.cpp
@@ -258,9 +258,11 @@
     case EntryAction::Replace:
         replace(request);
         break;
-    case EntryAction::RefuseAsTold:
-        end(id, *request.ifLost);
+    case EntryAction::RefuseAsTold: {
+        const auto refusal = *request.ifLost; // end() destroys the request
+        end(id, refusal);
         break;
+    }
     case EntryAction::RefuseNotRun: {
         auto refusal = request.ifLost.value_or(lostHolder(request));
         refusal.verdict = Verdict::NotRun;
@@ -366,7 +368,7 @@
     }
 }
 
-void EntryRequests::end(const RequestId &id, const Refusal &refusal)
+void EntryRequests::end(RequestId id, const Refusal &refusal)
 {
     const auto it = m_requests.find(id);
     checkInvariant(it != m_requests.end(), "one-final-answer", textOf(id));
@@ -386,7 +388,7 @@
     m_output.refuse(id, refusal);
 }
 
-void EntryRequests::complete(const RequestId &id, const AnswerEnd &end)
+void EntryRequests::complete(RequestId id, const AnswerEnd &end)
 {
     const auto it = m_requests.find(id);
     checkInvariant(it != m_requests.end(), "one-final-answer", textOf(id));
--- a/packages/decisions/src/entryrequests.h
+++ b/packages/decisions/src/entryrequests.h
@@ -73,8 +73,8 @@
     void handOver(EntryRequest &request, const Peer &from, const Claim &claim);
     void askHolder(EntryRequest &request, EntryEvent why);
     void replace(EntryRequest &request);
-    void end(const RequestId &id, const Refusal &refusal);
-    void complete(const RequestId &id, const AnswerEnd &end);
+    void end(RequestId id, const Refusal &refusal);
+    void complete(RequestId id, const AnswerEnd &end);
     void runTimers(const RequestId &id);
 
     EntryOptions m_options;
--- a/tests/simulation/simengine.cpp
+++ b/tests/simulation/simengine.cpp
@@ -125,7 +125,7 @@
     }
 }
 
-void SimEngine::end(const ClaimId &claim, bool whole)
+void SimEngine::end(ClaimId claim, bool whole) // a copy: callers pass keys of m_runs
 {
     const auto it = m_runs.find(claim);
     if (it == m_runs.end()) {
--- a/tests/simulation/simengine.h
+++ b/tests/simulation/simengine.h
@@ -48,7 +48,7 @@
 
     void step();
     void crash();
-    void end(const ClaimId &claim, bool whole);
+    void end(ClaimId claim, bool whole);
     void tellRuns();
 
     EventQueue &m_queue;
--- a/tests/simulation/simulation.cpp
+++ b/tests/simulation/simulation.cpp
@@ -31,7 +31,12 @@
 } // namespace
 
 Simulation::Simulation() = default;
-Simulation::~Simulation() = default;
+Simulation::~Simulation()
+{
+    for (const auto &[host, it] : m_processes) {
+        it->kill(); // drops what waits for a paused process, which holds the process itself
+    }
+}
 
 void Simulation::start(const FleetShape &shape)
 {
