End a drain that another plan undoes instead of waiting for ever

Cause: a plan waited for a target to drain while a second plan, confirmed later, gave that target work again. The wait could only end by an operator's abort. Ruled out: a lost lease or a lost write; both plans' rows were as their holders knew them.

Change: when a target that a plan waits for is in service again at a later revision, the plan ends as aborted and its outcome names the target. No accepted change is lost.

Also renames packages/platform to packages/stores.

--- a/packages/control/include/monsoonward/control/controlnode.h
+++ b/packages/control/include/monsoonward/control/controlnode.h
@@ -2,7 +2,7 @@
 
 #include "monsoonward/control/wallclock.h"
 
-#include <monsoonward/platform/platform.h>
+#include <monsoonward/stores/stores.h>
 
 #include <functional>
 #include <memory>
--- a/packages/control/src/controlnode_test.cpp
+++ b/packages/control/src/controlnode_test.cpp
@@ -201,6 +201,21 @@
     CHECK(isEverywhere(2));
 }
 
+TEST_CASE_FIXTURE(Fixture, "a drain that another plan undoes ends and says which target got work again")
+{
+    fleet.running[TargetName("t1")] = 1;
+    const auto drain = propose("e1", "move-target", "t1", "other");
+    CHECK(fleet.confirm("e1", drain).status == 200);
+    fleet.run(seconds(3));
+    CHECK(stateOf(drain) == "executing");
+    CHECK(fleet.confirm("e2", propose("e2", "return-target", "t1")).status == 200);
+    fleet.run(seconds(5));
+    CHECK(stateOf(drain) == "aborted");
+    const auto outcome = fleet.ask("e1", "GET", "/operator/plan/" + drain).body["outcome"].get<std::string>();
+    CHECK(outcome.find("another plan gave work again to t1") != std::string::npos);
+    CHECK(isEverywhere(3)); // drain, return
+}
+
 TEST_CASE_FIXTURE(Fixture, "a plan that would break a promise is refused unless it is named")
 {
     for (const auto *it : {"t1", "t2"}) {
--- a/packages/control/src/planexecutor.cpp
+++ b/packages/control/src/planexecutor.cpp
@@ -195,7 +195,7 @@
         return;
     }
     if (held.execution.step >= held.plan.steps.size()) {
-        finish(id);
+        finish(id, PlanState::Done, "all " + std::to_string(held.plan.steps.size()) + " steps are done");
         return;
     }
     const auto &step = held.plan.steps[held.execution.step];
@@ -203,6 +203,15 @@
         change(held, step);
         return;
     }
+    const auto returned = returnedTargets(step, held.execution.revision);
+    if (!returned.empty()) {
+        finish(id,
+               PlanState::Aborted,
+               "stopped after step " + std::to_string(held.execution.step) + " of "
+                   + std::to_string(held.plan.steps.size()) + ": another plan gave work again to " + joined(returned)
+                   + "; what these steps changed stands, undo: " + held.plan.undo);
+        return;
+    }
     held.wait = waitOf(step, held.execution.revision);
     auto next = held.execution;
     if (held.wait.empty()) {
@@ -280,11 +289,11 @@
     load(next);
 }
 
-void PlanExecutor::finish(const std::string &id)
+void PlanExecutor::finish(const std::string &id, PlanState state, const std::string &outcome)
 {
     auto &held = m_held.at(id);
     held.busy = true;
-    m_store.read(planPrefix + id, [this, id](const Result<std::optional<Row>> &result) {
+    m_store.read(planPrefix + id, [this, id, state, outcome](const Result<std::optional<Row>> &result) {
         const auto it = m_held.find(id);
         if (it == m_held.end()) {
             return;
@@ -294,13 +303,16 @@
             return;
         }
         auto plan = it->second.plan;
-        plan.state = PlanState::Done;
-        plan.outcome = "all " + std::to_string(plan.steps.size()) + " steps are done";
+        plan.state = state;
+        plan.outcome = outcome;
         m_store.write({{planPrefix + id, encodeRecord(plan), result.value()->version},
                        {executionPrefix + id, std::nullopt, it->second.version}},
-                      [this, id](const Result<void> &written) {
+                      [this, id, state, outcome](const Result<void> &written) {
                           if (written) {
-                              m_events.record(Event::PlanFinished, Severity::Info, "plan " + id);
+                              const bool done = state == PlanState::Done;
+                              m_events.record(done ? Event::PlanFinished : Event::PlanAborted,
+                                              done ? Severity::Info : Severity::Warning,
+                                              "plan " + id + ": " + outcome);
                               drop(id);
                           } else {
                               reload(id);
@@ -339,6 +351,23 @@
     return hosts.empty() ? "" : "revision " + std::to_string(revision) + " to be in force at " + joined(hosts);
 }
 
+std::vector<std::string> PlanExecutor::returnedTargets(const Step &step, Revision revision) const
+{
+    std::vector<std::string> returned;
+    const auto current = m_distribution.current();
+    if (step.kind != StepKind::WaitDrained || !current || current->revision <= revision) {
+        return returned;
+    }
+    for (const auto &it : step.targets) {
+        const auto *target = find(current->targets, TargetName(it));
+        const auto *host = target != nullptr ? find(current->hosts, target->host) : nullptr;
+        if (host != nullptr && target->state == ServingState::InService && host->state == ServingState::InService) {
+            returned.push_back(it);
+        }
+    }
+    return returned;
+}
+
 std::string PlanExecutor::drainedWait(const std::vector<std::string> &targets) const
 {
     const auto current = m_distribution.current();
--- a/packages/control/src/planexecutor.h
+++ b/packages/control/src/planexecutor.h
@@ -56,13 +56,16 @@
     void run(const std::string &id);
     void change(Held &held, const Step &step);
     void advance(const std::string &id, const ExecutionRecord &next);
-    void finish(const std::string &id);
+    /// Writes the plan's last state and removes its execution row.
+    void finish(const std::string &id, PlanState state, const std::string &outcome);
     void stepDone(const std::string &id, const ExecutionRecord &next, const Result<void> &result);
     void reload(const std::string &id);
     void drop(const std::string &id);
     bool isOwn(const ExecutionRecord &execution) const;
     std::string inForceWait(Revision revision) const;
     std::string drainedWait(const std::vector<std::string> &targets) const;
+    /// @return targets of @p step that get work again although the plan waits for them to drain: another plan gave it
+    std::vector<std::string> returnedTargets(const Step &step, Revision revision) const;
 
     const ControlOptions &m_options;
     const Clock &m_clock;
--- a/packages/daemon/src/controlloop.h
+++ b/packages/daemon/src/controlloop.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include <monsoonward/platform/platform.h>
+#include <monsoonward/stores/stores.h>
 
 #include <condition_variable>
 #include <deque>
--- a/packages/daemon/src/countingtable.h
+++ b/packages/daemon/src/countingtable.h
@@ -2,7 +2,7 @@
 
 #include "monsoonward/daemon/metrics.h"
 
-#include <monsoonward/platform/platform.h>
+#include <monsoonward/stores/stores.h>
 
 namespace monsoonward
 {
--- a/packages/decisions/include/monsoonward/decisions/entrymachine.h
+++ b/packages/decisions/include/monsoonward/decisions/entrymachine.h
@@ -1,7 +1,7 @@
 #pragma once
 
-#include <monsoonward/platform/platform.h>
 #include <monsoonward/policy/policy.h>
+#include <monsoonward/stores/stores.h>
 
 #include <memory>
 
--- a/packages/decisions/src/rowupdates.h
+++ b/packages/decisions/src/rowupdates.h
@@ -2,7 +2,7 @@
 
 #include "claimrow.h"
 
-#include <monsoonward/platform/platform.h>
+#include <monsoonward/stores/stores.h>
 
 #include <map>
 #include <memory>
--- a/packages/platform/include/monsoonward/platform/httpclients.h
+++ b/packages/stores/include/monsoonward/stores/httpclients.h
@@ -1,9 +1,9 @@
 #pragma once
 
-#include "monsoonward/platform/hostlist.h"
-#include "monsoonward/platform/httpworkers.h"
-#include "monsoonward/platform/objectstore.h"
-#include "monsoonward/platform/tableservice.h"
+#include "monsoonward/stores/hostlist.h"
+#include "monsoonward/stores/httpworkers.h"
+#include "monsoonward/stores/objectstore.h"
+#include "monsoonward/stores/tableservice.h"
 
 namespace monsoonward
 {
--- a/packages/platform/include/monsoonward/platform/httpworkers.h
+++ b/packages/stores/include/monsoonward/stores/httpworkers.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "monsoonward/platform/executor.h"
+#include "monsoonward/stores/executor.h"
 
 #include <monsoonward/values/values.h>
 
--- /dev/null
+++ b/packages/stores/include/monsoonward/stores/stores.h
@@ -0,0 +1,10 @@
+#pragma once
+
+/// The public header of the stores package: clients of the services that the platform provides.
+#include "monsoonward/stores/executor.h"
+#include "monsoonward/stores/faketable.h"
+#include "monsoonward/stores/hostlist.h"
+#include "monsoonward/stores/httpclients.h"
+#include "monsoonward/stores/httpworkers.h"
+#include "monsoonward/stores/objectstore.h"
+#include "monsoonward/stores/tableservice.h"
--- a/packages/platform/src/etcdjson.h
+++ b/packages/stores/src/etcdjson.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "monsoonward/platform/tableservice.h"
+#include "monsoonward/stores/tableservice.h"
 
 #include <string>
 #include <vector>
--- a/packages/platform/src/faketable.cpp
+++ b/packages/stores/src/faketable.cpp
@@ -1,4 +1,4 @@
-#include "monsoonward/platform/faketable.h"
+#include "monsoonward/stores/faketable.h"
 
 #include <set>
 #include <utility>
--- a/packages/platform/src/faketable_test.cpp
+++ b/packages/stores/src/faketable_test.cpp
@@ -1,4 +1,4 @@
-#include "monsoonward/platform/platform.h"
+#include "monsoonward/stores/stores.h"
 
 #include <doctest/doctest.h>
 
--- a/packages/platform/src/httpclients.cpp
+++ b/packages/stores/src/httpclients.cpp
@@ -1,4 +1,4 @@
-#include "monsoonward/platform/httpclients.h"
+#include "monsoonward/stores/httpclients.h"
 
 #include "etcdjson.h"
 
--- a/packages/platform/src/httprequest.h
+++ b/packages/stores/src/httprequest.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "monsoonward/platform/httpworkers.h"
+#include "monsoonward/stores/httpworkers.h"
 
 namespace monsoonward
 {
--- a/packages/platform/src/httpworkers.cpp
+++ b/packages/stores/src/httpworkers.cpp
@@ -1,4 +1,4 @@
-#include "monsoonward/platform/httpworkers.h"
+#include "monsoonward/stores/httpworkers.h"
 
 #include "httprequest.h"
 
--- a/tests/simulation/simtable.h
+++ b/tests/simulation/simtable.h
@@ -4,7 +4,7 @@
 
 #include "fleet.h"
 
-#include <monsoonward/platform/platform.h>
+#include <monsoonward/stores/stores.h>
 
 namespace monsoonward
 {
--- a/tests/standins/platform/httpclients_test.cpp
+++ b/tests/standins/platform/httpclients_test.cpp
@@ -1,6 +1,6 @@
 #include "state.h"
 
-#include <monsoonward/platform/platform.h>
+#include <monsoonward/stores/stores.h>
 
 #include <doctest/doctest.h>
 
