--- a/apps/monsoonwardd/main.cpp
+++ b/apps/monsoonwardd/main.cpp
@@ -1,4 +1,6 @@
-// The daemon: entry or target, as its settings say.
+// The daemon: entry, target or gateway, as its settings say.
+#include "gateway.h"
+
 #include <monsoonward/daemon/daemon.h>
 
 #include <boost/program_options.hpp>
@@ -40,7 +42,6 @@
 
 int main(int argc, char **argv)
 {
-    blockStopSignals();
     po::options_description options("Options");
     auto add = options.add_options();
     add("settings", po::value<std::string>(), "run with the settings in this INI file");
@@ -73,8 +74,13 @@
         std::cerr << "monsoonwardd: --settings FILE is needed\n";
         return codeOf(ExitCode::Usage);
     }
+    const auto file = map[checkOnly ? "check-settings" : "settings"].as<std::string>();
+    if (isGateway(file)) {
+        return runAsGateway(file, checkOnly);
+    }
+    blockStopSignals();
     Settings settings;
-    if (!load(map[checkOnly ? "check-settings" : "settings"].as<std::string>(), settings)) {
+    if (!load(file, settings)) {
         return codeOf(ExitCode::BadSettings);
     }
     return codeOf(checkOnly ? ExitCode::Done : runDaemon(settings));
--- /dev/null
+++ b/packages/dispatch/include/monsoonward/dispatch/dispatch.h
@@ -0,0 +1,17 @@
+#pragma once
+
+/// The public header of the dispatch package: the decisions of a gateway, which sends callers' requests to engines
+/// itself. No I/O; the clock is passed in.
+#include "monsoonward/dispatch/allotments.h"
+#include "monsoonward/dispatch/attempts.h"
+#include "monsoonward/dispatch/customertable.h"
+#include "monsoonward/dispatch/enginedirectory.h"
+#include "monsoonward/dispatch/enginehealth.h"
+#include "monsoonward/dispatch/eventsplitter.h"
+#include "monsoonward/dispatch/firstbytesmodel.h"
+#include "monsoonward/dispatch/fleetview.h"
+#include "monsoonward/dispatch/freshness.h"
+#include "monsoonward/dispatch/placement.h"
+#include "monsoonward/dispatch/retryallowance.h"
+#include "monsoonward/dispatch/routetable.h"
+#include "monsoonward/dispatch/servingconfiguration.h"
--- /dev/null
+++ b/packages/dispatch/include/monsoonward/dispatch/firstbytesmodel.h
@@ -0,0 +1,42 @@
+#pragma once
+
+#include <monsoonward/values/values.h>
+
+#include <array>
+#include <map>
+
+namespace monsoonward
+{
+
+/// @brief Learns how long an engine takes to the first bytes of an answer, by how loaded it is when it gets the
+/// request. The curve over the load is shared by the engines of a service; each engine has a pace relative to it.
+class FirstBytesModel
+{
+public:
+    /// @param load requests in progress for each slot of the engine when the request was sent
+    /// @param length from sending to the first bytes
+    void learn(const ServiceName &service, const EngineName &engine, double load, Duration length);
+    /// @return the expected time to the first bytes; it does not fall with the load
+    Duration expected(const ServiceName &service, const EngineName &engine, double load) const;
+    /// @return how slow the engine is: 1 is the service's mean
+    double pace(const EngineName &engine) const;
+    /// Forgets engines that are gone.
+    void forget(const EngineName &engine);
+
+private:
+    static constexpr std::size_t bins = 20;
+    static constexpr double binsPerLoad = 4; // a bin spans a quarter of the slots
+
+    struct Curve
+    {
+        std::array<double, bins> seconds {}; // 0: nothing learned
+    };
+
+    static std::size_t binOf(double load);
+    static double at(const Curve &curve, double load);
+
+    std::map<ServiceName, Curve> m_curves;
+    std::map<EngineName, double> m_paces;
+};
+
+} // namespace monsoonward
--- /dev/null
+++ b/packages/dispatch/src/allotments.cpp
@@ -0,0 +1,142 @@
+#include "monsoonward/dispatch/allotments.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace monsoonward
+{
+
+namespace
+{
+
+using Seconds = std::chrono::duration<double>;
+
+constexpr Seconds demandMemory {2.0}; // averages over the bursts of a caller, follows a change within a few seconds
+constexpr double forgottenDemand = 0.01; // units a second
+constexpr double wellFilled = 0.5; // of the bucket: reports of what the others take come long before it is empty
+
+/// @return what the bucket must hold to grant a request
+double neededLevel(const ServedCustomer &customer, double units, const AllotmentShare &share)
+{
+    const double size = customer.burstUnits * share.heardPart;
+    const double forShare = share.ofHeard > 0 ? units / share.ofHeard : size;
+    // A request that is larger than the whole bucket waits for a full one.
+    return std::min(std::max(units, std::min(forShare, size * wellFilled)), size);
+}
+
+} // namespace
+
+void Allotments::configure(const ServingConfiguration &configuration, TimePoint now)
+{
+    std::map<CustomerName, Bucket> kept;
+    for (const auto &it : configuration.customers) {
+        auto &bucket = kept[it.name];
+        const auto old = m_buckets.find(it.name);
+        if (old != m_buckets.end()) {
+            bucket = old->second;
+            bucket.level = std::min(bucket.level, it.burstUnits);
+        } else {
+            bucket.filledAt = now;
+            bucket.askedAt = now;
+        }
+    }
+    m_buckets = std::move(kept);
+}
+
+void Allotments::fill(const ServedCustomer &customer, double heardPart, Bucket &bucket, TimePoint now)
+{
+    const Seconds passed = now - bucket.filledAt;
+    const double size = customer.burstUnits * heardPart;
+    const double filled = bucket.level + passed.count() * customer.unitsPerSecond * heardPart;
+    bucket.level = std::min(filled, size);
+    bucket.filledAt = now;
+}
+
+double Allotments::askedNow(const Bucket &bucket, TimePoint now)
+{
+    return bucket.asked * std::exp(-Seconds(now - bucket.askedAt).count() / demandMemory.count());
+}
+
+bool Allotments::take(const ServedCustomer &customer, double units, const AllotmentShare &share, TimePoint now)
+{
+    if (customer.unitsPerSecond <= 0) {
+        return true;
+    }
+    const auto [it, isNew] = m_buckets.try_emplace(customer.name);
+    auto &bucket = it->second;
+    if (isNew) {
+        bucket.filledAt = now;
+        bucket.askedAt = now;
+    }
+    fill(customer, share.heardPart, bucket, now);
+    bucket.asked = askedNow(bucket, now) + units / demandMemory.count();
+    bucket.askedAt = now;
+    if (bucket.level < neededLevel(customer, units, share)) {
+        return false;
+    }
+    bucket.level -= units;
+    bucket.spent += units;
+    return true;
+}
+
+void Allotments::giveBack(const CustomerName &customer, double units)
+{
+    const auto it = m_buckets.find(customer);
+    if (it != m_buckets.end()) {
+        it->second.level += units;
+        it->second.spent -= units;
+    }
+}
+
+void Allotments::spentElsewhere(const CustomerName &customer, double units)
+{
+    const auto it = m_buckets.find(customer);
+    if (it != m_buckets.end()) {
+        it->second.level -= units;
+    }
+}
+
+double Allotments::demand(const CustomerName &customer, TimePoint now) const
+{
+    const auto it = m_buckets.find(customer);
+    return it == m_buckets.end() ? 0 : askedNow(it->second, now);
+}
+
+std::map<CustomerName, double> Allotments::demands(TimePoint now) const
+{
+    std::map<CustomerName, double> demands;
+    for (const auto &[customer, bucket] : m_buckets) {
+        const auto asked = askedNow(bucket, now);
+        if (asked >= forgottenDemand) {
+            demands[customer] = asked;
+        }
+    }
+    return demands;
+}
+
+std::map<CustomerName, double> Allotments::spent() const
+{
+    std::map<CustomerName, double> spent;
+    for (const auto &[customer, bucket] : m_buckets) {
+        spent[customer] = bucket.spent;
+    }
+    return spent;
+}
+
+double Allotments::level(const CustomerName &customer) const
+{
+    const auto it = m_buckets.find(customer);
+    return it == m_buckets.end() ? 0 : it->second.level;
+}
+
+Duration Allotments::waitFor(const ServedCustomer &customer, double units, const AllotmentShare &share) const
+{
+    const auto rate = customer.unitsPerSecond * share.heardPart;
+    if (rate <= 0) {
+        return Duration::zero();
+    }
+    const Seconds wait(std::max(0.0, (neededLevel(customer, units, share) - level(customer.name)) / rate));
+    return std::chrono::duration_cast<Duration>(wait);
+}
+
+} // namespace monsoonward
--- /dev/null
+++ b/packages/dispatch/src/enginehealth_test.cpp
@@ -0,0 +1,42 @@
+#include "monsoonward/dispatch/dispatch.h"
+
+#include <doctest/doctest.h>
+
+using namespace monsoonward;
+using namespace std::chrono_literals;
+
+TEST_CASE("an engine that fails in a row is left out, then tried by one request at a time")
+{
+    VirtualClock clock;
+    EngineHealth health;
+    const EngineName engine("e");
+    CHECK(health.mayTry(engine, clock.now()));
+    CHECK_FALSE(health.failed(engine, clock.now()));
+    CHECK(health.mayTry(engine, clock.now()));
+    CHECK(health.failed(engine, clock.now()));
+    CHECK_FALSE(health.mayTry(engine, clock.now()));
+    clock.advance(EngineHealth::firstPause);
+    CHECK(health.mayTry(engine, clock.now()));
+    health.tried(engine, clock.now());
+    CHECK_FALSE(health.mayTry(engine, clock.now()));
+    clock.advance(1s);
+    CHECK(health.mayTry(engine, clock.now())); // the trial has no outcome
+    health.failed(engine, clock.now());
+    CHECK_FALSE(health.mayTry(engine, clock.now() + EngineHealth::firstPause));
+    health.succeeded(engine);
+    CHECK(health.mayTry(engine, clock.now()));
+    CHECK(health.failureRate(engine) > 0);
+    health.forget(engine);
+    CHECK(health.failureRate(engine) == 0);
+}
+
+TEST_CASE("an engine that is down for long is tried every few seconds")
+{
+    VirtualClock clock;
+    EngineHealth health;
+    const EngineName engine("e");
+    for (unsigned n = 0; n < 40; ++n) {
+        health.failed(engine, clock.now());
+    }
+    CHECK(health.mayTry(engine, clock.now() + EngineHealth::longestPause));
+}
--- /dev/null
+++ b/packages/dispatch/src/eventsplitter_test.cpp
@@ -0,0 +1,49 @@
+#include "monsoonward/dispatch/dispatch.h"
+
+#include <doctest/doctest.h>
+
+using namespace monsoonward;
+
+TEST_CASE("only whole events are passed on, however the bytes arrive")
+{
+    const std::string text = "id: 1\ndata: a\n\nid: 2\ndata: b\n\nid: 3\nda";
+    for (std::size_t size = 1; size <= text.size(); ++size) {
+        EventSplitter splitter;
+        std::string passed;
+        for (std::size_t n = 0; n < text.size(); n += size) {
+            passed += splitter.push(std::string_view(text).substr(n, size));
+        }
+        CHECK(passed == "id: 1\ndata: a\n\nid: 2\ndata: b\n\n");
+        CHECK(splitter.lastId() == 2);
+        CHECK(splitter.isInsideEvent());
+        CHECK(splitter.events() == 2);
+    }
+}
+
+TEST_CASE("a stream that another engine continues repeats no event and leaves none out")
+{
+    EventSplitter splitter;
+    splitter.push("id: 1\ndata: a\n\nid: 2\ndata: b\n\nid: 3\ndata: torn");
+    splitter.restart();
+    CHECK(splitter.push("id: 2\ndata: b\n\nid: 3\ndata: c\n\n") == "id: 3\ndata: c\n\n");
+    CHECK_FALSE(splitter.isBroken());
+    splitter.restart();
+    CHECK(splitter.push("id: 5\ndata: e\n\n").empty());
+    CHECK(splitter.isBroken());
+}
+
+TEST_CASE("events with carriage returns and without IDs")
+{
+    EventSplitter splitter;
+    CHECK(splitter.push("data: a\r\n\r\ndata: b\r\n\r") == "data: a\r\n\r\n");
+    CHECK(splitter.push("\n") == "data: b\r\n\r\n");
+    CHECK_FALSE(splitter.lastId());
+    CHECK_FALSE(splitter.isInsideEvent());
+}
+
+TEST_CASE("an event without end is refused")
+{
+    EventSplitter splitter;
+    splitter.push(std::string(EventSplitter::maxEventBytes + 1, 'x'));
+    CHECK(splitter.isBroken());
+}
--- /dev/null
+++ b/packages/dispatch/src/firstbytesmodel_test.cpp
@@ -0,0 +1,48 @@
+#include "monsoonward/dispatch/dispatch.h"
+
+#include <doctest/doctest.h>
+
+using namespace monsoonward;
+using namespace std::chrono_literals;
+
+namespace
+{
+
+const ServiceName service("model");
+const EngineName fast("fast");
+const EngineName slow("slow");
+
+double expectedMs(const FirstBytesModel &model, const EngineName &engine, double load)
+{
+    return std::chrono::duration<double, std::milli>(model.expected(service, engine, load)).count();
+}
+
+} // namespace
+
+TEST_CASE("engines of unequal speed: the time to the first bytes grows with the load and with the pace")
+{
+    FirstBytesModel model;
+    for (unsigned n = 0; n < 400; ++n) {
+        const double load = (n % 8) / 4.0;
+        const auto usual = 50ms + (load > 1 ? std::chrono::milliseconds(static_cast<int>(200 * (load - 1))) : 0ms);
+        model.learn(service, fast, load, usual * 6 / 10);
+        model.learn(service, slow, load, usual * 17 / 10);
+    }
+    CHECK(model.pace(slow) / model.pace(fast) == doctest::Approx(1.7 / 0.6).epsilon(0.25));
+    CHECK(expectedMs(model, fast, 0.5) == doctest::Approx(30).epsilon(0.3));
+    CHECK(expectedMs(model, slow, 1.75) == doctest::Approx(340).epsilon(0.3));
+    CHECK(expectedMs(model, slow, 4) > 2 * expectedMs(model, slow, 1.75) * 0.9); // beyond what was seen
+    for (double load = 0; load < 5; load += 0.1) {
+        CHECK(expectedMs(model, slow, load + 0.1) >= expectedMs(model, slow, load));
+    }
+}
+
+TEST_CASE("before anything was learned every load is worth a try, and one stalled answer doesn't shut an engine out")
+{
+    FirstBytesModel model;
+    CHECK(expectedMs(model, fast, 0) == doctest::Approx(50));
+    model.learn(service, fast, 0, 30ms);
+    CHECK(expectedMs(model, fast, 0.5) < 100);
+    model.learn(service, fast, 0, 60s);
+    CHECK(model.pace(fast) < 2);
+}
--- /dev/null
+++ b/packages/dispatch/src/fleetview_test.cpp
@@ -0,0 +1,94 @@
+#include "monsoonward/dispatch/dispatch.h"
+
+#include <doctest/doctest.h>
+
+using namespace monsoonward;
+using namespace std::chrono_literals;
+
+namespace
+{
+
+const CustomerName customer("c");
+const EngineName engine("e");
+
+LoadReport reportOf(const std::string &host, std::uint64_t number, double demand, std::uint32_t requests)
+{
+    return {HostName(host), 1, number, {{engine, requests}}, {{customer, demand}}, {{customer, 100.0 * number}}};
+}
+
+} // namespace
+
+TEST_CASE("shares follow demand and add up to one")
+{
+    VirtualClock clock;
+    const std::vector<HostName> members {HostName("a"), HostName("b"), HostName("c")};
+    const std::map<std::string, double> demands {{"a", 100}, {"b", 300}, {"c", 0}};
+    double sum = 0;
+    for (const auto &own : demands) {
+        FleetView view {HostName(own.first)};
+        view.setMembers(members, clock.now());
+        for (const auto &it : demands) {
+            view.heard(reportOf(it.first, 1, it.second, 1), clock.now());
+        }
+        const auto share = view.shareOf(customer, own.second, clock.now());
+        CHECK(share > 0);
+        sum += share;
+    }
+    CHECK(sum == doctest::Approx(1));
+}
+
+TEST_CASE("daemons that are cut off from each other spend no more than the whole")
+{
+    VirtualClock clock;
+    FleetView alone {HostName("a")};
+    FleetView rest {HostName("b")};
+    const std::vector<HostName> members {HostName("a"), HostName("b"), HostName("c"), HostName("d")};
+    alone.setMembers(members, clock.now());
+    rest.setMembers(members, clock.now());
+    CHECK(alone.heardPart(clock.now()) == doctest::Approx(0.25));
+    rest.heard(reportOf("c", 1, 0, 0), clock.now());
+    rest.heard(reportOf("d", 1, 0, 0), clock.now());
+    CHECK(rest.heardPart(clock.now()) == doctest::Approx(0.75));
+    CHECK(rest.shareOf(customer, 1000, clock.now()) > 0.9);
+    clock.advance(2s);
+    CHECK(rest.heardPart(clock.now()) == doctest::Approx(0.25));
+    CHECK(rest.shareOf(customer, 1000, clock.now()) == doctest::Approx(1));
+}
+
+TEST_CASE("what another daemon granted is told once, and not for the time of its silence")
+{
+    VirtualClock clock;
+    FleetView view {HostName("a")};
+    view.setMembers({HostName("a"), HostName("b")}, clock.now());
+    const auto first = view.heard(reportOf("b", 1, 0, 0), clock.now());
+    REQUIRE(first);
+    CHECK(first->wasSilent);
+    CHECK(first->spent.at(customer) == doctest::Approx(100)); // a life that begins has granted nothing before
+    CHECK(view.heard(reportOf("b", 3, 0, 0), clock.now())->spent.at(customer) == doctest::Approx(200));
+    clock.advance(3s);
+    const auto afterSilence = view.heard(reportOf("b", 9, 0, 0), clock.now());
+    REQUIRE(afterSilence);
+    CHECK(afterSilence->spent.empty());
+    CHECK(view.heard(reportOf("b", 10, 0, 0), clock.now())->spent.at(customer) == doctest::Approx(100));
+}
+
+TEST_CASE("loads of other daemons are counted once, and not after they fall silent or leave")
+{
+    VirtualClock clock;
+    FleetView view {HostName("a")};
+    view.setMembers({HostName("a"), HostName("b"), HostName("c")}, clock.now());
+    CHECK(view.heard(reportOf("b", 2, 0, 5), clock.now()).has_value());
+    CHECK_FALSE(view.heard(reportOf("b", 1, 0, 9), clock.now()));
+    CHECK(view.heard(reportOf("c", 1, 0, 2), clock.now()));
+    CHECK_FALSE(view.heard(reportOf("stranger", 1, 0, 2), clock.now()));
+    CHECK(view.requestsAt(engine) == 7);
+    CHECK(view.heard(reportOf("b", 3, 0, 1), clock.now()));
+    CHECK(view.requestsAt(engine) == 3);
+    view.setMembers({HostName("a"), HostName("b")}, clock.now());
+    CHECK(view.requestsAt(engine) == 1);
+    CHECK(view.size() == 2);
+    clock.advance(2s);
+    view.expire(clock.now());
+    CHECK(view.requestsAt(engine) == 0);
+    CHECK(view.silentFor(2s, clock.now()) == std::vector<HostName> {HostName("b")});
+}
--- /dev/null
+++ b/packages/dispatch/src/placement_test.cpp
@@ -0,0 +1,175 @@
+#include "monsoonward/dispatch/dispatch.h"
+
+#include <doctest/doctest.h>
+
+using namespace monsoonward;
+using namespace std::chrono_literals;
+
+namespace
+{
+
+const ServiceName service("model");
+
+struct Fixture
+{
+    Fixture()
+    {
+        places.ownDataCentre = DataCentreName("here");
+        places.regions = {{DataCentreName("here"), RegionName("r1")},
+                          {DataCentreName("near"), RegionName("r1")},
+                          {DataCentreName("far"), RegionName("r2")}};
+        placer = makeFirstBytesPlacer(places, directory, health, fleet);
+    }
+
+    void addEngine(const std::string &name, const std::string &dataCentre, std::uint32_t slots = 5)
+    {
+        directory.put({EngineName(name), service, {"10.0.0.1", 80}, DataCentreName(dataCentre), slots, false});
+    }
+
+    Placement place(unsigned tier)
+    {
+        PlacementRequest request;
+        request.service = service;
+        request.tier = Tier(tier);
+        request.latencyObjective = 400ms;
+        request.timeLeft = 4s;
+        const auto placement = placer->place(request, clock.now());
+        if (placement.outcome == PlacementOutcome::Placed) {
+            placer->started(placement.engine.name, clock.now());
+        }
+        return placement;
+    }
+
+    /// Lets the engines learn: 60 ms up to full slots, then 40 ms more for each request in the queue.
+    void learnQueueing(const std::vector<std::string> &engines, int slowness)
+    {
+        for (unsigned n = 0; n < 400; ++n) {
+            const unsigned inProgress = n % 18;
+            const auto length = slowness * (60ms + (inProgress > 5 ? (inProgress - 5) * 40ms : 0ms));
+            for (const auto &it : engines) {
+                placer->firstBytes(*directory.find(EngineName(it)), inProgress / 5.0, length);
+            }
+        }
+    }
+
+    VirtualClock clock;
+    Places places;
+    EngineDirectory directory;
+    EngineHealth health;
+    FleetView fleet {HostName("own")};
+    std::unique_ptr<Placer> placer;
+};
+
+} // namespace
+
+TEST_CASE_FIXTURE(Fixture, "a near engine is chosen, until a far one would answer earlier")
+{
+    addEngine("far", "far");
+    addEngine("near", "near");
+    addEngine("here", "here");
+    learnQueueing({"far", "near", "here"}, 1);
+    CHECK(place(0).engine.name == EngineName("here"));
+    std::map<std::string, unsigned> placed;
+    for (unsigned n = 0; n < 20; ++n) {
+        ++placed[place(0).engine.name.text()];
+    }
+    CHECK(placed["near"] > 3);
+    CHECK(placed["far"] > 3);
+}
+
+TEST_CASE_FIXTURE(Fixture, "a burst of patient requests leaves room for the urgent ones after it")
+{
+    addEngine("a", "here");
+    addEngine("b", "here");
+    learnQueueing({"a", "b"}, 1);
+    place(0);
+    unsigned admitted = 0;
+    for (unsigned n = 0; n < 60; ++n) {
+        admitted += place(1).outcome == PlacementOutcome::Placed ? 1 : 0;
+    }
+    CHECK(admitted > 5);
+    CHECK(place(1).outcome == PlacementOutcome::Full);
+    for (unsigned n = 0; n < 4; ++n) {
+        CHECK(place(0).outcome == PlacementOutcome::Placed);
+    }
+}
+
+TEST_CASE_FIXTURE(Fixture, "many urgent requests at once: what can't begin in time is refused, with a time to return")
+{
+    addEngine("a", "here");
+    learnQueueing({"a"}, 1);
+    unsigned admitted = 0;
+    Placement refused;
+    for (unsigned n = 0; n < 60; ++n) {
+        const auto placement = place(0);
+        if (placement.outcome == PlacementOutcome::Placed) {
+            ++admitted;
+            CHECK(placement.expected <= 400ms);
+        } else {
+            refused = placement;
+        }
+    }
+    CHECK(admitted >= 5);
+    CHECK(admitted < 15);
+    CHECK(refused.outcome == PlacementOutcome::Full);
+    CHECK(refused.retryAfter >= 100ms);
+    CHECK(refused.retryAfter <= 4s / 3);
+}
+
+TEST_CASE_FIXTURE(Fixture, "the only tier of a service is the most urgent one")
+{
+    addEngine("a", "here", 6);
+    unsigned admitted = 0;
+    for (unsigned n = 0; n < 30; ++n) {
+        admitted += place(2).outcome == PlacementOutcome::Placed ? 1 : 0;
+    }
+    CHECK(admitted > 6);
+}
+
+TEST_CASE_FIXTURE(Fixture, "requests of other daemons count, and engines of unequal speed get unequal parts")
+{
+    addEngine("slow", "here");
+    addEngine("fast", "here");
+    learnQueueing({"slow"}, 3);
+    learnQueueing({"fast"}, 1);
+    fleet.setMembers({HostName("own"), HostName("other")}, clock.now());
+    fleet.heard({HostName("other"), 1, 1, {{EngineName("fast"), 15}}, {}, {}}, clock.now());
+    CHECK(place(0).engine.name == EngineName("slow"));
+    placer->ended(EngineName("slow"));
+    fleet.heard({HostName("other"), 1, 2, {}, {}, {}}, clock.now());
+    unsigned fast = 0;
+    for (unsigned n = 0; n < 6; ++n) {
+        fast += place(0).engine.name == EngineName("fast") ? 1 : 0;
+    }
+    CHECK(fast >= 5);
+}
+
+TEST_CASE_FIXTURE(Fixture, "a caller that returns goes before new ones of its tier")
+{
+    addEngine("a", "here");
+    learnQueueing({"a"}, 1);
+    place(0);
+    while (place(1).outcome == PlacementOutcome::Placed) { }
+    PlacementRequest request;
+    request.service = service;
+    request.tier = Tier(1);
+    request.latencyObjective = 400ms;
+    CHECK(placer->place(request, clock.now()).outcome == PlacementOutcome::Full);
+    request.isReturning = true;
+    CHECK(placer->place(request, clock.now()).outcome == PlacementOutcome::Placed);
+}
+
+TEST_CASE_FIXTURE(Fixture, "no engine, and engines that fail")
+{
+    CHECK(place(0).outcome == PlacementOutcome::NoEngine);
+    addEngine("a", "here");
+    addEngine("b", "here");
+    for (unsigned n = 0; n < 3; ++n) {
+        health.failed(EngineName("a"), clock.now());
+    }
+    CHECK(place(0).engine.name == EngineName("b"));
+    for (unsigned n = 0; n < 3; ++n) {
+        health.failed(EngineName("b"), clock.now());
+    }
+    CHECK(place(0).outcome == PlacementOutcome::NoEngine);
+}
--- /dev/null
+++ b/packages/dispatch/src/routetable_test.cpp
@@ -0,0 +1,61 @@
+#include "monsoonward/dispatch/dispatch.h"
+
+#include <doctest/doctest.h>
+
+using namespace monsoonward;
+
+namespace
+{
+
+Route route(const std::string &host, const std::string &prefix)
+{
+    Route it;
+    it.name = host + prefix;
+    it.host = host;
+    it.prefix = prefix;
+    it.services = {{ServiceName("a"), 90}, {ServiceName("b"), 10}};
+    return it;
+}
+
+RouteTable makeTable()
+{
+    auto configuration = std::make_shared<ServingConfiguration>();
+    configuration->routes = {route("shop", "/"), route("shop", "/a/"), route("shop", "/a/b/"), route("other", "/a/")};
+    return RouteTable(configuration);
+}
+
+std::string found(const std::string &host, const std::string &path)
+{
+    static const auto table = makeTable();
+    const auto *it = table.find(host, path);
+    return it == nullptr ? "" : it->name;
+}
+
+} // namespace
+
+TEST_CASE("the longest prefix of the host wins")
+{
+    CHECK(found("shop", "/a/b/c") == "shop/a/b/");
+    CHECK(found("shop", "/a/b/") == "shop/a/b/");
+    CHECK(found("shop", "/a/b") == "shop/a/");
+    CHECK(found("shop", "/x") == "shop/");
+    CHECK(found("shop", "/a/c?d=/a/b/") == "shop/a/");
+    CHECK(found("SHOP:8080", "/a/c") == "shop/a/");
+    CHECK(found("other", "/a/x") == "other/a/");
+    CHECK(found("other", "/x").empty());
+    CHECK(found("unknown", "/a/").empty());
+    CHECK(found("shop", "").empty());
+}
+
+TEST_CASE("services get requests by weight")
+{
+    const auto it = route("shop", "/");
+    unsigned toA = 0;
+    for (unsigned hash = 0; hash < 1000; ++hash) {
+        toA += serviceFor(it, hash) == ServiceName("a") ? 1 : 0;
+    }
+    CHECK(toA == 900);
+    auto unweighted = it;
+    unweighted.services = {{ServiceName("a"), 0}};
+    CHECK(serviceFor(unweighted, 7) == ServiceName("a"));
+}
--- /dev/null
+++ b/packages/gateway/src/endtoendfields.cpp
@@ -0,0 +1,39 @@
+#include "exchange.h"
+
+#include <boost/beast/http/rfc7230.hpp>
+
+#include <array>
+
+namespace monsoonward
+{
+
+namespace http = boost::beast::http;
+
+namespace
+{
+
+const std::array<http::field, 9> connectionFields {http::field::connection,
+                                                   http::field::keep_alive,
+                                                   http::field::proxy_connection,
+                                                   http::field::te,
+                                                   http::field::trailer,
+                                                   http::field::transfer_encoding,
+                                                   http::field::content_length,
+                                                   http::field::upgrade,
+                                                   http::field::expect};
+
+} // namespace
+
+http::fields endToEndFields(const http::fields &from)
+{
+    http::fields fields = from;
+    for (const auto &it : http::token_list(from[http::field::connection])) {
+        fields.erase(it);
+    }
+    for (const auto it : connectionFields) {
+        fields.erase(it);
+    }
+    return fields;
+}
+
+} // namespace monsoonward
--- /dev/null
+++ b/packages/gateway/src/enginecall.cpp
@@ -0,0 +1,244 @@
+#include "enginecall.h"
+
+#include "socketoptions.h"
+
+#include <charconv>
+
+namespace monsoonward
+{
+
+namespace http = boost::beast::http;
+namespace asio = boost::asio;
+using boost::system::error_code;
+
+namespace
+{
+
+constexpr Duration connectBound = std::chrono::milliseconds(350); // many round trips between regions
+constexpr std::uint32_t mostHeaderBytes = 32U * 1024U;
+constexpr std::uint64_t mostBodyBytes = std::uint64_t {1} << 40U; // streams are passed on, not kept
+constexpr unsigned misdirected = 421; // another engine has this address now
+
+/// @return the value of "timeout=" in a Keep-Alive header, or zero
+Duration keepAliveOf(const http::fields &fields)
+{
+    constexpr std::string_view key = "timeout=";
+    const std::string_view text(fields["Keep-Alive"].data(), fields["Keep-Alive"].size());
+    const auto at = text.find(key);
+    unsigned seconds = 0;
+    if (at != std::string_view::npos) {
+        std::from_chars(text.data() + at + key.size(), text.data() + text.size(), seconds);
+    }
+    return std::chrono::seconds(seconds);
+}
+
+bool isFailure(unsigned status)
+{
+    constexpr unsigned firstServerError = 500;
+    constexpr unsigned requestTimeout = 408;
+    constexpr unsigned tooManyRequests = 429;
+    return status >= firstServerError || status == requestTimeout || status == tooManyRequests;
+}
+
+} // namespace
+
+EngineCall::EngineCall(EnginePool &pool,
+                       const HttpDialect &dialect,
+                       const EngineRecord &engine,
+                       std::shared_ptr<const Request> request,
+                       EngineCallHandler &handler)
+    : m_pool(pool)
+    , m_dialect(dialect)
+    , m_engine(engine)
+    , m_request(std::move(request))
+    , m_handler(&handler)
+    , m_connectTimer(pool.io())
+{
+}
+
+void EngineCall::start()
+{
+    m_connection = m_pool.take(m_engine);
+    if (m_connection) {
+        send();
+        return;
+    }
+    m_connection = std::make_unique<EngineConnection>(m_pool.io());
+    m_connectTimer.expires_after(connectBound);
+    m_connectTimer.async_wait([self = shared_from_this()](const error_code &ec) {
+        if (!ec && !self->m_sent) {
+            self->end(AttemptEnd::NotSent, "no connection in time");
+        }
+    });
+    error_code ec;
+    const auto ip = asio::ip::make_address(m_engine.address.ip, ec);
+    m_connection->socket.async_connect({ip, m_engine.address.port}, [self = shared_from_this()](const error_code &ec) {
+        if (self->m_handler == nullptr) {
+            return;
+        }
+        self->m_connectTimer.cancel();
+        if (ec) {
+            self->end(AttemptEnd::NotSent, "connect: " + ec.message());
+            return;
+        }
+        setSocketOptions(self->m_connection->socket);
+        self->send();
+    });
+}
+
+void EngineCall::send()
+{
+    m_sent = true;
+    m_serializer.emplace(*m_request);
+    http::async_write(
+        m_connection->socket, *m_serializer, [self = shared_from_this()](const error_code &ec, std::size_t /*n*/) {
+            // A failure shows in the reading side too, which may still hold an early answer.
+            self->m_written = !ec;
+        });
+    readHead();
+}
+
+void EngineCall::readHead()
+{
+    m_parser.emplace();
+    m_parser->header_limit(mostHeaderBytes);
+    m_parser->body_limit(mostBodyBytes); // Beast 1.74 takes "no limit" for a limit of zero
+    m_parser->skip(m_request->method() == http::verb::head);
+    http::async_read_header(m_connection->socket,
+                            m_connection->buffer,
+                            *m_parser,
+                            [self = shared_from_this()](const error_code &ec, std::size_t /*n*/) {
+                                if (self->m_handler == nullptr) {
+                                    return;
+                                }
+                                if (ec) {
+                                    self->end(AttemptEnd::Broken, "answer: " + ec.message());
+                                } else {
+                                    self->headRead();
+                                }
+                            });
+}
+
+bool EngineCall::isForeign() const
+{
+    const auto &fields = m_parser->get();
+    const auto it = fields.find(m_dialect.requestId);
+    return it != fields.end() && it->value() != (*m_request)[m_dialect.requestId];
+}
+
+void EngineCall::headRead()
+{
+    constexpr unsigned firstSuccess = 200;
+    constexpr unsigned firstRedirect = 300;
+    const auto &message = m_parser->get();
+    const auto status = message.result_int();
+    if (status < firstSuccess) {
+        readHead(); // an interim answer
+        return;
+    }
+    m_connection->keptFor = keepAliveOf(message);
+    m_isForeign = isForeign();
+    m_endAfterDiscard = AttemptEnd::Rejected;
+    m_discarding = m_isForeign || status == misdirected || message.count(m_dialect.notRun) != 0;
+    if (!m_discarding) {
+        const bool isSuccess = status < firstRedirect;
+        if (isSuccess && (message.count(m_dialect.seal) == 0 || message.count(m_dialect.requestId) == 0)) {
+            end(AttemptEnd::Broken, "a success without the engine's marks");
+            return;
+        }
+        m_endAfterDiscard = isFailure(status) ? AttemptEnd::Failed : AttemptEnd::Whole;
+        m_handler->answerBegan({status, message.base()});
+        if (m_handler == nullptr) {
+            return;
+        }
+    }
+    readBody();
+}
+
+void EngineCall::resume()
+{
+    if (m_handler != nullptr) {
+        readBody();
+    }
+}
+
+void EngineCall::readBody()
+{
+    if (m_parser->is_done()) {
+        complete();
+        return;
+    }
+    auto &body = m_parser->get().body();
+    body.data = m_bytes.data();
+    body.size = m_bytes.size();
+    http::async_read_some(m_connection->socket,
+                          m_connection->buffer,
+                          *m_parser,
+                          [self = shared_from_this()](const error_code &ec, std::size_t /*n*/) {
+                              if (self->m_handler != nullptr) {
+                                  self->bodyRead(ec);
+                              }
+                          });
+}
+
+void EngineCall::bodyRead(const error_code &ec)
+{
+    if (ec && ec != http::error::need_buffer) {
+        end(AttemptEnd::Broken, "answer: " + ec.message());
+        return;
+    }
+    const auto size = m_bytes.size() - m_parser->get().body().size;
+    if (size == 0 || m_discarding) {
+        readBody();
+        return;
+    }
+    m_handler->answerBytes({m_bytes.data(), size});
+}
+
+void EngineCall::complete()
+{
+    if (m_isForeign) {
+        if (m_parser->keep_alive()) {
+            readHead();
+        } else {
+            end(AttemptEnd::Broken, "only an answer to another request came");
+        }
+        return;
+    }
+    const bool mayKeep = m_written && m_parser->keep_alive() && m_connection->buffer.size() == 0;
+    if (mayKeep) {
+        m_pool.keep(m_engine, std::move(m_connection));
+    }
+    end(m_endAfterDiscard, m_discarding ? "status " + std::to_string(m_parser->get().result_int()) : "");
+}
+
+void EngineCall::end(AttemptEnd end, const std::string &why)
+{
+    auto *handler = m_handler;
+    cancel();
+    if (handler != nullptr) {
+        handler->callEnded(end, why);
+    }
+}
+
+void EngineCall::cancel()
+{
+    m_handler = nullptr;
+    m_connectTimer.cancel();
+    if (m_connection) {
+        error_code ignored; // the engine may have closed it already
+        m_connection->socket.close(ignored);
+    }
+}
+
+bool EngineCall::isSent() const
+{
+    return m_sent;
+}
+
+const EngineRecord &EngineCall::engine() const
+{
+    return m_engine;
+}
+
+} // namespace monsoonward
--- /dev/null
+++ b/packages/gateway/src/enginepool.h
@@ -0,0 +1,65 @@
+#pragma once
+
+#include "monsoonward/gateway/httpdialect.h"
+
+#include <monsoonward/dispatch/dispatch.h>
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+
+#include <map>
+#include <memory>
+#include <vector>
+
+namespace monsoonward
+{
+
+/// @brief One connection to an engine.
+struct EngineConnection
+{
+    explicit EngineConnection(boost::asio::io_context &io)
+        : socket(io)
+    {
+    }
+    boost::asio::ip::tcp::socket socket;
+    boost::beast::flat_buffer buffer;
+    bool isReused = false;
+    Duration keptFor {}; ///< how long the engine keeps it when it is idle
+};
+
+/// @brief Idle connections to engines. One that the engine closes, or on which it sends something unasked, is dropped.
+class EnginePool
+{
+public:
+    EnginePool(boost::asio::io_context &io, const Clock &clock);
+    EnginePool(const EnginePool &) = delete;
+    EnginePool &operator=(const EnginePool &) = delete;
+
+    boost::asio::io_context &io();
+    /// @return an idle connection to the engine, or null
+    std::unique_ptr<EngineConnection> take(const EngineRecord &engine);
+    /// Keeps a connection on which nothing is outstanding.
+    void keep(const EngineRecord &engine, std::unique_ptr<EngineConnection> connection);
+    /// Closes connections that were idle for long, and those to engines that are gone.
+    void expire(const EngineDirectory &directory);
+
+private:
+    struct Idle
+    {
+        std::shared_ptr<EngineConnection> connection;
+        Address address;
+        TimePoint until;
+        std::uint64_t number = 0;
+    };
+
+    void drop(const EngineName &engine, std::uint64_t number);
+
+    boost::asio::io_context &m_io;
+    const Clock &m_clock;
+    std::map<EngineName, std::vector<Idle>> m_idle;
+    std::uint64_t m_lastNumber = 0;
+};
+
+} // namespace monsoonward
--- /dev/null
+++ b/packages/gateway/src/gatewaymetrics.cpp
@@ -0,0 +1,155 @@
+#include "gatewaymetrics.h"
+
+#include <prometheus/counter.h>
+#include <prometheus/gauge.h>
+#include <prometheus/histogram.h>
+#include <prometheus/registry.h>
+#include <prometheus/text_serializer.h>
+
+namespace monsoonward
+{
+
+namespace
+{
+
+const prometheus::Histogram::BucketBoundaries secondsBuckets {
+    0.01, 0.025, 0.05, 0.1, 0.2, 0.3, 0.5, 0.75, 1, 2, 4, 8, 16};
+
+std::string tierText(Tier tier)
+{
+    return std::to_string(tier.level());
+}
+
+template<class Builder>
+auto &family(prometheus::Registry &registry, Builder builder, const char *name, const char *help)
+{
+    return builder.Name(name).Help(help).Register(registry);
+}
+
+double seconds(Duration length)
+{
+    return std::chrono::duration<double>(length).count();
+}
+
+} // namespace
+
+std::string textOf(RequestOutcome outcome)
+{
+    switch (outcome) {
+    case RequestOutcome::Served:
+        return "served";
+    case RequestOutcome::Refused:
+        return "refused";
+    case RequestOutcome::Denied:
+        return "denied";
+    case RequestOutcome::Failed:
+        return "failed";
+    case RequestOutcome::BrokenOff:
+        return "broken-off";
+    case RequestOutcome::Abandoned:
+        break;
+    }
+    return "abandoned";
+}
+
+class GatewayMetrics::Impl
+{
+public:
+    prometheus::Registry registry;
+    prometheus::Family<prometheus::Counter> &requests = family(registry,
+                                                               prometheus::BuildCounter(),
+                                                               "monsoonward_gateway_requests_total",
+                                                               "Callers' requests by how they ended");
+    prometheus::Family<prometheus::Histogram> &lengths = family(registry,
+                                                                prometheus::BuildHistogram(),
+                                                                "monsoonward_gateway_request_seconds",
+                                                                "Time from a request's arrival to its end");
+    prometheus::Family<prometheus::Histogram> &firsts =
+        family(registry,
+               prometheus::BuildHistogram(),
+               "monsoonward_gateway_first_bytes_seconds",
+               "Time from a request's arrival to the answer's first bytes");
+    prometheus::Family<prometheus::Counter> &attempts = family(registry,
+                                                               prometheus::BuildCounter(),
+                                                               "monsoonward_gateway_attempts_total",
+                                                               "Sends to engines by how they ended");
+    prometheus::Family<prometheus::Counter> &storeCalls = family(registry,
+                                                                 prometheus::BuildCounter(),
+                                                                 "monsoonward_gateway_store_calls_total",
+                                                                 "Calls of the fleet's store by table and result");
+    prometheus::Family<prometheus::Gauge> &gauges =
+        family(registry, prometheus::BuildGauge(), "monsoonward_gateway_state", "Present values, by name");
+    prometheus::Family<prometheus::Gauge> &retries = family(registry,
+                                                            prometheus::BuildGauge(),
+                                                            "monsoonward_gateway_retries_left",
+                                                            "Retries that this daemon may still spend");
+};
+
+GatewayMetrics::GatewayMetrics()
+    : m_impl(std::make_unique<Impl>())
+{
+}
+
+GatewayMetrics::~GatewayMetrics() = default;
+
+void GatewayMetrics::requestEnded(
+    const ServiceName &service, Tier tier, RequestOutcome outcome, const std::string &reason, Duration length)
+{
+    m_impl->requests
+        .Add({{"service", service.text()}, {"tier", tierText(tier)}, {"outcome", textOf(outcome)}, {"reason", reason}})
+        .Increment();
+    m_impl->lengths
+        .Add({{"service", service.text()}, {"tier", tierText(tier)}, {"outcome", textOf(outcome)}}, secondsBuckets)
+        .Observe(seconds(length));
+}
+
+void GatewayMetrics::firstBytes(const ServiceName &service, Tier tier, Duration length)
+{
+    m_impl->firsts.Add({{"service", service.text()}, {"tier", tierText(tier)}}, secondsBuckets)
+        .Observe(seconds(length));
+}
+
+void GatewayMetrics::attemptEnded(const ServiceName &service, const std::string &end)
+{
+    m_impl->attempts.Add({{"service", service.text()}, {"end", end}}).Increment();
+}
+
+void GatewayMetrics::storeCall(const std::string &table, bool succeeded)
+{
+    m_impl->storeCalls.Add({{"table", table}, {"result", succeeded ? "answered" : "failed"}}).Increment();
+}
+
+void GatewayMetrics::engines(std::size_t known, std::size_t members)
+{
+    m_impl->gauges.Add({{"name", "engines"}}).Set(static_cast<double>(known));
+    m_impl->gauges.Add({{"name", "daemons"}}).Set(static_cast<double>(members));
+}
+
+void GatewayMetrics::configuration(Revision revision, Duration proofAge)
+{
+    m_impl->gauges.Add({{"name", "configuration_revision"}}).Set(static_cast<double>(revision));
+    m_impl->gauges.Add({{"name", "configuration_proof_age_seconds"}}).Set(seconds(proofAge));
+}
+
+void GatewayMetrics::openRequests(std::size_t requests, std::size_t connections)
+{
+    m_impl->gauges.Add({{"name", "open_requests"}}).Set(static_cast<double>(requests));
+    m_impl->gauges.Add({{"name", "caller_connections"}}).Set(static_cast<double>(connections));
+}
+
+void GatewayMetrics::retriesLeft(const ServiceName &service, double left)
+{
+    m_impl->retries.Add({{"service", service.text()}}).Set(left);
+}
+
+void GatewayMetrics::logRecordsDropped(std::uint64_t total)
+{
+    m_impl->gauges.Add({{"name", "log_records_dropped"}}).Set(static_cast<double>(total));
+}
+
+std::string GatewayMetrics::text() const
+{
+    return prometheus::TextSerializer().Serialize(m_impl->registry.Collect());
+}
+
+} // namespace monsoonward
--- /dev/null
+++ b/packages/gateway/src/gatewayprocess.cpp
@@ -0,0 +1,489 @@
+#include "monsoonward/gateway/gatewayprocess.h"
+
+#include "callerlistener.h"
+#include "loadreports.h"
+#include "memberlist.h"
+#include "statusserver.h"
+#include "tablefeed.h"
+
+#include <boost/asio/signal_set.hpp>
+
+#include <nlohmann/json.hpp>
+
+#include <csignal>
+#include <iostream>
+
+namespace monsoonward
+{
+
+using boost::system::error_code;
+using Json = nlohmann::json;
+
+namespace
+{
+
+constexpr Duration tickInterval = std::chrono::milliseconds(250); // expiry of engines, connections and members
+constexpr Duration engineWait = std::chrono::seconds(5); // of the call that follows registrations
+constexpr Duration memberWait = std::chrono::seconds(10); // of the call that follows the gateways
+constexpr Duration leastShutdown = std::chrono::seconds(3); // the load balancer takes two checks to look elsewhere
+constexpr Duration idleClose = std::chrono::milliseconds(2500); // then callers have moved their new requests
+constexpr Duration shutdownMargin = std::chrono::milliseconds(400); // of the grace, to end in order
+constexpr Duration shutdownTick = std::chrono::milliseconds(50);
+constexpr Duration readyProofAge = std::chrono::milliseconds(4000); // older: another gateway serves callers better
+constexpr int exitDone = 0;
+constexpr int exitFailed = 1;
+constexpr int exitBadSettings = 3;
+constexpr int exitCut = 4;
+
+std::uint64_t makeLife()
+{
+    const auto now = std::chrono::system_clock::now().time_since_epoch();
+    return static_cast<std::uint64_t>(std::chrono::duration_cast<std::chrono::milliseconds>(now).count());
+}
+
+/// All parts of one gateway.
+class GatewayProcess : public TableFeedHandler
+{
+public:
+    GatewayProcess(const std::string &file, const GatewaySettings &settings, const Adapter &adapter)
+        : m_file(file)
+        , m_life(makeLife())
+        , m_log(LogLimits {settings.logLevel, maxQueued, settings.logKilobytesPerSecond * std::size_t {1024}},
+                settings.host,
+                m_life)
+        , m_core(m_io, m_clock, settings, adapter, m_log, m_metrics)
+        , m_callers(m_core)
+        , m_reports(m_core, m_life)
+        , m_members(m_core, m_life, [this](const std::vector<MemberRecord> &it) { membersChanged(it); })
+        , m_health(m_io, settings.healthListen, [this](const std::string &path) { return healthReply(path); })
+        , m_admin(m_io, settings.adminListen, [this](const std::string &path) { return adminReply(path); })
+        , m_signals(m_io, SIGTERM, SIGINT, SIGHUP)
+        , m_tick(m_io)
+        , m_seed(m_random.next())
+    {
+        const auto &layout = adapter.layout();
+        addFeed(layout.configurationTable, settings.storeWait);
+        addFeed(layout.engineTable, engineWait);
+        addFeed(layout.memberTable, memberWait);
+    }
+
+    int run()
+    {
+        for (const auto &it : {m_callers.start(), m_health.start(), m_admin.start(), m_reports.start()}) {
+            if (!it) {
+                m_log.write(Event::ChildFailed,
+                            Severity::Error,
+                            "start-failed",
+                            {{"reason", std::string_view(it.error().message)}});
+                return exitFailed;
+            }
+        }
+        m_log.write(Event::DaemonStarted,
+                    Severity::Info,
+                    "started",
+                    {{"data_centre", std::string_view(m_core.settings.places.ownDataCentre.text())}});
+        for (const auto &it : m_feeds) {
+            it->start();
+        }
+        awaitSignal();
+        tick();
+        m_io.run();
+        m_log.write(Event::DaemonStopped,
+                    m_exit == exitDone ? Severity::Info : Severity::Warning,
+                    "stopped",
+                    {{"cut_requests", static_cast<std::int64_t>(m_core.openRequests)}});
+        return m_exit;
+    }
+
+    void rowsListed(const std::string &table, const std::vector<TableRow> &rows) override
+    {
+        const auto &layout = m_core.adapter.layout();
+        if (table == layout.configurationTable) {
+            configurationRows(rows);
+        } else if (table == layout.memberTable) {
+            m_members.rowsListed(rows);
+        } else {
+            std::vector<EngineRecord> engines;
+            for (const auto &it : rows) {
+                if (auto engine = decodedEngine(it)) {
+                    engines.push_back(std::move(*engine));
+                }
+            }
+            m_core.engines.replace(engines, m_clock.now());
+            m_enginesListed = true;
+            m_log.write(Event::EngineListed,
+                        Severity::Info,
+                        "engines-read",
+                        {{"rows", static_cast<std::int64_t>(rows.size())},
+                         {"engines", static_cast<std::int64_t>(m_core.engines.size())}});
+        }
+    }
+
+    void rowsChanged(const std::string &table, const std::vector<TableRow> &rows) override
+    {
+        const auto &layout = m_core.adapter.layout();
+        if (table == layout.configurationTable) {
+            configurationRows(rows);
+        } else if (table == layout.memberTable) {
+            m_members.rowsChanged(rows);
+        } else {
+            for (const auto &it : rows) {
+                engineChanged(it);
+            }
+        }
+    }
+
+    void upToDate(const std::string &table, TimePoint started) override
+    {
+        if (table == m_core.adapter.layout().configurationTable && m_core.serving) {
+            m_core.freshness.proved(started);
+        }
+    }
+
+    void storeAnswered(const std::string &table) override
+    {
+        m_metrics.storeCall(table, true);
+        if (table == m_core.adapter.layout().engineTable) {
+            m_core.engines.storeAnswered(m_clock.now());
+        }
+        if (m_away.erase(table) != 0) {
+            m_log.write(Event::StoreRecovered, Severity::Info, "store-recovered", {{"table", std::string_view(table)}});
+        }
+    }
+
+    void storeFailed(const std::string &table, const Error &error) override
+    {
+        m_metrics.storeCall(table, false);
+        if (table == m_core.adapter.layout().engineTable) {
+            m_core.engines.storeFailed();
+        }
+        if (m_away.insert(table).second) {
+            m_log.write(Event::StoreUnavailable,
+                        Severity::Warning,
+                        "store-unavailable",
+                        {{"table", std::string_view(table)}, {"reason", std::string_view(error.message)}});
+        }
+    }
+
+private:
+    static constexpr std::size_t maxQueued = std::size_t {256} * 1024; // bytes of log lines that wait to be written
+
+    void addFeed(const std::string &table, Duration wait)
+    {
+        const auto &settings = m_core.settings;
+        m_feeds.push_back(std::make_unique<TableFeed>(
+            m_io, m_clock, m_core.adapter.makeRowStore(m_io, settings.store), table, wait, *this));
+    }
+
+    // ---- what the store says
+
+    void configurationRows(const std::vector<TableRow> &rows)
+    {
+        for (const auto &it : rows) {
+            if (it.key != m_core.adapter.layout().configurationKey) {
+                continue;
+            }
+            const auto decoded = it.value ? m_core.adapter.decodeConfiguration(*it.value)
+                                          : Result<ServingConfiguration>(Error {ErrorCode::NotFound, "row removed"});
+            if (decoded) {
+                adopt(decoded.value());
+            } else {
+                m_log.write(Event::ConfigurationRejected,
+                            Severity::Error,
+                            "configuration-rejected",
+                            {{"reason", std::string_view(decoded.error().message)},
+                             {"row_version", static_cast<std::int64_t>(it.version)}});
+            }
+        }
+    }
+
+    void adopt(const ServingConfiguration &configuration)
+    {
+        const auto former = m_core.serving ? m_core.serving->configuration->revision : 0;
+        if (m_core.serving && configuration.revision <= former) {
+            return;
+        }
+        m_core.serving =
+            std::make_shared<const Serving>(std::make_shared<const ServingConfiguration>(configuration), m_seed);
+        m_core.allotments.configure(configuration, m_clock.now());
+        m_log.write(Event::ConfigurationAdopted,
+                    Severity::Info,
+                    "configuration-adopted",
+                    {{"revision", static_cast<std::int64_t>(configuration.revision)},
+                     {"former", static_cast<std::int64_t>(former)},
+                     {"routes", static_cast<std::int64_t>(configuration.routes.size())},
+                     {"customers", static_cast<std::int64_t>(configuration.customers.size())}});
+    }
+
+    std::optional<EngineRecord> decodedEngine(const TableRow &row)
+    {
+        auto engine = m_core.adapter.decodeEngine(row.key, row.value.value_or(""));
+        if (engine) {
+            return engine.value();
+        }
+        m_log.write(Event::EngineRecordRejected,
+                    Severity::Warning,
+                    "engine-record-rejected",
+                    {{"engine", std::string_view(row.key)}, {"reason", std::string_view(engine.error().message)}});
+        return std::nullopt;
+    }
+
+    void engineChanged(const TableRow &row)
+    {
+        const EngineName name(row.key);
+        const auto engine = row.value ? decodedEngine(row) : std::nullopt;
+        if (!engine) {
+            m_core.engines.remove(name, m_clock.now());
+            engineGone(name, row.value ? "record-rejected" : "registration-removed");
+            return;
+        }
+        m_core.engines.put(*engine);
+        m_log.write(Event::EngineListed,
+                    Severity::Info,
+                    "engine-listed",
+                    {{"engine", std::string_view(name.text())},
+                     {"service", std::string_view(engine->service.text())},
+                     {"leaving", engine->isLeaving},
+                     {"row_version", static_cast<std::int64_t>(row.version)}});
+    }
+
+    void engineGone(const EngineName &name, std::string_view reason)
+    {
+        const bool isKept = m_core.engines.find(name) != nullptr;
+        if (!isKept) {
+            m_core.health.forget(name);
+            m_core.placer->forget(name);
+        }
+        m_log.write(Event::EngineGone,
+                    Severity::Info,
+                    "engine-gone",
+                    {{"engine", std::string_view(name.text())}, {"reason", reason}, {"kept_for_now", isKept}});
+    }
+
+    void membersChanged(const std::vector<MemberRecord> &members)
+    {
+        std::vector<HostName> hosts;
+        std::vector<Address> peers;
+        for (const auto &it : members) {
+            hosts.push_back(it.host);
+            if (it.host != m_core.settings.host) {
+                peers.push_back(it.peerAddress);
+            }
+        }
+        m_core.fleet.setMembers(hosts, m_clock.now());
+        m_reports.setPeers(peers);
+        m_log.write(Event::GatewaysChanged,
+                    Severity::Info,
+                    "gateways-changed",
+                    {{"gateways", static_cast<std::int64_t>(m_core.fleet.size())}});
+    }
+
+    // ---- health, metrics, state
+
+    bool isReady() const
+    {
+        const auto age = m_core.freshness.age(m_clock.now());
+        return !m_core.isStopping && m_core.serving && m_enginesListed && age && *age < readyProofAge;
+    }
+
+    StatusReply healthReply(const std::string &path) const
+    {
+        if (path != m_core.adapter.dialect().readyPath) {
+            return {404, "text/plain", "not found\n"};
+        }
+        return isReady() ? StatusReply {200, "text/plain", "ready\n"} : StatusReply {503, "text/plain", "not ready\n"};
+    }
+
+    StatusReply adminReply(const std::string &path)
+    {
+        if (path == "/metrics") {
+            measure();
+            return {200, "text/plain; version=0.0.4", m_metrics.text()};
+        }
+        if (path == "/state") {
+            return {200, "application/json", state()};
+        }
+        return {404, "text/plain", "not found\n"};
+    }
+
+    void measure()
+    {
+        const auto now = m_clock.now();
+        m_metrics.engines(m_core.engines.size(), m_core.fleet.size());
+        m_metrics.openRequests(m_core.openRequests, m_callers.connections());
+        m_metrics.logRecordsDropped(m_log.dropped());
+        if (!m_core.serving) {
+            return;
+        }
+        const auto &configuration = *m_core.serving->configuration;
+        m_metrics.configuration(configuration.revision, m_core.freshness.age(now).value_or(Duration::zero()));
+        for (const auto &it : configuration.services) {
+            m_metrics.retriesLeft(it.name, m_core.retries.left(it.name, m_core.fleet.size(), now));
+        }
+    }
+
+    std::string state() const
+    {
+        const auto now = m_clock.now();
+        Json json {{"host", m_core.settings.host.text()},
+                   {"life", m_life},
+                   {"ready", isReady()},
+                   {"stopping", m_core.isStopping},
+                   {"open_requests", m_core.openRequests},
+                   {"caller_connections", m_callers.connections()},
+                   {"gateways", m_core.fleet.size()},
+                   {"tables_unavailable", m_away},
+                   {"engines", Json::object()}};
+        if (const auto age = m_core.freshness.age(now)) {
+            json["proof_age_ms"] = milliseconds(*age);
+        }
+        if (!m_core.serving) {
+            return json.dump(2);
+        }
+        json["revision"] = m_core.serving->configuration->revision;
+        const auto &own = m_core.placer->ownRequests();
+        for (const auto &service : m_core.serving->configuration->services) {
+            for (const auto *it : m_core.engines.ofService(service.name)) {
+                const auto requests = own.find(it->name);
+                json["engines"][it->name.text()] = {{"service", service.name.text()},
+                                                    {"own_requests", requests == own.end() ? 0 : requests->second},
+                                                    {"other_requests", m_core.fleet.requestsAt(it->name)},
+                                                    {"failure_rate", m_core.health.failureRate(it->name)},
+                                                    {"usable", m_core.health.mayTry(it->name, now)}};
+            }
+        }
+        return json.dump(2);
+    }
+
+    // ---- time and signals
+
+    void tick()
+    {
+        const auto now = m_clock.now();
+        for (const auto &it : m_core.engines.expire(now)) {
+            engineGone(it, "registration-did-not-return");
+        }
+        m_core.pool.expire(m_core.engines);
+        m_members.tick();
+        m_tick.expires_after(m_core.isStopping ? shutdownTick : tickInterval);
+        m_tick.async_wait([this](const error_code &ec) {
+            if (!ec && !(m_core.isStopping && shutDownStep())) {
+                tick();
+            }
+        });
+    }
+
+    void awaitSignal()
+    {
+        m_signals.async_wait([this](const error_code &ec, int signal) {
+            if (ec) {
+                return;
+            }
+            if (signal == SIGHUP) {
+                reload();
+            } else if (m_core.isStopping) {
+                finish();
+            } else {
+                beginShutdown();
+            }
+            awaitSignal();
+        });
+    }
+
+    void reload()
+    {
+        const auto outcome = loadGatewaySettings(m_file);
+        for (const auto &it : outcome.errors) {
+            m_log.write(Event::SettingsRejected,
+                        Severity::Error,
+                        "settings-rejected",
+                        {{"reason", std::string_view(textOf(it))}});
+        }
+        if (outcome.errors.empty()) {
+            // Addresses stay: a process that must listen elsewhere is started anew.
+            m_core.settings.grace = outcome.settings.grace;
+            m_core.settings.memoryMegabytes = outcome.settings.memoryMegabytes;
+            m_core.settings.descriptors = outcome.settings.descriptors;
+            m_log.write(Event::SettingsReloaded, Severity::Info, "settings-reloaded", {});
+        }
+    }
+
+    void beginShutdown()
+    {
+        m_core.isStopping = true;
+        m_stoppingSince = m_clock.now();
+        m_log.write(Event::DaemonStopping,
+                    Severity::Info,
+                    "stopping",
+                    {{"open_requests", static_cast<std::int64_t>(m_core.openRequests)}});
+        m_tick.cancel();
+        tick();
+    }
+
+    /// @return whether the process ends
+    bool shutDownStep()
+    {
+        const auto length = m_clock.now() - m_stoppingSince;
+        if (length >= idleClose) {
+            m_callers.closeIdle();
+        }
+        if (length >= leastShutdown && !m_hasLeft) {
+            m_hasLeft = true;
+            m_callers.stopAccepting();
+            m_members.leave();
+        }
+        const bool isDone = m_hasLeft && m_core.openRequests == 0 && m_callers.connections() == 0;
+        if (isDone || length >= m_core.settings.grace - shutdownMargin) {
+            finish();
+            return true;
+        }
+        return false;
+    }
+
+    void finish()
+    {
+        m_exit = m_core.openRequests == 0 ? exitDone : exitCut;
+        m_io.stop();
+    }
+
+    std::string m_file;
+    std::uint64_t m_life;
+    boost::asio::io_context m_io {1};
+    BootClock m_clock;
+    SystemRandom m_random;
+    GatewayMetrics m_metrics;
+    StructuredLog m_log;
+    GatewayCore m_core;
+    CallerListener m_callers;
+    LoadReports m_reports;
+    MemberList m_members;
+    StatusServer m_health;
+    StatusServer m_admin;
+    std::vector<std::unique_ptr<TableFeed>> m_feeds;
+    boost::asio::signal_set m_signals;
+    boost::asio::steady_timer m_tick;
+    std::uint64_t m_seed;
+    std::set<std::string> m_away; // tables whose calls fail
+    bool m_enginesListed = false;
+    TimePoint m_stoppingSince;
+    bool m_hasLeft = false;
+    int m_exit = exitDone;
+};
+
+} // namespace
+
+int runGateway(const std::string &file, const Adapter &adapter)
+{
+    const auto outcome = loadGatewaySettings(file);
+    for (const auto &it : outcome.errors) {
+        std::cerr << textOf(it) << "\n";
+    }
+    if (!outcome.errors.empty()) {
+        return exitBadSettings;
+    }
+    signal(SIGPIPE, SIG_IGN);
+    GatewayProcess process(file, outcome.settings, adapter);
+    return process.run();
+}
+
+} // namespace monsoonward
--- /dev/null
+++ b/packages/gateway/src/gatewaysettings.cpp
@@ -0,0 +1,270 @@
+#include "monsoonward/gateway/gatewaysettings.h"
+
+#include <charconv>
+
+namespace monsoonward
+{
+
+namespace
+{
+
+using Row = SettingsRow<GatewaySettings>;
+using Read = std::function<Result<void>(const std::string &, GatewaySettings &)>;
+
+constexpr Duration repeatedCall = std::chrono::seconds(1); // a store's call that fails, and the next one
+constexpr Duration revocationMargin = std::chrono::milliseconds(300); // a request's way from its caller
+
+Error notAllowed(const std::string &text)
+{
+    return {ErrorCode::Invalid, "\"" + text + "\" is not allowed"};
+}
+
+template<class Set>
+Read readText(Set set)
+{
+    return [set](const std::string &text, GatewaySettings &settings) -> Result<void> {
+        if (text.empty()) {
+            return notAllowed(text);
+        }
+        set(settings, text);
+        return boost::outcome_v2::success();
+    };
+}
+
+template<class Set>
+Read readDuration(Duration first, Duration last, Set set)
+{
+    return [=](const std::string &text, GatewaySettings &settings) -> Result<void> {
+        BOOST_OUTCOME_TRY(value, parseDuration(text));
+        if (value < first || value > last) {
+            return notAllowed(text);
+        }
+        set(settings, value);
+        return boost::outcome_v2::success();
+    };
+}
+
+Read readNumber(std::uint32_t GatewaySettings::*member, std::uint32_t first, std::uint32_t last)
+{
+    return [=](const std::string &text, GatewaySettings &settings) -> Result<void> {
+        BOOST_OUTCOME_TRY(value, parseNumber(text, last));
+        if (value < first) {
+            return notAllowed(text);
+        }
+        settings.*member = static_cast<std::uint32_t>(value);
+        return boost::outcome_v2::success();
+    };
+}
+
+Read readFraction(double RetryBounds::*member, double last)
+{
+    return [=](const std::string &text, GatewaySettings &settings) -> Result<void> {
+        double n = 0;
+        const char *end = text.data() + text.size();
+        const auto [stop, ec] = std::from_chars(text.data(), end, n);
+        if (ec != std::errc() || stop != end || !(n >= 0) || n > last) {
+            return notAllowed(text);
+        }
+        settings.retries.*member = n;
+        return boost::outcome_v2::success();
+    };
+}
+
+Read readAddress(Address GatewaySettings::*member)
+{
+    return [=](const std::string &text, GatewaySettings &settings) -> Result<void> {
+        BOOST_OUTCOME_TRY(value, parseAddress(text));
+        settings.*member = value;
+        return boost::outcome_v2::success();
+    };
+}
+
+/// Reads "data centre: region" pairs, also as a JSON table of texts.
+Result<void> readRegions(const std::string &text, GatewaySettings &settings)
+{
+    std::string plain;
+    for (const char it : text) {
+        plain += it == '{' || it == '}' || it == '"' ? ' ' : it;
+    }
+    for (const auto &it : splitList(plain)) {
+        const auto colon = it.find(':');
+        if (colon == std::string::npos) {
+            return notAllowed(it);
+        }
+        const auto dataCentre = splitList(it.substr(0, colon));
+        const auto region = splitList(it.substr(colon + 1));
+        if (dataCentre.size() != 1 || region.size() != 1) {
+            return notAllowed(it);
+        }
+        settings.places.regions[DataCentreName(dataCentre.front())] = RegionName(region.front());
+    }
+    return boost::outcome_v2::success();
+}
+
+Result<void> readRole(const std::string &text, GatewaySettings & /*settings*/)
+{
+    return text == "gateway" ? Result<void>(boost::outcome_v2::success()) : Result<void>(notAllowed(text));
+}
+
+Result<void> readLevel(const std::string &text, GatewaySettings &settings)
+{
+    if (text != "info" && text != "warning" && text != "error") {
+        return notAllowed(text);
+    }
+    settings.logLevel = text;
+    return boost::outcome_v2::success();
+}
+
+std::vector<Row> makeRows()
+{
+    using std::chrono::milliseconds;
+    using std::chrono::minutes;
+    using std::chrono::seconds;
+    const std::string address = "IP number:port";
+    const auto none = std::nullopt;
+    return {
+        {"daemon", "role", none, "", "gateway", "What this process is.", readRole},
+        {"daemon",
+         "host",
+         none,
+         "",
+         "a name",
+         "The host's name, unique among gateways.",
+         readText([](GatewaySettings &it, const std::string &text) { it.host = HostName(text); })},
+        {"daemon",
+         "data-centre",
+         none,
+         "",
+         "a name",
+         "The host's data centre.",
+         readText(
+             [](GatewaySettings &it, const std::string &text) { it.places.ownDataCentre = DataCentreName(text); })},
+        {"daemon",
+         "regions",
+         "",
+         "",
+         "data centre: region pairs, separated by commas",
+         "The region of each data centre.",
+         readRegions},
+        {"daemon",
+         "grace",
+         "8 s",
+         "time",
+         "1 s to 24 h",
+         "From SIGTERM until the process is killed; a shutdown ends before it.",
+         readDuration(seconds(1), std::chrono::hours(24), [](GatewaySettings &it, Duration n) { it.grace = n; })},
+        {"callers", "listen", none, "", address, "HTTP/1.1 for callers.", readAddress(&GatewaySettings::callerListen)},
+        {"health",
+         "listen",
+         none,
+         "",
+         address,
+         "HTTP/1.1 for the load balancer's health checks.",
+         readAddress(&GatewaySettings::healthListen)},
+        {"admin",
+         "listen",
+         none,
+         "",
+         address,
+         "Metrics at /metrics, state at /state.",
+         readAddress(&GatewaySettings::adminListen)},
+        {"peer",
+         "listen",
+         none,
+         "",
+         address,
+         "Load reports between gateways, by UDP.",
+         readAddress(&GatewaySettings::peerListen)},
+        {"store", "address", none, "", address, "The fleet's table store.", readAddress(&GatewaySettings::store)},
+        {"store",
+         "wait",
+         "1500 ms",
+         "time",
+         "100 ms to 30 s",
+         "Length of a waiting call; it bounds the age of the proof that the configuration is current.",
+         readDuration(milliseconds(100),
+                      seconds(30),
+                      [](GatewaySettings &it, Duration n) {
+                          it.storeWait = n;
+                          it.freshness.forDenials = n * 2 + repeatedCall;
+                      })},
+        {"limits",
+         "memory",
+         "128",
+         "MB",
+         "16 to 1048576",
+         "The process's memory; a third of it may hold request bodies.",
+         readNumber(&GatewaySettings::memoryMegabytes, 16, 1024U * 1024U)},
+        {"limits",
+         "descriptors",
+         "1024",
+         "descriptors",
+         "64 to 1048576",
+         "Descriptors of the process; they bound the callers' connections.",
+         readNumber(&GatewaySettings::descriptors, 64, 1024U * 1024U)},
+        {"promises",
+         "key-revocation",
+         "5 s",
+         "time",
+         "1 s to 1 h",
+         "A key that was taken away is not accepted for longer than this.",
+         readDuration(seconds(1),
+                      std::chrono::hours(1),
+                      [](GatewaySettings &it, Duration n) { it.freshness.forKeys = n - revocationMargin; })},
+        {"promises",
+         "retry-ratio",
+         "0.2",
+         "retries for each request",
+         "0 to 10",
+         "Retries that a service may get, over all gateways.",
+         readFraction(&RetryBounds::ratio, 10)},
+        {"promises",
+         "retry-slack",
+         "50",
+         "retries",
+         "0 to 1000000",
+         "Retries on top of the ratio, in each window.",
+         readFraction(&RetryBounds::slack, 1e6)},
+        {"promises",
+         "retry-window",
+         "10 s",
+         "time",
+         "1 s to 1 h",
+         "Span over which retries are counted.",
+         readDuration(
+             seconds(1), std::chrono::hours(1), [](GatewaySettings &it, Duration n) { it.retries.window = n; })},
+        {"log", "level", "info", "", "info, warning or error", "Least severity that is logged.", readLevel},
+        {"log",
+         "kilobytes-per-second",
+         "256",
+         "kB/s",
+         "1 to 1048576",
+         "Info records beyond this are dropped and counted.",
+         readNumber(&GatewaySettings::logKilobytesPerSecond, 1, 1024U * 1024U)},
+    };
+}
+
+const std::vector<Row> &settingsRows()
+{
+    static const std::vector<Row> rows = makeRows();
+    return rows;
+}
+
+} // namespace
+
+GatewaySettingsOutcome parseGatewaySettings(const std::string &file, const std::string &text)
+{
+    return settingsFrom(file, parseIni(file, text), settingsRows());
+}
+
+GatewaySettingsOutcome loadGatewaySettings(const std::string &file)
+{
+    return settingsFrom(file, loadIni(file), settingsRows());
+}
+
+std::string gatewaySettingsPage()
+{
+    return settingsTables(settingsRows());
+}
+
+} // namespace monsoonward
--- /dev/null
+++ b/packages/gateway/src/httpchannel.cpp
@@ -0,0 +1,167 @@
+#include "monsoonward/gateway/httpchannel.h"
+
+#include "socketoptions.h"
+
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/http.hpp>
+
+namespace monsoonward
+{
+
+namespace asio = boost::asio;
+namespace http = boost::beast::http;
+using boost::system::error_code;
+
+class HttpChannel::Impl : public std::enable_shared_from_this<HttpChannel::Impl>
+{
+public:
+    Impl(asio::io_context &io, const Address &server)
+        : m_server(server)
+        , m_endpoint(asio::ip::make_address(server.ip), server.port)
+        , m_socket(io)
+        , m_timer(io)
+    {
+    }
+
+    void call(http::request<http::string_body> request, Duration timeout, Callback done)
+    {
+        m_request = std::move(request);
+        m_request.set(http::field::host, m_server.ip + ":" + std::to_string(m_server.port));
+        m_request.prepare_payload();
+        m_done = std::move(done);
+        m_sent = false;
+        ++m_call;
+        m_timer.expires_after(timeout);
+        m_timer.async_wait([self = shared_from_this(), call = m_call](const error_code &ec) {
+            if (!ec && call == self->m_call) {
+                self->fail("no answer in time");
+            }
+        });
+        if (m_socket.is_open()) {
+            send();
+        } else {
+            connect();
+        }
+    }
+
+    void close()
+    {
+        m_done = nullptr;
+        ++m_call;
+        m_timer.cancel();
+        closeSocket();
+    }
+
+private:
+    void connect()
+    {
+        m_buffer.clear();
+        m_socket.async_connect(m_endpoint, [self = shared_from_this(), call = m_call](const error_code &ec) {
+            if (call != self->m_call) {
+                return;
+            }
+            if (ec) {
+                self->fail("connect: " + ec.message());
+                return;
+            }
+            setSocketOptions(self->m_socket);
+            self->send();
+        });
+    }
+
+    void send()
+    {
+        m_sent = true;
+        http::async_write(
+            m_socket, m_request, [self = shared_from_this(), call = m_call](const error_code &ec, std::size_t /*n*/) {
+                if (call == self->m_call && ec) {
+                    self->fail("send: " + ec.message());
+                }
+            });
+        m_parser.emplace();
+        m_parser->body_limit(maxAnswerBytes);
+        http::async_read(m_socket,
+                         m_buffer,
+                         *m_parser,
+                         [self = shared_from_this(), call = m_call](const error_code &ec, std::size_t /*n*/) {
+                             if (call != self->m_call) {
+                                 return;
+                             }
+                             if (ec) {
+                                 self->fail("answer: " + ec.message());
+                             } else {
+                                 self->finish();
+                             }
+                         });
+    }
+
+    void finish()
+    {
+        auto message = m_parser->release();
+        if (!message.keep_alive()) {
+            closeSocket();
+        }
+        end(ChannelAnswer {message.result_int(), std::move(message.body())});
+    }
+
+    void fail(const std::string &why)
+    {
+        closeSocket();
+        end(Error {m_sent ? ErrorCode::Unknown : ErrorCode::Unavailable, why});
+    }
+
+    void end(const Result<ChannelAnswer> &result)
+    {
+        ++m_call;
+        m_timer.cancel();
+        const auto done = std::exchange(m_done, nullptr);
+        if (done) {
+            done(result);
+        }
+    }
+
+    void closeSocket()
+    {
+        error_code ignored; // closing a socket that the other side has closed already is no failure
+        m_socket.close(ignored);
+    }
+
+    Address m_server;
+    asio::ip::tcp::endpoint m_endpoint;
+    asio::ip::tcp::socket m_socket;
+    asio::steady_timer m_timer;
+    boost::beast::flat_buffer m_buffer;
+    http::request<http::string_body> m_request;
+    std::optional<http::response_parser<http::string_body>> m_parser;
+    Callback m_done;
+    std::uint64_t m_call = 0; // callbacks of calls that have ended are ignored
+    bool m_sent = false;
+};
+
+HttpChannel::HttpChannel(asio::io_context &io, const Address &server)
+    : m_impl(std::make_shared<Impl>(io, server))
+{
+}
+
+HttpChannel::~HttpChannel()
+{
+    m_impl->close();
+}
+
+void HttpChannel::call(
+    const std::string &method, const std::string &path, const std::string &body, Duration timeout, Callback done)
+{
+    http::request<http::string_body> request;
+    request.method_string(method);
+    request.target(path);
+    request.version(11);
+    if (!body.empty()) {
+        request.set(http::field::content_type, "application/json");
+        request.body() = body;
+    }
+    m_impl->call(std::move(request), timeout, std::move(done));
+}
+
+} // namespace monsoonward
--- /dev/null
+++ b/packages/gateway/src/memberlist.h
@@ -0,0 +1,61 @@
+#pragma once
+
+#include "gatewaycore.h"
+
+namespace monsoonward
+{
+
+/// @brief One gateway's row in the store.
+struct MemberRecord
+{
+    HostName host;
+    Address peerAddress; ///< for load reports
+    std::uint64_t life = 0;
+    MONSOONWARD_FIELDS(host, peerAddress, life)
+};
+
+std::string encodeMember(const MemberRecord &member);
+/// Errors: Invalid.
+Result<MemberRecord> decodeMember(const std::string &key, const std::string &text);
+
+/// @brief Keeps this gateway's row in the store while it runs, and removes rows of gateways that are gone for good.
+class MemberList
+{
+public:
+    using Changed = std::function<void(const std::vector<MemberRecord> &)>;
+
+    /// @param changed called with all members when they change
+    MemberList(GatewayCore &core, std::uint64_t life, Changed changed);
+    MemberList(const MemberList &) = delete;
+    MemberList &operator=(const MemberList &) = delete;
+
+    void rowsListed(const std::vector<TableRow> &rows);
+    void rowsChanged(const std::vector<TableRow> &rows);
+    /// Looks after missing and dead rows; called about once a second.
+    void tick();
+    /// Removes the own row.
+    void leave();
+
+private:
+    struct Known
+    {
+        MemberRecord record;
+        std::uint64_t version = 0;
+    };
+
+    void put(const TableRow &row);
+    void tell();
+    void writeOwn();
+    void removeSilent();
+
+    GatewayCore &m_core;
+    MemberRecord m_own;
+    Changed m_changed;
+    std::unique_ptr<RowStore> m_store;
+    std::map<HostName, Known> m_members;
+    bool m_listed = false;
+    bool m_writing = false;
+    bool m_leaving = false;
+};
+
+} // namespace monsoonward
--- /dev/null
+++ b/packages/gateway/src/path_test.cpp
@@ -0,0 +1,562 @@
+// The whole path of a gateway over loopback: callers and engines are scripted byte for byte.
+#include "callerlistener.h"
+
+#include <doctest/doctest.h>
+
+#include <boost/asio/read_until.hpp>
+#include <boost/asio/write.hpp>
+
+#include <atomic>
+#include <thread>
+
+using namespace monsoonward;
+using namespace std::chrono_literals;
+namespace asio = boost::asio;
+using asio::ip::tcp;
+using boost::system::error_code;
+
+namespace
+{
+
+const std::string loopback = "127.0.0.1";
+
+/// The product's names for headers, for an adapter without a store.
+class TestAdapter : public Adapter
+{
+public:
+    TestAdapter()
+    {
+        m_dialect.requestId = "Request-Id";
+        m_dialect.timeLeft = "Time-Left";
+        m_dialect.customerKey = "Key";
+        m_dialect.customer = "Customer";
+        m_dialect.expectedEngine = "Engine";
+        m_dialect.notRun = "Not-Run";
+        m_dialect.seal = "Seal";
+        m_dialect.tokenCounts = "Tokens";
+        m_dialect.lastEvent = "Last-Event-Id";
+        m_dialect.reserved = {"Reserved"};
+        m_dialect.readyPath = "/ready";
+    }
+    const HttpDialect &dialect() const override
+    {
+        return m_dialect;
+    }
+    const StoreLayout &layout() const override
+    {
+        return m_layout;
+    }
+    Result<ServingConfiguration> decodeConfiguration(const std::string & /*text*/) const override
+    {
+        return Error {ErrorCode::Invalid, "no configuration"};
+    }
+    Result<EngineRecord> decodeEngine(const std::string & /*key*/, const std::string & /*text*/) const override
+    {
+        return Error {ErrorCode::Invalid, "no engine"};
+    }
+    std::unique_ptr<RowStore> makeRowStore(asio::io_context & /*io*/, const Address & /*store*/) const override
+    {
+        return nullptr;
+    }
+
+private:
+    HttpDialect m_dialect;
+    StoreLayout m_layout;
+};
+
+/// Reads one request or answer head with its body of a stated length. @return empty at the end of the connection
+std::string readMessage(tcp::socket &socket, std::string &rest)
+{
+    error_code ec;
+    auto end = rest.find("\r\n\r\n");
+    while (end == std::string::npos) {
+        char buf[4096];
+        const auto n = socket.read_some(asio::buffer(buf), ec);
+        if (ec) {
+            return "";
+        }
+        rest.append(buf, n);
+        end = rest.find("\r\n\r\n");
+    }
+    const std::string key = "content-length: ";
+    auto lower = rest.substr(0, end);
+    std::transform(lower.begin(), lower.end(), lower.begin(), [](unsigned char it) { return std::tolower(it); });
+    const auto at = lower.find(key);
+    const auto length = at == std::string::npos ? 0 : std::stoul(lower.substr(at + key.size()));
+    while (rest.size() < end + 4 + length) {
+        char buf[4096];
+        const auto n = socket.read_some(asio::buffer(buf), ec);
+        if (ec) {
+            return "";
+        }
+        rest.append(buf, n);
+    }
+    auto message = rest.substr(0, end + 4 + length);
+    rest.erase(0, end + 4 + length);
+    return message;
+}
+
+/// The value of a header, or empty.
+std::string header(const std::string &message, const std::string &name)
+{
+    const auto at = message.find("\r\n" + name + ": ");
+    if (at == std::string::npos) {
+        return "";
+    }
+    const auto begin = at + name.size() + 4;
+    return message.substr(begin, message.find("\r\n", begin) - begin);
+}
+
+/// What a scripted engine does with one request.
+struct Script
+{
+    std::string bytes; ///< its answer
+    bool closes = false; ///< after the bytes
+    bool hangs = false; ///< waits until the gateway closes the connection
+};
+
+/// An engine that answers by script.
+class ScriptedEngine
+{
+public:
+    using Answer = std::function<Script(const std::string &request)>;
+
+    explicit ScriptedEngine(Answer answer)
+        : m_answer(std::move(answer))
+        , m_acceptor(m_io, {asio::ip::make_address(loopback), 0})
+        , m_thread([this] { run(); })
+    {
+    }
+    ~ScriptedEngine()
+    {
+        m_stopping = true;
+        error_code ignored;
+        tcp::socket waker(m_io);
+        waker.connect(m_acceptor.local_endpoint(), ignored);
+        m_thread.join();
+        for (auto &it : m_sockets) {
+            it->shutdown(tcp::socket::shutdown_both, ignored); // the gateway keeps idle connections open
+        }
+        for (auto &it : m_connections) {
+            it.join();
+        }
+    }
+    ScriptedEngine(const ScriptedEngine &) = delete;
+    ScriptedEngine &operator=(const ScriptedEngine &) = delete;
+
+    Address address() const
+    {
+        return {loopback, m_acceptor.local_endpoint().port()};
+    }
+    std::vector<std::string> requests() const
+    {
+        const std::lock_guard lock(m_mutex);
+        return m_requests;
+    }
+    std::atomic<unsigned> closedWhileHanging {0};
+
+private:
+    void run()
+    {
+        while (true) {
+            tcp::socket socket(m_io);
+            m_acceptor.accept(socket);
+            if (m_stopping) {
+                return;
+            }
+            const auto shared = std::make_shared<tcp::socket>(std::move(socket));
+            m_sockets.push_back(shared);
+            m_connections.emplace_back([this, shared] {
+                serve(*shared);
+                error_code ignored; // the gateway may have closed it already
+                shared->shutdown(tcp::socket::shutdown_both, ignored);
+            });
+        }
+    }
+
+    void serve(tcp::socket &socket)
+    {
+        std::string rest;
+        while (true) {
+            const auto request = readMessage(socket, rest);
+            if (request.empty()) {
+                return;
+            }
+            {
+                const std::lock_guard lock(m_mutex);
+                m_requests.push_back(request);
+            }
+            const auto script = m_answer(request);
+            error_code ec;
+            asio::write(socket, asio::buffer(script.bytes), ec);
+            if (script.hangs) {
+                char byte = 0;
+                socket.read_some(asio::buffer(&byte, 1), ec);
+                closedWhileHanging += ec ? 1 : 0;
+                return;
+            }
+            if (script.closes || ec) {
+                return;
+            }
+        }
+    }
+
+    Answer m_answer;
+    asio::io_context m_io;
+    tcp::acceptor m_acceptor;
+    mutable std::mutex m_mutex;
+    std::vector<std::string> m_requests;
+    std::vector<std::shared_ptr<tcp::socket>> m_sockets;
+    std::vector<std::thread> m_connections;
+    std::atomic<bool> m_stopping {false};
+    std::thread m_thread;
+};
+
+std::string answerTo(const std::string &request, const std::string &body, const std::string &extra = "")
+{
+    return "HTTP/1.1 200 OK\r\nSeal: s\r\nRequest-Id: " + header(request, "Request-Id")
+        + "\r\nContent-Length: " + std::to_string(body.size()) + "\r\n" + extra + "\r\n" + body;
+}
+
+std::string chunk(const std::string &bytes)
+{
+    char size[20];
+    std::snprintf(size, sizeof size, "%zx\r\n", bytes.size());
+    return size + bytes + "\r\n";
+}
+
+std::string streamHead(const std::string &request)
+{
+    return "HTTP/1.1 200 OK\r\nSeal: s\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\nRequest-Id: "
+        + header(request, "Request-Id") + "\r\n\r\n";
+}
+
+std::string event(unsigned id)
+{
+    return "id: " + std::to_string(id) + "\ndata: x\n\n";
+}
+
+Address freeAddress()
+{
+    asio::io_context io;
+    const tcp::acceptor acceptor(io, {asio::ip::make_address(loopback), 0});
+    return {loopback, acceptor.local_endpoint().port()};
+}
+
+GatewaySettings testSettings()
+{
+    GatewaySettings settings;
+    settings.host = HostName("g");
+    settings.callerListen = freeAddress();
+    settings.memoryMegabytes = 128;
+    settings.descriptors = 1024;
+    settings.freshness = {1min, 1min};
+    settings.logLevel = "error";
+    settings.logKilobytesPerSecond = 100;
+    return settings;
+}
+
+/// A gateway without store, with one customer and a route for each kind of request.
+class Fixture
+{
+public:
+    ~Fixture()
+    {
+        m_io.stop();
+        if (m_thread.joinable()) {
+            m_thread.join();
+        }
+    }
+
+    void addEngine(const std::string &name, const Address &address)
+    {
+        EngineRecord engine;
+        engine.name = EngineName(name);
+        engine.service = ServiceName("s");
+        engine.address = address;
+        engine.slots = 5;
+        m_core.engines.put(engine);
+    }
+
+    void start()
+    {
+        ServingConfiguration configuration;
+        configuration.revision = 1;
+        configuration.routes = {route("/once/", Repeatability::Once, false),
+                                route("/safe/", Repeatability::Repeatable, false),
+                                route("/stream/", Repeatability::Resumable, true)};
+        ServedCustomer customer;
+        customer.name = CustomerName("c");
+        customer.keys = {"k"};
+        configuration.customers = {customer};
+        configuration.limits.headerBytes = 2000;
+        configuration.limits.bodyBytes = 5000;
+        m_core.serving =
+            std::make_shared<const Serving>(std::make_shared<const ServingConfiguration>(configuration), 1);
+        m_core.freshness.proved(m_clock.now());
+        REQUIRE(m_listener.start());
+        m_thread = std::thread([this] { m_io.run(); });
+    }
+
+    /// Sends bytes on a new connection and reads until the gateway closes it or falls silent.
+    std::string exchange(const std::string &bytes)
+    {
+        tcp::socket socket(m_callerIo);
+        connect(socket);
+        asio::write(socket, asio::buffer(bytes));
+        return readAll(socket);
+    }
+
+    void connect(tcp::socket &socket)
+    {
+        const auto &address = m_core.settings.callerListen;
+        socket.connect({asio::ip::make_address(address.ip), address.port});
+    }
+
+    static std::string readAll(tcp::socket &socket)
+    {
+        std::string all;
+        error_code ec;
+        while (!ec) {
+            char buf[4096];
+            const auto n = socket.read_some(asio::buffer(buf), ec);
+            all.append(buf, n);
+        }
+        return all;
+    }
+
+    static std::string request(const std::string &path, const std::string &extra = "", const std::string &body = "")
+    {
+        return "POST " + path + " HTTP/1.1\r\nHost: h\r\nKey: k\r\nRequest-Id: id1\r\nTime-Left: 3000\r\n" + extra
+            + "Connection: close\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
+    }
+
+protected:
+    static Route route(const std::string &prefix, Repeatability repeatability, bool isStream)
+    {
+        Route it;
+        it.name = prefix;
+        it.host = "h";
+        it.prefix = prefix;
+        it.services = {{ServiceName("s"), 1}};
+        it.repeatability = repeatability;
+        it.isStream = isStream;
+        it.timeLimit = 4s;
+        it.maxAttempts = 2;
+        return it;
+    }
+
+    asio::io_context m_io {1};
+    asio::io_context m_callerIo;
+    SystemClock m_clock;
+    TestAdapter m_adapter;
+    GatewayMetrics m_metrics;
+    StructuredLog m_log {LogLimits {"error", 1000, 1000}, HostName("g"), 1};
+    GatewayCore m_core {m_io, m_clock, testSettings(), m_adapter, m_log, m_metrics};
+    CallerListener m_listener {m_core};
+    std::thread m_thread;
+};
+
+unsigned statusOf(const std::string &answer)
+{
+    return answer.size() < 12 ? 0 : static_cast<unsigned>(std::stoul(answer.substr(9, 3)));
+}
+
+std::string bodyOf(const std::string &answer)
+{
+    const auto end = answer.find("\r\n\r\n");
+    return end == std::string::npos ? "" : answer.substr(end + 4);
+}
+
+} // namespace
+
+TEST_CASE_FIXTURE(Fixture, "a request goes on unchanged but for the headers that the gateway sets")
+{
+    ScriptedEngine engine([](const std::string &it) { return Script {answerTo(it, "hello", "X-Own: 1\r\n")}; });
+    addEngine("e1", engine.address());
+    start();
+    const auto answer =
+        exchange(request("/safe/x?y=1", "Customer: forged\r\nReserved: 1\r\nX-More: 2\r\n", "the body"));
+    CHECK(statusOf(answer) == 200);
+    CHECK(bodyOf(answer) == "hello");
+    CHECK(header(answer, "Seal") == "s");
+    CHECK(header(answer, "X-Own") == "1");
+    REQUIRE(engine.requests().size() == 1);
+    const auto seen = engine.requests().front();
+    CHECK(seen.rfind("POST /safe/x?y=1 HTTP/1.1\r\n", 0) == 0);
+    CHECK(bodyOf(seen) == "the body");
+    CHECK(header(seen, "Customer") == "c");
+    CHECK(header(seen, "Engine") == "e1");
+    CHECK(header(seen, "X-More") == "2");
+    CHECK(header(seen, "Key").empty());
+    CHECK(header(seen, "Reserved").empty());
+    CHECK(std::stoul(header(seen, "Time-Left")) <= 3000);
+    CHECK(std::stoul(header(seen, "Time-Left")) > 2000);
+}
+
+TEST_CASE_FIXTURE(Fixture, "what is malformed, too large or not allowed never reaches an engine")
+{
+    ScriptedEngine engine([](const std::string &it) { return Script {answerTo(it, "")}; });
+    addEngine("e1", engine.address());
+    start();
+    CHECK(statusOf(exchange("no request\r\n\r\n")) == 400);
+    CHECK(
+        statusOf(exchange("POST /safe/ HTTP/1.1\r\nHost: h\r\nContent-Length: 3\r\nTransfer-Encoding: chunked\r\n\r\n"))
+        == 400);
+    CHECK(statusOf(exchange(request("/safe/", "X-Long: " + std::string(3000, 'x') + "\r\n"))) == 431);
+    CHECK(statusOf(exchange(request("/safe/", "", std::string(6000, 'x')))) == 413);
+    CHECK(statusOf(exchange(request("/nowhere/"))) == 404);
+    auto unknownKey = request("/safe/");
+    unknownKey.replace(unknownKey.find("Key: k"), 6, "Key: z");
+    CHECK(statusOf(exchange(unknownKey)) == 401);
+    CHECK(engine.requests().empty());
+}
+
+TEST_CASE_FIXTURE(Fixture, "a chunked body goes on with its length, after 100-continue")
+{
+    ScriptedEngine engine([](const std::string &it) { return Script {answerTo(it, "ok")}; });
+    addEngine("e1", engine.address());
+    start();
+    const auto answer = exchange(
+        "POST /safe/ HTTP/1.1\r\nHost: h\r\nKey: k\r\nRequest-Id: id1\r\nExpect: 100-continue\r\nConnection: close\r\n"
+        "Transfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n2\r\nde\r\n0\r\n\r\n");
+    CHECK(answer.rfind("HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 200", 0) == 0);
+    REQUIRE(engine.requests().size() == 1);
+    CHECK(bodyOf(engine.requests().front()) == "abcde");
+}
+
+TEST_CASE_FIXTURE(Fixture, "a request that may run once is refused only when the engine says that it has not run")
+{
+    std::atomic<unsigned> calls {0};
+    ScriptedEngine engine([&](const std::string &it) -> Script {
+        switch (calls++) {
+        case 0: // an engine that ran it and broke off
+            return {"", true};
+        case 1: // a success without the engine's mark
+            return {"HTTP/1.1 200 OK\r\nRequest-Id: id1\r\nContent-Length: 0\r\n\r\n"};
+        case 2: // a refusal that promises nothing
+            return {"HTTP/1.1 503 Busy\r\nSeal: s\r\nRequest-Id: id1\r\nContent-Length: 0\r\n\r\n"};
+        case 3: // an answer that is cut
+            return {answerTo(it, "whole").substr(0, answerTo(it, "whole").size() - 1), true};
+        default:
+            return {"HTTP/1.1 503 Full\r\nNot-Run: 1\r\nRequest-Id: id1\r\nContent-Length: 0\r\n\r\n"};
+        }
+    });
+    addEngine("e1", engine.address());
+    start();
+    for (unsigned n = 0; n < 4; ++n) {
+        m_core.health.succeeded(EngineName("e1"));
+        const auto answer = exchange(request("/once/"));
+        CHECK(statusOf(answer) == 502);
+        CHECK(header(answer, "Seal").empty());
+        CHECK(header(answer, "Monsoonward-Verdict") == "may-have-run");
+    }
+    m_core.health.succeeded(EngineName("e1"));
+    const auto refused = exchange(request("/once/"));
+    CHECK(statusOf(refused) == 503);
+    CHECK(header(refused, "Monsoonward-Verdict") == "not-run");
+    CHECK_FALSE(header(refused, "Retry-After").empty());
+}
+
+TEST_CASE_FIXTURE(Fixture, "a repeatable request is sent to another engine, a connection that fails costs nothing")
+{
+    ScriptedEngine broken([](const std::string & /*request*/) { return Script {"", true}; });
+    ScriptedEngine sound([](const std::string &it) { return Script {answerTo(it, "ok")}; });
+    addEngine("a", freeAddress());
+    addEngine("b", broken.address());
+    addEngine("c", sound.address());
+    m_core.settings.retries = {10, 1000, 10s};
+    m_core.retries = RetryAllowance({10, 1000, 10s}, m_clock.now() - 1h);
+    start();
+    for (unsigned n = 0; n < 4; ++n) {
+        CHECK(bodyOf(exchange(request("/safe/"))) == "ok");
+    }
+}
+
+TEST_CASE_FIXTURE(Fixture, "an answer to another request on a kept connection is dropped")
+{
+    std::atomic<unsigned> calls {0};
+    ScriptedEngine engine([&](const std::string &it) -> Script {
+        if (calls++ == 0) {
+            return {answerTo(it, "first")};
+        }
+        const std::string stale = "HTTP/1.1 200 OK\r\nSeal: s\r\nRequest-Id: other\r\nContent-Length: 5\r\n\r\nstale";
+        return {stale + answerTo(it, "own")};
+    });
+    addEngine("e1", engine.address());
+    start();
+    CHECK(bodyOf(exchange(request("/once/"))) == "first");
+    CHECK(bodyOf(exchange(request("/once/"))) == "own");
+}
+
+TEST_CASE_FIXTURE(Fixture, "events are passed on as they come, and a stream that breaks off goes on at another engine")
+{
+    const auto answer = [](const std::string &it) -> Script {
+        if (header(it, "Last-Event-Id").empty()) {
+            return {streamHead(it) + chunk(event(1)) + chunk(event(2) + "id: 3\nda"), true};
+        }
+        return {streamHead(it) + chunk(event(3)) + chunk(event(4)) + "0\r\n\r\n"};
+    };
+    ScriptedEngine first(answer);
+    ScriptedEngine second(answer);
+    addEngine("a", first.address());
+    addEngine("b", second.address());
+    m_core.retries = RetryAllowance({1, 1000, 10s}, m_clock.now() - 1h);
+    start();
+    const auto whole = exchange(request("/stream/"));
+    std::string events;
+    for (unsigned n = 1; n <= 4; ++n) {
+        const auto at = whole.find(event(n));
+        REQUIRE(at != std::string::npos);
+        CHECK(whole.find(event(n), at + 1) == std::string::npos);
+    }
+    CHECK(whole.substr(whole.size() - 5) == "0\r\n\r\n");
+    const auto resumed = first.requests().empty() || header(first.requests().back(), "Last-Event-Id").empty()
+        ? second.requests()
+        : first.requests();
+    CHECK(header(resumed.back(), "Last-Event-Id") == "2");
+}
+
+TEST_CASE_FIXTURE(Fixture, "a stream that can't go on never looks complete")
+{
+    ScriptedEngine engine([](const std::string &it) {
+        return Script {streamHead(it) + chunk(event(1)) + chunk("id: 2\nda"), true};
+    });
+    addEngine("a", engine.address());
+    start();
+    const auto whole = exchange(request("/stream/"));
+    CHECK(whole.find(event(1)) != std::string::npos);
+    CHECK(whole.find("id: 2") == std::string::npos);
+    CHECK(whole.find("\r\n0\r\n") == std::string::npos);
+}
+
+TEST_CASE_FIXTURE(Fixture, "a caller that leaves cancels its request down to the engine")
+{
+    ScriptedEngine engine([](const std::string &it) { return Script {streamHead(it) + chunk(event(1)), false, true}; });
+    addEngine("a", engine.address());
+    start();
+    {
+        tcp::socket socket(m_callerIo);
+        connect(socket);
+        asio::write(socket, asio::buffer(request("/stream/")));
+        std::string rest;
+        CHECK(statusOf(readMessage(socket, rest)) == 200);
+    }
+    const auto until = std::chrono::steady_clock::now() + 500ms;
+    while (engine.closedWhileHanging == 0 && std::chrono::steady_clock::now() < until) {
+        std::this_thread::sleep_for(5ms);
+    }
+    CHECK(engine.closedWhileHanging == 1);
+}
+
+TEST_CASE_FIXTURE(Fixture, "requests with a key are refused while the configuration may be out of date")
+{
+    ScriptedEngine engine([](const std::string &it) { return Script {answerTo(it, "ok")}; });
+    addEngine("a", engine.address());
+    m_core.freshness = Freshness({0ms, 0ms});
+    start();
+    const auto answer = exchange(request("/safe/"));
+    CHECK(statusOf(answer) == 503);
+    CHECK(statusOf(exchange(request("/nowhere/"))) == 503);
+    CHECK(engine.requests().empty());
+}
--- /dev/null
+++ b/packages/gateway/src/socketoptions.cpp
@@ -0,0 +1,36 @@
+#include "socketoptions.h"
+
+#include <netinet/tcp.h>
+#include <sys/socket.h>
+
+namespace monsoonward
+{
+
+namespace
+{
+
+constexpr int unansweredMs = 1500; // about ten round trips between regions with a repeat of the packet
+constexpr int keepAliveIdleSeconds = 1; // the shortest that the kernel takes
+constexpr int keepAliveIntervalSeconds = 1;
+constexpr int keepAliveProbes = 2;
+
+void setOption(int socket, int level, int name, int value)
+{
+    // A kernel without the option leaves the connection to the daemon's own time limits.
+    static_cast<void>(setsockopt(socket, level, name, &value, sizeof value));
+}
+
+} // namespace
+
+void setSocketOptions(boost::asio::ip::tcp::socket &socket)
+{
+    const int handle = socket.native_handle();
+    setOption(handle, IPPROTO_TCP, TCP_NODELAY, 1);
+    setOption(handle, SOL_SOCKET, SO_KEEPALIVE, 1);
+    setOption(handle, IPPROTO_TCP, TCP_KEEPIDLE, keepAliveIdleSeconds);
+    setOption(handle, IPPROTO_TCP, TCP_KEEPINTVL, keepAliveIntervalSeconds);
+    setOption(handle, IPPROTO_TCP, TCP_KEEPCNT, keepAliveProbes);
+    setOption(handle, IPPROTO_TCP, TCP_USER_TIMEOUT, unansweredMs);
+}
+
+} // namespace monsoonward
--- /dev/null
+++ b/packages/gateway/src/statusserver.cpp
@@ -0,0 +1,115 @@
+#include "statusserver.h"
+
+#include "listening.h"
+
+#include <boost/asio/steady_timer.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/http.hpp>
+
+namespace monsoonward
+{
+
+namespace http = boost::beast::http;
+using boost::asio::ip::tcp;
+using boost::system::error_code;
+
+namespace
+{
+
+constexpr Duration idleTime = std::chrono::seconds(30); // health checks and scrapes come more often
+
+/// One connection; it lives as long as its callbacks.
+class StatusConnection : public std::enable_shared_from_this<StatusConnection>
+{
+public:
+    StatusConnection(tcp::socket socket, const StatusServer::Handler &handler)
+        : m_socket(std::move(socket))
+        , m_timer(m_socket.get_executor())
+        , m_handler(handler)
+    {
+    }
+
+    void read()
+    {
+        m_timer.expires_after(idleTime);
+        m_timer.async_wait([self = shared_from_this()](const error_code &ec) {
+            if (!ec) {
+                self->close();
+            }
+        });
+        m_request = {};
+        http::async_read(m_socket, m_buffer, m_request, [self = shared_from_this()](const error_code &ec, std::size_t) {
+            if (ec) {
+                self->close();
+            } else {
+                self->answer();
+            }
+        });
+    }
+
+private:
+    void answer()
+    {
+        const auto reply = m_handler(std::string(m_request.target()));
+        m_answer = {};
+        m_answer.result(reply.status);
+        m_answer.version(11);
+        m_answer.set(http::field::content_type, reply.contentType);
+        m_answer.body() = reply.body;
+        m_answer.keep_alive(m_request.keep_alive());
+        m_answer.prepare_payload();
+        http::async_write(m_socket, m_answer, [self = shared_from_this()](const error_code &ec, std::size_t) {
+            if (ec || !self->m_request.keep_alive()) {
+                self->close();
+            } else {
+                self->read();
+            }
+        });
+    }
+
+    void close()
+    {
+        m_timer.cancel();
+        error_code ignored; // the other side may have closed it already
+        m_socket.shutdown(tcp::socket::shutdown_both, ignored);
+        m_socket.close(ignored);
+    }
+
+    tcp::socket m_socket;
+    boost::asio::steady_timer m_timer;
+    const StatusServer::Handler &m_handler;
+    boost::beast::flat_buffer m_buffer;
+    http::request<http::string_body> m_request;
+    http::response<http::string_body> m_answer;
+};
+
+} // namespace
+
+StatusServer::StatusServer(boost::asio::io_context &io, const Address &listen, Handler handler)
+    : m_listen(listen)
+    , m_handler(std::move(handler))
+    , m_acceptor(io)
+{
+}
+
+Result<void> StatusServer::start()
+{
+    BOOST_OUTCOME_TRY(listenOn(m_acceptor, m_listen));
+    accept();
+    return boost::outcome_v2::success();
+}
+
+void StatusServer::accept()
+{
+    m_acceptor.async_accept([this](const error_code &ec, tcp::socket socket) {
+        if (ec == boost::asio::error::operation_aborted) {
+            return;
+        }
+        if (!ec) {
+            std::make_shared<StatusConnection>(std::move(socket), m_handler)->read();
+        }
+        accept();
+    });
+}
+
+} // namespace monsoonward
--- /dev/null
+++ b/packages/gateway/src/structuredlog.cpp
@@ -0,0 +1,230 @@
+#include "structuredlog.h"
+
+#include <log4cplus/consoleappender.h>
+#include <log4cplus/initializer.h>
+#include <log4cplus/layout.h>
+#include <log4cplus/logger.h>
+
+#include <charconv>
+#include <cstdio>
+#include <iostream>
+
+namespace monsoonward
+{
+
+namespace
+{
+
+constexpr auto writeInterval = std::chrono::milliseconds(50); // lines that a killed process may lose
+constexpr std::size_t mostFieldBytes = 400; // of one text; longer ones are cut
+
+std::string_view nameOf(Severity severity)
+{
+    switch (severity) {
+    case Severity::Info:
+        return "info";
+    case Severity::Warning:
+        return "warning";
+    case Severity::Error:
+        break;
+    }
+    return "error";
+}
+
+Severity severityNamed(const std::string &level)
+{
+    return level == "error" ? Severity::Error : level == "warning" ? Severity::Warning : Severity::Info;
+}
+
+void appendText(std::string &line, std::string_view text)
+{
+    constexpr unsigned char firstPrintable = 0x20;
+    constexpr unsigned char lastAscii = 0x7e;
+    line += '"';
+    for (const char it : text.substr(0, mostFieldBytes)) {
+        const auto byte = static_cast<unsigned char>(it);
+        if (byte < firstPrintable || byte > lastAscii) {
+            line += '?'; // callers choose some of these bytes; the line stays valid JSON in any encoding
+        } else if (it == '"' || it == '\\') {
+            line += '\\';
+            line += it;
+        } else {
+            line += it;
+        }
+    }
+    line += '"';
+}
+
+template<class Number>
+void appendNumber(std::string &line, Number n)
+{
+    char buf[32];
+    const auto end = std::to_chars(buf, buf + sizeof buf, n).ptr;
+    line.append(buf, end);
+}
+
+void appendValue(std::string &line, const LogField &field)
+{
+    if (const auto *text = std::get_if<std::string_view>(&field.value)) {
+        appendText(line, *text);
+    } else if (const auto *whole = std::get_if<std::int64_t>(&field.value)) {
+        appendNumber(line, *whole);
+    } else if (const auto *number = std::get_if<double>(&field.value)) {
+        constexpr double thousandth = 1000;
+        appendNumber(line, static_cast<double>(static_cast<std::int64_t>(*number * thousandth)) / thousandth);
+    } else {
+        line += std::get<bool>(field.value) ? "true" : "false";
+    }
+}
+
+std::int64_t unixMilliseconds()
+{
+    const auto now = std::chrono::system_clock::now().time_since_epoch();
+    return std::chrono::duration_cast<std::chrono::milliseconds>(now).count();
+}
+
+} // namespace
+
+std::int64_t milliseconds(Duration length)
+{
+    return std::chrono::duration_cast<std::chrono::milliseconds>(length).count();
+}
+
+StructuredLog::StructuredLog(LogLimits limits, const HostName &host, std::uint64_t life)
+    : m_limits(std::move(limits))
+    , m_least(severityNamed(m_limits.level))
+{
+    m_prefix = ",\"host\":";
+    appendText(m_prefix, host.text());
+    m_prefix += ",\"life\":";
+    appendNumber(m_prefix, life);
+    m_thread = std::thread([this] { run(); });
+}
+
+StructuredLog::~StructuredLog()
+{
+    {
+        const std::lock_guard lock(m_mutex);
+        m_stopping = true;
+    }
+    m_added.notify_one();
+    m_thread.join();
+}
+
+void StructuredLog::record(Event event, Severity severity, const std::string &text)
+{
+    write(event, severity, "event", {{"text", text}});
+}
+
+void StructuredLog::write(Event event, Severity severity, std::string_view what, std::initializer_list<LogField> fields)
+{
+    if (severity < m_least) {
+        return;
+    }
+    constexpr std::size_t usualLine = 320;
+    std::string line;
+    line.reserve(usualLine);
+    line += "{\"time\":";
+    appendNumber(line, unixMilliseconds());
+    line += m_prefix;
+    line += ",\"severity\":\"";
+    line += nameOf(severity);
+    line += "\",\"event\":";
+    appendNumber(line, static_cast<int>(event));
+    line += ",\"what\":";
+    appendText(line, what);
+    for (const auto &it : fields) {
+        line += ",\"";
+        line += it.name;
+        line += "\":";
+        appendValue(line, it);
+    }
+    line += '}';
+    bool wasEmpty = false;
+    {
+        const std::lock_guard lock(m_mutex);
+        if (!admit(severity, line.size())) {
+            ++m_dropped;
+            return;
+        }
+        wasEmpty = m_queue.empty();
+        m_queuedBytes += line.size();
+        m_queue.push_back(std::move(line));
+    }
+    if (wasEmpty) {
+        m_added.notify_one();
+    }
+}
+
+bool StructuredLog::admit(Severity severity, std::size_t size)
+{
+    if (m_queuedBytes + size > m_limits.maxQueuedBytes) {
+        return false;
+    }
+    constexpr std::int64_t msPerSecond = 1000;
+    const auto second = unixMilliseconds() / msPerSecond;
+    if (second != m_second) {
+        m_second = second;
+        m_bytesThisSecond = 0;
+    }
+    if (severity == Severity::Info && m_bytesThisSecond + size > m_limits.maxBytesPerSecond) {
+        return false;
+    }
+    m_bytesThisSecond += size;
+    return true;
+}
+
+bool StructuredLog::isVerbose() const
+{
+    return m_least == Severity::Info;
+}
+
+std::uint64_t StructuredLog::dropped() const
+{
+    const std::lock_guard lock(m_mutex);
+    return m_dropped;
+}
+
+void StructuredLog::run()
+{
+    constexpr bool toStandardOutput = false; // the appender's first parameter chooses standard error
+    constexpr bool flushEachLine = false;
+    static const log4cplus::Initializer initializer; // can't be made anew in a process that ended it once
+    auto logger = log4cplus::Logger::getInstance("monsoonward.gateway");
+    const log4cplus::SharedAppenderPtr appender(new log4cplus::ConsoleAppender(toStandardOutput, flushEachLine));
+    appender->setLayout(std::make_unique<log4cplus::PatternLayout>("%m%n"));
+    logger.removeAllAppenders();
+    logger.addAppender(appender);
+    logger.setLogLevel(log4cplus::ALL_LOG_LEVEL);
+    std::unique_lock lock(m_mutex);
+    while (true) {
+        m_added.wait(lock, [this] { return !m_queue.empty() || m_stopping; });
+        if (!m_stopping) {
+            m_added.wait_for(lock, writeInterval, [this] { return m_stopping; });
+        }
+        std::vector<std::string> lines;
+        lines.swap(m_queue);
+        m_queuedBytes = 0;
+        const auto dropped = m_dropped - m_reportedDrops;
+        m_reportedDrops = m_dropped;
+        const bool stopping = m_stopping;
+        lock.unlock();
+        for (const auto &it : lines) {
+            logger.log(log4cplus::INFO_LOG_LEVEL, it);
+        }
+        if (dropped != 0) {
+            std::string line = "{\"time\":" + std::to_string(unixMilliseconds()) + m_prefix
+                + R"(,"severity":"warning","event":)" + std::to_string(static_cast<int>(Event::LogRecordsDropped))
+                + R"(,"what":"log-records-dropped","count":)" + std::to_string(dropped) + "}";
+            logger.log(log4cplus::WARN_LOG_LEVEL, line);
+        }
+        std::fflush(stdout);
+        std::cout.flush();
+        lock.lock();
+        if (stopping) {
+            return;
+        }
+    }
+}
+
+} // namespace monsoonward
--- /dev/null
+++ b/packages/gateway/src/structuredlog.h
@@ -0,0 +1,74 @@
+#pragma once
+
+#include <monsoonward/values/values.h>
+
+#include <condition_variable>
+#include <initializer_list>
+#include <memory>
+#include <mutex>
+#include <string>
+#include <string_view>
+#include <thread>
+#include <variant>
+#include <vector>
+
+namespace monsoonward
+{
+
+/// @brief One field of a log record.
+struct LogField
+{
+    std::string_view name;
+    std::variant<std::string_view, std::int64_t, double, bool> value;
+};
+
+/// @return whole milliseconds, for log fields
+std::int64_t milliseconds(Duration length);
+
+/// @brief What a structured log writes and drops.
+struct LogLimits
+{
+    std::string level = "info"; ///< least severity that is written: info, warning or error
+    std::size_t maxQueuedBytes = std::size_t {256} * 1024; ///< more are dropped while standard output is slow
+    std::size_t maxBytesPerSecond = std::size_t {256} * 1024; ///< of info records; warnings and errors always go
+    MONSOONWARD_FIELDS(level, maxQueuedBytes, maxBytesPerSecond)
+};
+
+/// @brief Log of JSON lines on standard output, one a record: time, host, life of the process, event number, what, and
+/// the event's own fields. A thread writes them; recording never waits, and dropped records are counted and reported.
+class StructuredLog : public EventLog
+{
+public:
+    StructuredLog(LogLimits limits, const HostName &host, std::uint64_t life);
+    ~StructuredLog() override;
+    StructuredLog(const StructuredLog &) = delete;
+    StructuredLog &operator=(const StructuredLog &) = delete;
+
+    void record(Event event, Severity severity, const std::string &text) override;
+    /// @param what the event in words, fixed for each event
+    void write(Event event, Severity severity, std::string_view what, std::initializer_list<LogField> fields);
+    /// @return whether info records are written
+    bool isVerbose() const;
+    /// @return records dropped so far
+    std::uint64_t dropped() const;
+
+private:
+    bool admit(Severity severity, std::size_t size);
+    void run();
+
+    LogLimits m_limits;
+    std::string m_prefix; // host and life
+    Severity m_least;
+    mutable std::mutex m_mutex;
+    std::condition_variable m_added;
+    std::vector<std::string> m_queue;
+    std::size_t m_queuedBytes = 0;
+    std::uint64_t m_dropped = 0;
+    std::uint64_t m_reportedDrops = 0;
+    std::int64_t m_second = 0;
+    std::size_t m_bytesThisSecond = 0;
+    bool m_stopping = false;
+    std::thread m_thread;
+};
+
+} // namespace monsoonward
--- a/packages/ini/src/parse_test.cpp
+++ b/packages/ini/src/parse_test.cpp
@@ -38,6 +38,9 @@
 {
     CHECK(parseDuration("250 ms").value() == std::chrono::milliseconds(250));
     CHECK(parseDuration("2min").value() == std::chrono::minutes(2));
+    CHECK(parseDuration("5.1 s").value() == std::chrono::milliseconds(5100));
+    CHECK_FALSE(parseDuration("5. s x"));
+    CHECK_FALSE(parseDuration("1e3 s"));
     CHECK_FALSE(parseDuration("250"));
     CHECK_FALSE(parseDuration("ms"));
     CHECK_FALSE(parseDuration("-1 s"));
--- a/packages/ini/src/typedvalues.cpp
+++ b/packages/ini/src/typedvalues.cpp
@@ -32,6 +32,21 @@
     return {ErrorCode::Invalid, "\"" + text + "\" is not " + allowed};
 }
 
+/// Parses a decimal fraction with a unit, as in "5.1 s".
+Result<Duration> parseFraction(const std::string &text, const char *allowed)
+{
+    double n = 0;
+    const auto [rest, ec] = std::from_chars(text.data(), text.data() + text.size(), n, std::chars_format::fixed);
+    const auto name = boost::trim_copy(std::string(rest, text.data() + text.size()));
+    for (const auto &it : units) {
+        const auto length = n * static_cast<double>(it.length.count());
+        if (ec == std::errc() && name == it.name && length < static_cast<double>(Duration::max().count())) {
+            return Duration(static_cast<Duration::rep>(length));
+        }
+    }
+    return invalid(text, allowed);
+}
+
 } // namespace
 
 Result<std::uint64_t> parseNumber(const std::string &text, std::uint64_t last)
@@ -47,11 +62,14 @@
 
 Result<Duration> parseDuration(const std::string &text)
 {
-    constexpr const char *allowed = "a whole number with a unit (ns, us, ms, s, min, h, d)";
+    constexpr const char *allowed = "a number with a unit (ns, us, ms, s, min, h, d)";
     const auto digits = text.find_first_not_of("0123456789");
     if (digits == std::string::npos || digits == 0) {
         return invalid(text, allowed);
     }
+    if (text[digits] == '.') {
+        return parseFraction(text, allowed);
+    }
     const auto name = boost::trim_copy(text.substr(digits));
     for (const auto &it : units) {
         if (name != it.name) {
--- a/packages/values/include/monsoonward/values/eventlog.h
+++ b/packages/values/include/monsoonward/values/eventlog.h
@@ -19,6 +19,9 @@
     EngineUnreachable = 1008,
     EngineReachable = 1009,
     EngineAnswerBroken = 1010,
+    SettingsReloaded = 1011,
+    SettingsRejected = 1012,
+    LogRecordsDropped = 1013,
     // 2000: hand-over, membership, idempotency
     PeerUp = 2001,
     PeerDown = 2002,
@@ -53,6 +56,20 @@
     // 5000: platform services
     StoreUnavailable = 5001,
     StoreRecovered = 5002,
+    // 6000: gateway
+    RequestServed = 6001,
+    RequestNotServed = 6002,
+    AttemptFailed = 6003,
+    CallerRefused = 6004,
+    EnginePaused = 6101,
+    EngineListed = 6102,
+    EngineGone = 6103,
+    EngineRecordRejected = 6104,
+    GatewaysChanged = 6201,
+    GatewaySilent = 6202,
+    GatewayHeard = 6203,
+    GatewayReportRejected = 6204,
+    GatewayRegistrationFailed = 6205,
 };
 
 enum class Severity { Info, Warning, Error };
--- a/packages/values/include/monsoonward/values/time.h
+++ b/packages/values/include/monsoonward/values/time.h
@@ -24,6 +24,13 @@
     TimePoint now() const override;
 };
 
+/// @brief The host's monotonic clock, which also counts the time that the host was suspended.
+class BootClock : public Clock
+{
+public:
+    TimePoint now() const override;
+};
+
 /// @brief A clock that moves only when told to, for tests, scenarios and the decision bench.
 class VirtualClock : public Clock
 {
--- a/packages/values/src/time.cpp
+++ b/packages/values/src/time.cpp
@@ -1,5 +1,7 @@
 #include "monsoonward/values/time.h"
 
+#include <ctime>
+
 namespace monsoonward
 {
 
@@ -8,6 +10,13 @@
     return std::chrono::steady_clock::now();
 }
 
+TimePoint BootClock::now() const
+{
+    timespec time {};
+    clock_gettime(CLOCK_BOOTTIME, &time); // fails for unknown clocks only
+    return TimePoint(std::chrono::seconds(time.tv_sec) + std::chrono::nanoseconds(time.tv_nsec));
+}
+
 TimePoint VirtualClock::now() const
 {
     return m_now;
