Report loads every 50 ms and assume that the other gateways send where this one does

Cause: between two reports every gateway saw the same least loaded engine and sent there; an engine known to have as many requests as slots answered after 400 ms.

--- a/packages/dispatch/src/placement.cpp
+++ b/packages/dispatch/src/placement.cpp
@@ -97,6 +97,12 @@
     void started(const EngineName &engine, TimePoint /*now*/) override
     {
         ++m_requests[engine];
+        ++m_sentSinceReport[engine];
+    }
+
+    void reported() override
+    {
+        m_sentSinceReport.clear();
     }
 
     void firstBytes(const EngineRecord &engine, double load, Duration length) override
@@ -130,8 +136,12 @@
 
     std::uint32_t requestsAt(const EngineName &engine) const
     {
-        const auto it = m_requests.find(engine);
-        return (it == m_requests.end() ? 0 : it->second) + m_fleet.requestsAt(engine);
+        const auto own = m_requests.find(engine);
+        const auto recent = m_sentSinceReport.find(engine);
+        // The others see the same reports and choose alike: each has sent there about as many as this daemon.
+        const auto unknown = recent == m_sentSinceReport.end() ? 0 : recent->second * (m_fleet.size() - 1);
+        return (own == m_requests.end() ? 0 : own->second) + m_fleet.requestsAt(engine)
+            + static_cast<std::uint32_t>(unknown);
     }
 
     /// @return index into objectiveParts: how many more urgent tiers the service got requests of lately
@@ -171,6 +181,7 @@
     const FleetView &m_fleet;
     FirstBytesModel m_model;
     std::map<EngineName, std::uint32_t> m_requests;
+    std::map<EngineName, std::uint32_t> m_sentSinceReport;
     std::map<ServiceName, std::map<Tier, TimePoint>> m_tiers;
 };
 
--- a/packages/gateway/src/loadreports.cpp
+++ b/packages/gateway/src/loadreports.cpp
@@ -12,7 +12,8 @@
 namespace
 {
 
-constexpr Duration reportInterval = std::chrono::milliseconds(150); // shorter than most requests take
+constexpr Duration leastInterval = std::chrono::milliseconds(50); // a few requests arrive meanwhile at most
+constexpr std::size_t peersAtLeastInterval = 5; // with more, the interval grows with them: a constant rate of reports
 
 } // namespace
 
@@ -143,7 +144,8 @@
 void LoadReports::tick()
 {
     send();
-    m_timer.expires_after(reportInterval);
+    const auto peers = std::max(m_peers.size(), peersAtLeastInterval);
+    m_timer.expires_after(leastInterval * peers / peersAtLeastInterval);
     m_timer.async_wait([this](const error_code &ec) {
         if (!ec) {
             tick();
@@ -162,6 +164,7 @@
     report.life = m_life;
     report.number = ++m_number;
     report.requests = m_core.placer->ownRequests();
+    m_core.placer->reported();
     report.demand = m_core.allotments.demands(m_core.clock.now());
     report.spent = m_core.allotments.spent();
     const auto bytes = encodeReport(report);
