Grant a part of the tolerance of customers' limits

The placement test of unequal engines now reports between its requests: what is sent between two reports counts for the other gateways too.

--- a/packages/dispatch/include/monsoonward/dispatch/allotments.h
+++ b/packages/dispatch/include/monsoonward/dispatch/allotments.h
@@ -15,15 +15,28 @@
     MONSOONWARD_FIELDS(heardPart, ofHeard)
 };
 
+/// @brief How far the requests of a customer may go beyond its limit, since daemons count apart.
+struct AllotmentTolerance
+{
+    double ratio = 0; ///< of the limit
+    double units = 0; ///< on top, in a window of some seconds
+    MONSOONWARD_FIELDS(ratio, units)
+};
+
 /// @brief Customers' limits over all daemons: a copy of one token bucket for each customer, from which every daemon
 /// takes at once what it grants, and a little later what the others report.
 ///
 /// While a bucket is well filled each daemon takes what it needs. Near its end a daemon takes its share of the rest
 /// only, since the others take at the same time. What was taken too much is a debt that all wait for. A bucket begins
 /// empty: the former life of this process may have spent it.
+///
+/// A part of the tolerance is granted too: a customer that stays within its limit isn't refused because reports are
+/// late.
 class Allotments
 {
 public:
+    explicit Allotments(const AllotmentTolerance &tolerance = {});
+
     /// Adopts the customers' limits; a bucket above its new size loses the rest.
     void configure(const ServingConfiguration &configuration, TimePoint now);
 
@@ -55,9 +68,13 @@
         TimePoint askedAt;
     };
 
-    static void fill(const ServedCustomer &customer, double heardPart, Bucket &bucket, TimePoint now);
+    double rateOf(const ServedCustomer &customer) const;
+    double burstOf(const ServedCustomer &customer) const;
+    double neededLevel(const ServedCustomer &customer, double units, const AllotmentShare &share) const;
+    void fill(const ServedCustomer &customer, double heardPart, Bucket &bucket, TimePoint now) const;
     static double askedNow(const Bucket &bucket, TimePoint now);
 
+    AllotmentTolerance m_tolerance;
     std::map<CustomerName, Bucket> m_buckets;
 };
 
--- a/packages/dispatch/src/allotments.cpp
+++ b/packages/dispatch/src/allotments.cpp
@@ -15,17 +15,35 @@
 constexpr double forgottenDemand = 0.01; // units a second
 constexpr double wellFilled = 0.5; // of the bucket: reports of what the others take come long before it is empty
 
+constexpr double grantedRatio = 0.5; // of the tolerance's ratio; the rest is for reports that are late
+constexpr double grantedUnits = 0.2; // of its units; the rest is for daemons that are cut off, and for starts
+
+} // namespace
+
+Allotments::Allotments(const AllotmentTolerance &tolerance)
+    : m_tolerance(tolerance)
+{
+}
+
+double Allotments::rateOf(const ServedCustomer &customer) const
+{
+    return customer.unitsPerSecond * (1 + m_tolerance.ratio * grantedRatio);
+}
+
+double Allotments::burstOf(const ServedCustomer &customer) const
+{
+    return customer.burstUnits + m_tolerance.units * grantedUnits;
+}
+
 /// @return what the bucket must hold to grant a request
-double neededLevel(const ServedCustomer &customer, double units, const AllotmentShare &share)
+double Allotments::neededLevel(const ServedCustomer &customer, double units, const AllotmentShare &share) const
 {
-    const double size = customer.burstUnits * share.heardPart;
+    const double size = burstOf(customer) * share.heardPart;
     const double forShare = share.ofHeard > 0 ? units / share.ofHeard : size;
     // A request that is larger than the whole bucket waits for a full one.
     return std::min(std::max(units, std::min(forShare, size * wellFilled)), size);
 }
 
-} // namespace
-
 void Allotments::configure(const ServingConfiguration &configuration, TimePoint now)
 {
     std::map<CustomerName, Bucket> kept;
@@ -34,7 +52,7 @@
         const auto old = m_buckets.find(it.name);
         if (old != m_buckets.end()) {
             bucket = old->second;
-            bucket.level = std::min(bucket.level, it.burstUnits);
+            bucket.level = std::min(bucket.level, burstOf(it));
         } else {
             bucket.filledAt = now;
             bucket.askedAt = now;
@@ -43,11 +61,11 @@
     m_buckets = std::move(kept);
 }
 
-void Allotments::fill(const ServedCustomer &customer, double heardPart, Bucket &bucket, TimePoint now)
+void Allotments::fill(const ServedCustomer &customer, double heardPart, Bucket &bucket, TimePoint now) const
 {
     const Seconds passed = now - bucket.filledAt;
-    const double size = customer.burstUnits * heardPart;
-    const double filled = bucket.level + passed.count() * customer.unitsPerSecond * heardPart;
+    const double size = burstOf(customer) * heardPart;
+    const double filled = bucket.level + passed.count() * rateOf(customer) * heardPart;
     bucket.level = std::min(filled, size);
     bucket.filledAt = now;
 }
@@ -131,7 +149,7 @@
 
 Duration Allotments::waitFor(const ServedCustomer &customer, double units, const AllotmentShare &share) const
 {
-    const auto rate = customer.unitsPerSecond * share.heardPart;
+    const auto rate = rateOf(customer) * share.heardPart;
     if (rate <= 0) {
         return Duration::zero();
     }
--- a/packages/dispatch/src/allotments_test.cpp
+++ b/packages/dispatch/src/allotments_test.cpp
@@ -23,9 +23,9 @@
 class Fleet
 {
 public:
-    Fleet(const ServedCustomer &customer, std::size_t daemons)
+    Fleet(const ServedCustomer &customer, std::size_t daemons, const AllotmentTolerance &tolerance = {})
         : m_customer(customer)
-        , m_daemons(daemons)
+        , m_daemons(daemons, Allotments(tolerance))
         , m_reported(daemons, 0.0)
     {
         ServingConfiguration configuration;
@@ -101,6 +101,17 @@
     CHECK(fleet.most <= (8 * 1000 + 1000) * 1.1);
 }
 
+TEST_CASE("a part of the tolerance is granted, and the whole of it never passed")
+{
+    Fleet fleet(customerWith(1000, 1000), 4, {0.1, 500});
+    double granted = 0;
+    for (unsigned step = 0; step < 3000; ++step) {
+        granted += fleet.step({50, 20, 5, 1});
+    }
+    CHECK(granted >= 30 * 1000);
+    CHECK(fleet.most <= (8 * 1000 + 1000) * 1.1 + 500);
+}
+
 TEST_CASE("a customer within its limit is never refused, however uneven the daemons' load")
 {
     Fleet fleet(customerWith(1000, 1000), 4);
--- a/packages/dispatch/src/placement_test.cpp
+++ b/packages/dispatch/src/placement_test.cpp
@@ -26,14 +26,14 @@
         directory.put({EngineName(name), service, {"10.0.0.1", 80}, DataCentreName(dataCentre), slots, false});
     }
 
-    Placement place(unsigned tier)
+    Placement place(unsigned tier) const
     {
         PlacementRequest request;
         request.service = service;
         request.tier = Tier(tier);
         request.latencyObjective = 400ms;
         request.timeLeft = 4s;
-        const auto placement = placer->place(request, clock.now());
+        auto placement = placer->place(request, clock.now());
         if (placement.outcome == PlacementOutcome::Placed) {
             placer->started(placement.engine.name, clock.now());
         }
@@ -41,7 +41,7 @@
     }
 
     /// Lets the engines learn: 60 ms up to full slots, then 40 ms more for each request in the queue.
-    void learnQueueing(const std::vector<std::string> &engines, int slowness)
+    void learnQueueing(const std::vector<std::string> &engines, int slowness) const
     {
         for (unsigned n = 0; n < 400; ++n) {
             const unsigned inProgress = n % 18;
@@ -140,10 +140,31 @@
     unsigned fast = 0;
     for (unsigned n = 0; n < 6; ++n) {
         fast += place(0).engine.name == EngineName("fast") ? 1 : 0;
+        placer->reported();
     }
     CHECK(fast >= 5);
 }
 
+TEST_CASE_FIXTURE(Fixture, "stale reports read by many: a burst between two reports is spread over the engines")
+{
+    addEngine("a", "here");
+    addEngine("b", "here");
+    learnQueueing({"a", "b"}, 1);
+    fleet.setMembers({HostName("own"), HostName("x"), HostName("y"), HostName("z")}, clock.now());
+    std::map<std::string, unsigned> placed;
+    unsigned refused = 0;
+    for (unsigned n = 0; n < 10; ++n) {
+        const auto placement = place(1);
+        ++placed[placement.engine.name.text()];
+        refused += placement.outcome == PlacementOutcome::Full ? 1 : 0;
+    }
+    CHECK(refused > 0); // three more gateways place as many meanwhile
+    CHECK(placed["a"] >= 2);
+    CHECK(placed["b"] >= 2);
+    placer->reported();
+    CHECK(place(1).outcome == PlacementOutcome::Placed);
+}
+
 TEST_CASE_FIXTURE(Fixture, "a caller that returns goes before new ones of its tier")
 {
     addEngine("a", "here");
--- a/packages/gateway/include/monsoonward/gateway/gatewaysettings.h
+++ b/packages/gateway/include/monsoonward/gateway/gatewaysettings.h
@@ -29,6 +29,7 @@
     // [promises]
     FreshnessBounds freshness;
     RetryBounds retries;
+    AllotmentTolerance allotments;
     // [log]
     std::string logLevel;
     std::uint32_t logKilobytesPerSecond = 0;
@@ -45,6 +46,7 @@
                        descriptors,
                        freshness,
                        retries,
+                       allotments,
                        logLevel,
                        logKilobytesPerSecond)
 };
--- a/packages/gateway/src/gatewaycore.cpp
+++ b/packages/gateway/src/gatewaycore.cpp
@@ -16,6 +16,7 @@
     , log(log)
     , metrics(metrics)
     , freshness(settings.freshness)
+    , allotments(settings.allotments)
     , retries(settings.retries, clock.now())
     , fleet(settings.host)
     , placer(makeFirstBytesPlacer(settings.places, engines, health, fleet))
--- a/packages/gateway/src/gatewaysettings.cpp
+++ b/packages/gateway/src/gatewaysettings.cpp
@@ -56,7 +56,8 @@
     };
 }
 
-Read readFraction(double RetryBounds::*member, double last)
+template<class Set>
+Read readFraction(double last, Set set)
 {
     return [=](const std::string &text, GatewaySettings &settings) -> Result<void> {
         double n = 0;
@@ -65,7 +66,7 @@
         if (ec != std::errc() || stop != end || !(n >= 0) || n > last) {
             return notAllowed(text);
         }
-        settings.retries.*member = n;
+        set(settings, n);
         return boost::outcome_v2::success();
     };
 }
@@ -217,14 +218,14 @@
          "retries for each request",
          "0 to 10",
          "Retries that a service may get, over all gateways.",
-         readFraction(&RetryBounds::ratio, 10)},
+         readFraction(10, [](GatewaySettings &it, double n) { it.retries.ratio = n; })},
         {"promises",
          "retry-slack",
          "50",
          "retries",
          "0 to 1000000",
          "Retries on top of the ratio, in each window.",
-         readFraction(&RetryBounds::slack, 1e6)},
+         readFraction(1e6, [](GatewaySettings &it, double n) { it.retries.slack = n; })},
         {"promises",
          "retry-window",
          "10 s",
@@ -233,6 +234,20 @@
          "Span over which retries are counted.",
          readDuration(
              seconds(1), std::chrono::hours(1), [](GatewaySettings &it, Duration n) { it.retries.window = n; })},
+        {"promises",
+         "allotment-ratio",
+         "0",
+         "of the limit",
+         "0 to 1",
+         "How far a customer may go beyond its limit, over all gateways.",
+         readFraction(1, [](GatewaySettings &it, double n) { it.allotments.ratio = n; })},
+        {"promises",
+         "allotment-units",
+         "0",
+         "units",
+         "0 to 1e12",
+         "How many units it may go beyond that in a window of some seconds.",
+         readFraction(1e12, [](GatewaySettings &it, double n) { it.allotments.units = n; })},
         {"log", "level", "info", "", "info, warning or error", "Least severity that is logged.", readLevel},
         {"log",
          "kilobytes-per-second",
--- a/packages/gateway/src/gatewaysettings_test.cpp
+++ b/packages/gateway/src/gatewaysettings_test.cpp
@@ -54,15 +54,15 @@
 
 TEST_CASE("each wrong key is an error with its line, its name and what is allowed")
 {
-    for (const auto &[from, to, key] :
-         std::vector<std::array<std::string, 3>> {{"role = gateway", "role = door", "daemon.role"},
-                                                  {"127.0.0.1:1", "nowhere", "callers.listen"},
-                                                  {"5000 ms", "5000", "promises.key-revocation"},
-                                                  {"\"tregor\"", "", "daemon.regions"},
-                                                  {"[store]\naddress", "[store]\nport", "store.port"},
-                                                  {"host = g1\n", "", "daemon.host"}}) {
+    for (const auto &it : std::vector<std::array<std::string, 3>> {{"role = gateway", "role = door", "daemon.role"},
+                                                                   {"127.0.0.1:1", "nowhere", "callers.listen"},
+                                                                   {"5000 ms", "5000", "promises.key-revocation"},
+                                                                   {"\"tregor\"", "", "daemon.regions"},
+                                                                   {"[store]\naddress", "[store]\nport", "store.port"},
+                                                                   {"host = g1\n", "", "daemon.host"}}) {
+        const auto &key = it[2];
         CAPTURE(key);
-        const auto outcome = parseGatewaySettings("g.ini", replaced(whole, from, to));
+        const auto outcome = parseGatewaySettings("g.ini", replaced(whole, it[0], it[1]));
         REQUIRE_FALSE(outcome.errors.empty());
         CHECK(outcome.errors.front().key == key);
     }
