Set the part of the objective by the share of more urgent requests; pause after a change before following on

An expected time is a mean: with 0.85 of the objective a third of the admitted answers were late. And each of a series of registrations cost every gateway a call of its own.

--- a/packages/dispatch/src/placement.cpp
+++ b/packages/dispatch/src/placement.cpp
@@ -1,7 +1,6 @@
 #include "monsoonward/dispatch/placement.h"
 
 #include <algorithm>
-#include <array>
 #include <cmath>
 
 namespace monsoonward
@@ -12,18 +11,21 @@
 
 using Seconds = std::chrono::duration<double>;
 
-/// Part of the latency objective that the expected time to the first bytes may take, by the request's rank among the
-/// tiers of its service. From rounds on both first deployments.
-constexpr std::array<double, 3> objectiveParts {0.85, 0.6, 0.4};
+/// Part of the latency objective that the expected time to the first bytes may take: for the most urgent requests, and
+/// for those that all others go before; in between by the share of more urgent requests. From rounds on both first
+/// deployments.
+constexpr double mostUrgentPart = 0.55;
+constexpr double leastUrgentPart = 0.3;
+constexpr double returningPart = 0.55; // of a caller that was sent away and returns as it was told
 constexpr Seconds unstatedObjective {1.0}; // of routes without one
 constexpr double mostLoad = 4; // requests for each slot; engines refuse when their own queue is full
 constexpr double leastLoad = 0.5; // below it there is room whatever was learned
-constexpr Duration tierMemory = std::chrono::seconds(10); // a tier that sent nothing for so long doesn't count
+constexpr Seconds tierMemory {5.0}; // the mix of tiers is averaged over so long
 constexpr double failurePenalty = 4; // an engine that fails each request counts as five times as slow
 constexpr Seconds regionPenalty {0.030}; // two crossings of the link between regions, and its price
 constexpr Seconds dataCentrePenalty {0.005}; // two crossings between data centres, and their price
 constexpr Seconds shortestRetryAfter {0.1};
-constexpr Seconds longestRetryAfter {2.0};
+constexpr Seconds longestRetryAfter {5.0};
 constexpr double returnPart = 0.33; // of the time left that a caller waits at most before it returns
 constexpr double soonPart = 0.5; // of the objective: a return within it may still be in time
 
@@ -40,6 +42,25 @@
     return regionPenalty;
 }
 
+/// Requests of the last seconds, older ones counting less.
+class RecentRequests
+{
+public:
+    void add(TimePoint now)
+    {
+        m_requests = at(now) + 1;
+        m_countedAt = now;
+    }
+    double at(TimePoint now) const
+    {
+        return m_requests * std::exp(-Seconds(now - m_countedAt) / tierMemory);
+    }
+
+private:
+    double m_requests = 0;
+    TimePoint m_countedAt;
+};
+
 class FirstBytesPlacer : public Placer
 {
 public:
@@ -56,7 +77,7 @@
 
     Placement place(const PlacementRequest &request, TimePoint now) override
     {
-        const auto rank = rankOf(request, now);
+        const auto part = objectivePart(request, now);
         Placement best;
         auto bestScore = Seconds::max();
         for (const auto *it : m_directory.ofService(request.service)) {
@@ -85,7 +106,7 @@
             return best;
         }
         const auto objective = objectiveOf(request);
-        best.limit = std::chrono::duration_cast<Duration>(objective * objectiveParts[rank]);
+        best.limit = std::chrono::duration_cast<Duration>(objective * part);
         if (best.load < leastLoad || (best.expected <= best.limit && best.load < mostLoad)) {
             best.outcome = PlacementOutcome::Placed;
         } else {
@@ -144,23 +165,23 @@
             + static_cast<std::uint32_t>(unknown);
     }
 
-    /// @return index into objectiveParts: how many more urgent tiers the service got requests of lately
-    std::size_t rankOf(const PlacementRequest &request, TimePoint now)
+    /// @return part of the objective that the expected time may take
+    double objectivePart(const PlacementRequest &request, TimePoint now)
     {
+        double all = 0;
+        double moreUrgent = 0;
         auto &seen = m_tiers[request.service];
-        seen[request.tier] = now;
-        std::size_t rank = 0;
-        for (auto it = seen.begin(); it != seen.end();) {
-            if (now - it->second > tierMemory) {
-                it = seen.erase(it);
-                continue;
-            }
-            rank += it->first.isHigherThan(request.tier) ? 1 : 0;
-            ++it;
+        if (!request.isRepeat) {
+            seen[request.tier].add(now);
+        }
+        for (const auto &[tier, rate] : seen) {
+            const auto requests = rate.at(now);
+            all += requests;
+            moreUrgent += tier.isHigherThan(request.tier) ? requests : 0;
         }
-        // A caller that was sent away and returns as it was told goes before new ones of its tier.
-        rank -= request.isReturning && rank > 0 ? 1 : 0;
-        return request.isRepeat ? 0 : std::min(rank, objectiveParts.size() - 1);
+        const double share = all > 0 ? moreUrgent / all : 0;
+        const double part = mostUrgentPart - (mostUrgentPart - leastUrgentPart) * share;
+        return request.isRepeat ? mostUrgentPart : request.isReturning ? std::max(part, returningPart) : part;
     }
 
     /// @return when to come back: as soon as there may be room, if that can still be in time; else as late as the
@@ -182,7 +203,7 @@
     FirstBytesModel m_model;
     std::map<EngineName, std::uint32_t> m_requests;
     std::map<EngineName, std::uint32_t> m_sentSinceReport;
-    std::map<ServiceName, std::map<Tier, TimePoint>> m_tiers;
+    std::map<ServiceName, std::map<Tier, RecentRequests>> m_tiers;
 };
 
 } // namespace
--- a/packages/dispatch/src/placement_test.cpp
+++ b/packages/dispatch/src/placement_test.cpp
@@ -82,7 +82,12 @@
     addEngine("a", "here");
     addEngine("b", "here");
     learnQueueing({"a", "b"}, 1);
-    place(0);
+    for (unsigned n = 0; n < 200; ++n) { // the service's usual mix
+        if (place(0).outcome == PlacementOutcome::Placed) {
+            placer->ended(EngineName("a"));
+            placer->ended(EngineName("b"));
+        }
+    }
     unsigned admitted = 0;
     for (unsigned n = 0; n < 60; ++n) {
         admitted += place(1).outcome == PlacementOutcome::Placed ? 1 : 0;
@@ -169,7 +174,10 @@
 {
     addEngine("a", "here");
     learnQueueing({"a"}, 1);
-    place(0);
+    for (unsigned n = 0; n < 200; ++n) {
+        place(0);
+        placer->ended(EngineName("a"));
+    }
     while (place(1).outcome == PlacementOutcome::Placed) { }
     PlacementRequest request;
     request.service = service;
--- a/packages/gateway/src/tablefeed.cpp
+++ b/packages/gateway/src/tablefeed.cpp
@@ -8,6 +8,8 @@
 namespace
 {
 
+constexpr Duration changePause =
+    std::chrono::milliseconds(300); // changes often come in series: one call brings several
 constexpr Duration firstRetry = std::chrono::milliseconds(20); // a connection that was closed while idle is no outage
 constexpr Duration longestRetry = std::chrono::milliseconds(640); // bounds the time to notice the store's return
 
@@ -110,7 +112,21 @@
         m_handler.rowsChanged(m_table, value.rows);
     }
     m_handler.upToDate(m_table, m_started);
-    follow();
+    if (value.rows.empty()) {
+        follow();
+    } else {
+        after(changePause);
+    }
+}
+
+void TableFeed::after(Duration pause)
+{
+    m_retry.expires_after(pause);
+    m_retry.async_wait([this, alive = m_alive](const boost::system::error_code &ec) {
+        if (!ec && *alive) {
+            next();
+        }
+    });
 }
 
 void TableFeed::failed(const Error &error)
@@ -124,12 +140,7 @@
     const auto pause = std::min(firstRetry * (1U << std::min(m_failures, mostDoublings)), longestRetry);
     ++m_failures;
     m_handler.storeFailed(m_table, error);
-    m_retry.expires_after(pause);
-    m_retry.async_wait([this, alive = m_alive](const boost::system::error_code &ec) {
-        if (!ec && *alive) {
-            next();
-        }
-    });
+    after(pause);
 }
 
 } // namespace monsoonward
--- a/packages/gateway/src/tablefeed.h
+++ b/packages/gateway/src/tablefeed.h
@@ -50,6 +50,7 @@
     void followed(const Result<RowPage> &page);
     void failed(const Error &error);
     void next();
+    void after(Duration pause);
 
     const Clock &m_clock;
     std::unique_ptr<RowStore> m_store;
