Refuse late requests at a stop; accept callers when configured; longer waits in larger fleets

Ruled out: a lost engine; the engine worked until the cut. Now such a request is refused as not run. Test: path_test, fails without the change.

--- a/packages/dispatch/src/placement.cpp
+++ b/packages/dispatch/src/placement.cpp
@@ -15,7 +15,7 @@
 /// for those that all others go before; in between by the share of more urgent requests. From rounds on both first
 /// deployments.
 constexpr double mostUrgentPart = 0.55;
-constexpr double leastUrgentPart = 0.3;
+constexpr double leastUrgentPart = 0.25;
 constexpr double returningPart = 0.55; // of a caller that was sent away and returns as it was told
 constexpr Seconds unstatedObjective {1.0}; // of routes without one
 constexpr double mostLoad = 4; // requests for each slot; engines refuse when their own queue is full
--- a/packages/gateway/src/callerlistener.cpp
+++ b/packages/gateway/src/callerlistener.cpp
@@ -24,11 +24,17 @@
 {
 }
 
-Result<void> CallerListener::start()
+Result<void> CallerListener::listen()
 {
-    BOOST_OUTCOME_TRY(listenOn(m_acceptor, m_core.settings.callerListen));
-    accept();
-    return boost::outcome_v2::success();
+    return listenOn(m_acceptor, m_core.settings.callerListen);
+}
+
+void CallerListener::open()
+{
+    if (!m_isOpen) {
+        m_isOpen = true;
+        accept();
+    }
 }
 
 void CallerListener::accept()
--- a/packages/gateway/src/callerlistener.h
+++ b/packages/gateway/src/callerlistener.h
@@ -15,8 +15,11 @@
     CallerListener(const CallerListener &) = delete;
     CallerListener &operator=(const CallerListener &) = delete;
 
-    /// Errors: Unavailable when the address can't be listened on.
-    Result<void> start();
+    /// Listens; connections wait in the kernel until open() is called. Errors: Unavailable when the address can't be
+    /// listened on.
+    Result<void> listen();
+    /// Accepts connections from now on; does nothing when it does so already.
+    void open();
     /// Takes no new connection from now on.
     void stopAccepting();
     void closeIdle();
@@ -29,6 +32,7 @@
     boost::asio::ip::tcp::acceptor m_acceptor;
     boost::asio::steady_timer m_pause;
     std::set<std::shared_ptr<CallerConnection>> m_connections;
+    bool m_isOpen = false;
 };
 
 } // namespace monsoonward
--- a/packages/gateway/src/exchange.cpp
+++ b/packages/gateway/src/exchange.cpp
@@ -26,6 +26,7 @@
 
 constexpr Duration leastTimeToSend = std::chrono::milliseconds(20); // less can't bring an answer
 constexpr Duration staleRetryAfter = std::chrono::milliseconds(500); // the store's calls are repeated meanwhile
+constexpr Duration stoppingRetryAfter = std::chrono::milliseconds(50); // a new connection leads to another gateway
 constexpr Duration leastAllotmentWait = std::chrono::milliseconds(100); // a caller's way there and back
 constexpr Duration unstatedTimeLeft = std::chrono::seconds(30); // of a caller that states none on a route without limit
 constexpr int returningPart = 95; // per cent of the route's limit: who has less left has spent it on a former attempt
@@ -157,6 +158,10 @@
             self->timeOut();
         }
     });
+    if (m_core.isStopping && m_arrived >= m_core.lateFrom && m_deadline > m_core.cutAt) {
+        refuse(unavailable, "stopping", stoppingRetryAfter, "");
+        return false;
+    }
     m_core.retries.arrived(m_service, m_arrived);
     if (m_core.openBytes > m_core.settings.memoryMegabytes * mebibyte / bodyPart) {
         refuse(unavailable, "memory", staleRetryAfter, "open bytes " + std::to_string(m_core.openBytes));
--- a/packages/gateway/src/gatewaycore.h
+++ b/packages/gateway/src/gatewaycore.h
@@ -54,6 +54,8 @@
     std::size_t openRequests = 0;
     std::size_t openBytes = 0; ///< of request bodies
     bool isStopping = false;
+    TimePoint lateFrom; ///< when stopping: requests from then on are taken only if they end before cutAt
+    TimePoint cutAt; ///< when stopping: requests in progress are cut
 };
 
 } // namespace monsoonward
--- a/packages/gateway/src/gatewayprocess.cpp
+++ b/packages/gateway/src/gatewayprocess.cpp
@@ -25,6 +25,7 @@
 constexpr Duration tickInterval = std::chrono::milliseconds(250); // expiry of engines, connections and members
 constexpr Duration engineWait = std::chrono::seconds(5); // of the call that follows registrations
 constexpr Duration memberWait = std::chrono::seconds(10); // of the call that follows the gateways
+constexpr Duration longestClosedStart = std::chrono::milliseconds(900); // callers give a connection about a second
 constexpr Duration leastShutdown = std::chrono::seconds(3); // the load balancer takes two checks to look elsewhere
 constexpr Duration idleClose = std::chrono::milliseconds(2500); // then callers have moved their new requests
 constexpr Duration shutdownMargin = std::chrono::milliseconds(400); // of the grace, to end in order
@@ -69,7 +70,7 @@
 
     int run()
     {
-        for (const auto &it : {m_callers.start(), m_health.start(), m_admin.start(), m_reports.start()}) {
+        for (const auto &it : {m_callers.listen(), m_health.start(), m_admin.start(), m_reports.start()}) {
             if (!it) {
                 m_log.write(Event::ChildFailed,
                             Severity::Error,
@@ -86,6 +87,7 @@
             it->start();
         }
         awaitSignal();
+        m_startedAt = m_clock.now();
         tick();
         m_io.run();
         m_log.write(Event::DaemonStopped,
@@ -138,6 +140,9 @@
         if (table == m_core.adapter.layout().configurationTable && m_core.serving) {
             m_core.freshness.proved(started);
         }
+        if (isReady()) {
+            m_callers.open();
+        }
     }
 
     void storeAnswered(const std::string &table) override
@@ -168,6 +173,19 @@
 private:
     static constexpr std::size_t maxQueued = std::size_t {256} * 1024; // bytes of log lines that wait to be written
 
+    /// @return length of the call that follows the configuration: it grows with the fleet, so that the store's load
+    /// grows slower than the fleet, as far as the age of the proof allows
+    Duration configurationWait() const
+    {
+        constexpr int fleetAtSetting = 8; // gateways; up to these the setting's wait is used
+        constexpr Duration repeatedCall = std::chrono::seconds(1); // a call that fails, and the next one
+        const auto &settings = m_core.settings;
+        const auto grown = settings.storeWait * static_cast<int>(m_core.fleet.size()) / fleetAtSetting;
+        // A proof is two waits old at most, before the next call's answer renews it.
+        const auto longest = (settings.freshness.forKeys - repeatedCall) / 2;
+        return std::max(settings.storeWait, std::min<Duration>(grown, longest));
+    }
+
     void addFeed(const std::string &table, Duration wait)
     {
         const auto &settings = m_core.settings;
@@ -271,6 +289,7 @@
             }
         }
         m_core.fleet.setMembers(hosts, m_clock.now());
+        m_feeds.front()->setWait(configurationWait());
         m_reports.setPeers(peers);
         m_log.write(Event::GatewaysChanged,
                     Severity::Info,
@@ -365,6 +384,9 @@
         }
         m_core.pool.expire(m_core.engines);
         m_members.tick();
+        if (now - m_startedAt >= longestClosedStart) {
+            m_callers.open();
+        }
         m_tick.expires_after(m_core.isStopping ? shutdownTick : tickInterval);
         m_tick.async_wait([this](const error_code &ec) {
             if (!ec && !(m_core.isStopping && shutDownStep())) {
@@ -412,6 +434,8 @@
     {
         m_core.isStopping = true;
         m_stoppingSince = m_clock.now();
+        m_core.lateFrom = m_stoppingSince + idleClose;
+        m_core.cutAt = m_stoppingSince + m_core.settings.grace - shutdownMargin;
         m_log.write(Event::DaemonStopping,
                     Severity::Info,
                     "stopping",
@@ -433,7 +457,7 @@
             m_members.leave();
         }
         const bool isDone = m_hasLeft && m_core.openRequests == 0 && m_callers.connections() == 0;
-        if (isDone || length >= m_core.settings.grace - shutdownMargin) {
+        if (isDone || m_clock.now() >= m_core.cutAt) {
             finish();
             return true;
         }
@@ -465,6 +489,7 @@
     std::uint64_t m_seed;
     std::set<std::string> m_away; // tables whose calls fail
     bool m_enginesListed = false;
+    TimePoint m_startedAt;
     TimePoint m_stoppingSince;
     bool m_hasLeft = false;
     int m_exit = exitDone;
--- a/packages/gateway/src/path_test.cpp
+++ b/packages/gateway/src/path_test.cpp
@@ -294,7 +294,8 @@
         m_core.serving =
             std::make_shared<const Serving>(std::make_shared<const ServingConfiguration>(configuration), 1);
         m_core.freshness.proved(m_clock.now());
-        REQUIRE(m_listener.start());
+        REQUIRE(m_listener.listen());
+        m_listener.open();
         m_thread = std::thread([this] { m_io.run(); });
     }
 
@@ -560,3 +561,21 @@
     CHECK(statusOf(exchange(request("/nowhere/"))) == 503);
     CHECK(engine.requests().empty());
 }
+
+TEST_CASE_FIXTURE(Fixture, "a gateway that stops takes late requests only if they end before it cuts what is left")
+{
+    ScriptedEngine engine([](const std::string &it) { return Script {answerTo(it, "ok")}; });
+    addEngine("a", engine.address());
+    m_core.isStopping = true;
+    m_core.lateFrom = m_clock.now();
+    m_core.cutAt = m_clock.now() + 2s;
+    start();
+    const auto refused = exchange(request("/safe/"));
+    CHECK(statusOf(refused) == 503);
+    CHECK(header(refused, "Monsoonward-Verdict") == "not-run");
+    CHECK(header(refused, "Connection") == "close");
+    CHECK(engine.requests().empty());
+    auto brief = request("/safe/");
+    brief.replace(brief.find("Time-Left: 3000"), 15, "Time-Left: 500");
+    CHECK(statusOf(exchange(brief)) == 200);
+}
--- a/packages/gateway/src/tablefeed.cpp
+++ b/packages/gateway/src/tablefeed.cpp
@@ -40,6 +40,11 @@
     next();
 }
 
+void TableFeed::setWait(Duration wait)
+{
+    m_wait = wait;
+}
+
 void TableFeed::next()
 {
     if (m_version) {
--- a/packages/gateway/src/tablefeed.h
+++ b/packages/gateway/src/tablefeed.h
@@ -42,6 +42,8 @@
     TableFeed &operator=(const TableFeed &) = delete;
 
     void start();
+    /// Sets the length of the waiting calls from the next one on.
+    void setWait(Duration wait);
 
 private:
     void list(const std::string &from);
