--- a/packages/gateway/src/path_test.cpp
+++ b/packages/gateway/src/path_test.cpp
@@ -308,7 +308,7 @@
         return readAll(socket);
     }
 
-    void connect(tcp::socket &socket)
+    void connect(tcp::socket &socket) const
     {
         const auto &address = m_core.settings.callerListen;
         socket.connect({asio::ip::make_address(address.ip), address.port});
