Pass no stream on as complete that ends inside an event; close idle connections in order

Cause: found by reading. A stream that an engine ended in order, but inside an event, was passed on without its rest and ended as complete. An idle connection that a stopping gateway closed was reset at once instead of after its caller's close. And engines that were missing in a list read anew were not forgotten by placement and health.

Test: path_test and enginedirectory_test; the first fails without the change.

--- a/packages/dispatch/include/monsoonward/dispatch/enginedirectory.h
+++ b/packages/dispatch/include/monsoonward/dispatch/enginedirectory.h
@@ -35,8 +35,8 @@
     void storeAnswered(TimePoint now);
     /// A call of the store failed.
     void storeFailed();
-    /// Adopts a complete list of registrations.
-    void replace(const std::vector<EngineRecord> &records, TimePoint now);
+    /// Adopts a complete list of registrations. @return engines that were known and are dropped
+    std::vector<EngineName> replace(const std::vector<EngineRecord> &records, TimePoint now);
     void put(const EngineRecord &record);
     void remove(const EngineName &name, TimePoint now);
     /// Drops engines whose registration did not come back. @return their names
--- a/packages/dispatch/src/enginedirectory.cpp
+++ b/packages/dispatch/src/enginedirectory.cpp
@@ -23,7 +23,7 @@
     return m_storeAway || (m_storeReturned && now - *m_storeReturned < returnBound);
 }
 
-void EngineDirectory::replace(const std::vector<EngineRecord> &records, TimePoint now)
+std::vector<EngineName> EngineDirectory::replace(const std::vector<EngineRecord> &records, TimePoint now)
 {
     std::set<EngineName> listed;
     for (const auto &it : records) {
@@ -36,9 +36,14 @@
             missing.push_back(it.first);
         }
     }
+    std::vector<EngineName> gone;
     for (const auto &it : missing) {
         remove(it, now);
+        if (find(it) == nullptr) {
+            gone.push_back(it);
+        }
     }
+    return gone;
 }
 
 void EngineDirectory::put(const EngineRecord &record)
--- a/packages/dispatch/src/enginedirectory_test.cpp
+++ b/packages/dispatch/src/enginedirectory_test.cpp
@@ -32,7 +32,8 @@
     REQUIRE(directory.ofService(service).size() == 1);
     CHECK(directory.ofService(service).front()->name == EngineName("c"));
     CHECK(directory.ofService(ServiceName("other")).empty());
-    directory.replace({}, clock.now());
+    const std::vector<EngineName> dropped {EngineName("a"), EngineName("c")};
+    CHECK(directory.replace({}, clock.now()) == dropped);
     CHECK(directory.size() == 0);
 }
 
@@ -44,7 +45,7 @@
     directory.storeFailed();
     clock.advance(9s);
     directory.storeAnswered(clock.now());
-    directory.replace({}, clock.now());
+    CHECK(directory.replace({}, clock.now()) == std::vector<EngineName> {EngineName("leaving")});
     CHECK(directory.ofService(service).size() == 2);
     CHECK(directory.find(EngineName("leaving")) == nullptr);
     clock.advance(1900ms);
--- a/packages/gateway/src/callerconnection.cpp
+++ b/packages/gateway/src/callerconnection.cpp
@@ -71,9 +71,12 @@
     }
     expectWithin(limits().idleTime, [this] { closeIfIdle(); });
     m_socket.async_wait(tcp::socket::wait_read, [self = shared_from_this()](const error_code &ec) {
+        if (self->m_phase != Phase::Idle) {
+            return;
+        }
         if (ec) {
             self->cut();
-        } else if (self->m_phase == Phase::Idle) {
+        } else {
             self->readHeader();
         }
     });
--- a/packages/gateway/src/exchange.cpp
+++ b/packages/gateway/src/exchange.cpp
@@ -344,7 +344,7 @@
     const auto engine = m_call->engine().name;
     m_call.reset();
     auto last = end;
-    if (end == AttemptEnd::Whole && m_isStreaming && m_events.isBroken()) {
+    if (end == AttemptEnd::Whole && m_isStreaming && (m_events.isBroken() || m_events.isInsideEvent())) {
         last = AttemptEnd::Broken;
     }
     const auto now = m_core.clock.now();
--- a/packages/gateway/src/gatewayprocess.cpp
+++ b/packages/gateway/src/gatewayprocess.cpp
@@ -111,7 +111,9 @@
                     engines.push_back(std::move(*engine));
                 }
             }
-            m_core.engines.replace(engines, m_clock.now());
+            for (const auto &it : m_core.engines.replace(engines, m_clock.now())) {
+                engineGone(it, "registration-missing");
+            }
             m_enginesListed = true;
             m_log.write(Event::EngineListed,
                         Severity::Info,
--- a/packages/gateway/src/path_test.cpp
+++ b/packages/gateway/src/path_test.cpp
@@ -3,7 +3,7 @@
 
 #include <doctest/doctest.h>
 
-#include <boost/asio/read_until.hpp>
+#include <boost/asio/post.hpp>
 #include <boost/asio/write.hpp>
 
 #include <atomic>
@@ -531,6 +531,40 @@
     CHECK(whole.find("\r\n0\r\n") == std::string::npos);
 }
 
+TEST_CASE_FIXTURE(Fixture, "a stream that ends inside an event is not passed on as complete")
+{
+    ScriptedEngine engine(
+        [](const std::string &it) { return Script {streamHead(it) + chunk(event(1) + "id: 2\nda") + "0\r\n\r\n"}; });
+    addEngine("a", engine.address());
+    start();
+    const auto whole = exchange(request("/stream/"));
+    CHECK(whole.find(event(1)) != std::string::npos);
+    CHECK(whole.find("\r\n0\r\n") == std::string::npos);
+}
+
+TEST_CASE_FIXTURE(Fixture, "an idle connection is closed in order, so that a request on its way gets no reset")
+{
+    ScriptedEngine engine([](const std::string &it) { return Script {answerTo(it, "ok")}; });
+    addEngine("a", engine.address());
+    start();
+    tcp::socket socket(m_callerIo);
+    connect(socket);
+    auto kept = request("/safe/");
+    kept.replace(kept.find("Connection: close\r\n"), 19, "");
+    asio::write(socket, asio::buffer(kept));
+    std::string rest;
+    CHECK(statusOf(readMessage(socket, rest)) == 200);
+    std::this_thread::sleep_for(20ms);
+    asio::post(m_io, [this] { m_listener.closeIdle(); });
+    std::this_thread::sleep_for(20ms);
+    asio::write(socket, asio::buffer(kept)); // crosses the close
+    char byte = 0;
+    error_code ec;
+    socket.read_some(asio::buffer(&byte, 1), ec);
+    CHECK(ec == asio::error::eof);
+    CHECK(engine.requests().size() == 1);
+}
+
 TEST_CASE_FIXTURE(Fixture, "a caller that leaves cancels its request down to the engine")
 {
     ScriptedEngine engine([](const std::string &it) { return Script {streamHead(it) + chunk(event(1)), false, true}; });
