Report loads at least every 0.4 s in fleets of any size

Cause: found by reading. The interval grew with the number of gateways; beyond 150 it passed the time after which a gateway counts as silent, so every gateway would have taken an even part of each limit only.

--- a/packages/gateway/src/loadreports.cpp
+++ b/packages/gateway/src/loadreports.cpp
@@ -13,7 +13,8 @@
 {
 
 constexpr Duration leastInterval = std::chrono::milliseconds(50); // a few requests arrive meanwhile at most
-constexpr std::size_t peersAtLeastInterval = 5; // with more, the interval grows with them: a constant rate of reports
+constexpr Duration longestInterval = std::chrono::milliseconds(400); // three reports within FleetView::silenceBound
+constexpr int peersAtLeastInterval = 5; // with more, the interval grows with them: a constant rate of reports
 
 } // namespace
 
@@ -144,8 +145,8 @@
 void LoadReports::tick()
 {
     send();
-    const auto peers = std::max(m_peers.size(), peersAtLeastInterval);
-    m_timer.expires_after(leastInterval * peers / peersAtLeastInterval);
+    const auto peers = std::max(static_cast<int>(m_peers.size()), peersAtLeastInterval);
+    m_timer.expires_after(std::min<Duration>(leastInterval * peers / peersAtLeastInterval, longestInterval));
     m_timer.async_wait([this](const error_code &ec) {
         if (!ec) {
             tick();
