Serve callers of every role through one streaming HTTP/1.1 listener

Cause: the daemon's callers and operators went through the HTTP server of cxxtools: a thread for each request in progress, no chunked bodies, 500 for garbage, no answer to a 5 MB header line. The gateway had a listener of its own beside it, and both daemons linked a class named CallerConnection.

Change: the gateway's listener moves to packages/callers behind CallerService and CallerExchange; daemon and admin address use it, the old one is gone. The admin's blocking calls run on a worker pool. max-connections replaces max-threads, which is still read. The HTTP/2 connection is StreamConnection.

A caller that takes nothing for 1.5 s was cut by the kernel's time-out for silent servers (callerlistener_test, stream whose caller reads nothing for 4 s, failed first); callers now have 10 s.

path_test expected 413 for 'Content-Length: -1'. That is no length, so the framing is invalid and the answer is 400; the check is replaced by that one, and checks for garbage, long header lines and chunked bodies are added.

--- /dev/null
+++ b/packages/callers/include/monsoonward/callers/callerservice.h
@@ -0,0 +1,71 @@
+#pragma once
+
+#include <monsoonward/values/values.h>
+
+#include <boost/beast/http.hpp>
+
+#include <memory>
+#include <string>
+
+namespace monsoonward
+{
+
+/// @brief A caller's request, read to its end.
+using CallerRequest = boost::beast::http::request<boost::beast::http::string_body>;
+
+/// @brief A whole answer to a caller.
+struct CallerAnswer
+{
+    unsigned status = 0;
+    boost::beast::http::fields fields;
+    std::string body;
+};
+
+/// @brief Where the answer to one request goes. Calls come on the listener's event loop.
+class CallerSink
+{
+public:
+    virtual ~CallerSink() = default;
+    /// The whole answer.
+    virtual void answer(CallerAnswer answer) = 0;
+    /// The head of an answer whose bytes follow as they come.
+    virtual void begin(unsigned status, const boost::beast::http::fields &fields) = 0;
+    /// More bytes; CallerExchange::taken() is called when the caller has taken them.
+    virtual void bytes(std::string bytes) = 0;
+    /// The answer is complete.
+    virtual void finish() = 0;
+    /// The answer stays incomplete: the connection is closed.
+    virtual void breakOff() = 0;
+};
+
+/// @brief One request from its arrival to its final answer. Calls come on the listener's event loop.
+class CallerExchange
+{
+public:
+    virtual ~CallerExchange() = default;
+    /// May give the final answer at once.
+    virtual void start() = 0;
+    /// The caller has taken the bytes that it was given last.
+    virtual void taken() = 0;
+    /// The caller has closed its connection. The sink must not be used any more.
+    virtual void callerGone() = 0;
+};
+
+/// @brief What stands behind a CallerListener.
+class CallerService
+{
+public:
+    virtual ~CallerService() = default;
+    /// @return the bounds in force now
+    virtual CallerLimits limits() const = 0;
+    /// @return whether connections are to be closed after the answer in progress
+    virtual bool isStopping() const = 0;
+    /// @param arrived when the header was read
+    /// @param sink outlives the exchange, or the exchange is told by callerGone()
+    virtual std::shared_ptr<CallerExchange>
+    makeExchange(CallerRequest request, TimePoint arrived, CallerSink &sink) = 0;
+    /// @return the answer to a request that was not read to its end; nothing has run
+    virtual CallerAnswer refusal(unsigned status, const std::string &reason) = 0;
+};
+
+} // namespace monsoonward
--- a/packages/gateway/src/callerconnection.cpp
+++ b/packages/callers/src/callerconnection.cpp
@@ -1,6 +1,6 @@
 #include "callerconnection.h"
 
-#include "socketoptions.h"
+#include "monsoonward/callers/socketoptions.h"
 
 #include <boost/asio/write.hpp>
 
@@ -19,6 +19,7 @@
 
 constexpr Duration bodyTime = std::chrono::seconds(10); // a body that takes longer outlives its caller's patience
 constexpr Duration lingerTime = std::chrono::seconds(1); // for the caller to take the last answer and close
+constexpr Duration callerSilence = std::chrono::seconds(10); // a caller may pause in the middle of a long answer
 constexpr unsigned badRequest = 400;
 constexpr unsigned requestTimeout = 408;
 constexpr unsigned bodyTooLarge = 413;
@@ -27,26 +28,23 @@
 
 } // namespace
 
-CallerConnection::CallerConnection(GatewayCore &core,
+CallerConnection::CallerConnection(CallerService &service,
+                                   const Clock &clock,
                                    tcp::socket socket,
                                    std::function<void(CallerConnection *)> closed)
-    : m_core(core)
+    : m_service(service)
+    , m_clock(clock)
     , m_socket(std::move(socket))
     , m_closed(std::move(closed))
-    , m_timer(core.io)
+    , m_timer(m_socket.get_executor())
 {
 }
 
 CallerConnection::~CallerConnection() = default;
 
-CallerLimits CallerConnection::limits() const
-{
-    return m_core.serving ? m_core.serving->configuration->limits : CallerLimits();
-}
-
 void CallerConnection::start()
 {
-    setSocketOptions(m_socket);
+    setSocketOptions(m_socket, callerSilence);
     awaitRequest();
 }
 
@@ -69,7 +67,7 @@
         readHeader();
         return;
     }
-    expectWithin(limits().idleTime, [this] { closeIfIdle(); });
+    expectWithin(m_service.limits().idleTime, [this] { closeIfIdle(); });
     m_socket.async_wait(tcp::socket::wait_read, [self = shared_from_this()](const error_code &ec) {
         if (self->m_phase != Phase::Idle) {
             return;
@@ -84,7 +82,7 @@
 
 void CallerConnection::readHeader()
 {
-    const auto bounds = limits();
+    const auto bounds = m_service.limits();
     m_phase = Phase::Reading;
     m_parser.emplace();
     m_parser->header_limit(bounds.headerBytes);
@@ -105,7 +103,7 @@
 
 void CallerConnection::headerRead()
 {
-    m_arrived = m_core.clock.now();
+    m_arrived = m_clock.now();
     const auto &message = m_parser->get();
     m_keepAlive = message.keep_alive();
     m_version = message.version();
@@ -163,23 +161,15 @@
 
 void CallerConnection::answerError(unsigned status, const std::string &reason)
 {
-    m_core.log.write(Event::CallerRefused,
-                     Severity::Info,
-                     "caller-refused",
-                     {{"status", static_cast<std::int64_t>(status)}, {"reason", std::string_view(reason)}});
     m_keepAlive = false;
-    CallerAnswer own;
-    own.status = status;
-    own.fields.set("Monsoonward-Verdict", "not-run");
-    own.body = reason + "\n";
-    answer(std::move(own));
+    answer(m_service.refusal(status, reason));
 }
 
 void CallerConnection::requestRead()
 {
     m_phase = Phase::Answering;
     m_timer.cancel();
-    m_exchange = std::make_shared<Exchange>(m_core, m_parser->release(), m_arrived, *this);
+    m_exchange = m_service.makeExchange(m_parser->release(), m_arrived, *this);
     m_parser.reset();
     watchForLeaving();
     const auto exchange = m_exchange; // start() may give the final answer
@@ -217,7 +207,7 @@
 
 bool CallerConnection::closesAfterAnswer() const
 {
-    return !m_keepAlive || m_core.isStopping;
+    return !m_keepAlive || m_service.isStopping();
 }
 
 void CallerConnection::answer(CallerAnswer answer)
--- a/packages/gateway/src/callerconnection.h
+++ b/packages/callers/src/callerconnection.h
@@ -1,12 +1,14 @@
 #pragma once
 
-#include "exchange.h"
+#include "monsoonward/callers/callerservice.h"
 
 #include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/steady_timer.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
-#include <boost/beast/http.hpp>
 
+#include <array>
 #include <functional>
+#include <optional>
 
 namespace monsoonward
 {
@@ -15,8 +17,10 @@
 class CallerConnection : public CallerSink, public std::enable_shared_from_this<CallerConnection>
 {
 public:
+    /// @param service, clock outlive the connection
     /// @param closed called once when the connection has ended
-    CallerConnection(GatewayCore &core,
+    CallerConnection(CallerService &service,
+                     const Clock &clock,
                      boost::asio::ip::tcp::socket socket,
                      std::function<void(CallerConnection *)> closed);
     ~CallerConnection() override;
@@ -61,9 +65,9 @@
     void linger();
     void discard();
     bool closesAfterAnswer() const;
-    CallerLimits limits() const;
 
-    GatewayCore &m_core;
+    CallerService &m_service;
+    const Clock &m_clock;
     boost::asio::ip::tcp::socket m_socket;
     std::function<void(CallerConnection *)> m_closed;
     boost::asio::steady_timer m_timer;
@@ -74,7 +78,7 @@
     bool m_keepAlive = false; // as the request asks
     unsigned m_version = 11; // of HTTP, as Beast counts it
     bool m_isHead = false;
-    std::shared_ptr<Exchange> m_exchange;
+    std::shared_ptr<CallerExchange> m_exchange;
     bool m_writing = false;
     bool m_finishWanted = false; // the last chunk is due when the write is done
     std::optional<boost::beast::http::response<boost::beast::http::string_body>> m_answer;
--- a/packages/gateway/src/callerlistener.cpp
+++ b/packages/callers/src/callerlistener.cpp
@@ -1,6 +1,8 @@
-#include "callerlistener.h"
+#include "monsoonward/callers/callerlistener.h"
 
-#include "listening.h"
+#include "callerconnection.h"
+
+#include "monsoonward/callers/listening.h"
 
 namespace monsoonward
 {
@@ -11,22 +13,29 @@
 namespace
 {
 
-constexpr std::uint32_t reservedDescriptors = 500; // files, engines, store, health checks and the platform's own
-constexpr std::size_t leastConnections = 16;
 constexpr Duration acceptPause = std::chrono::milliseconds(50); // while no connection more is possible
 
 } // namespace
 
-CallerListener::CallerListener(GatewayCore &core)
-    : m_core(core)
-    , m_acceptor(core.io)
-    , m_pause(core.io)
+CallerListener::CallerListener(boost::asio::io_context &io,
+                               const Clock &clock,
+                               CallerService &service,
+                               Address listen,
+                               std::size_t mostConnections)
+    : m_clock(clock)
+    , m_service(service)
+    , m_listen(std::move(listen))
+    , m_mostConnections(mostConnections)
+    , m_acceptor(io)
+    , m_pause(io)
 {
 }
 
+CallerListener::~CallerListener() = default;
+
 Result<void> CallerListener::listen()
 {
-    return listenOn(m_acceptor, m_core.settings.callerListen);
+    return listenOn(m_acceptor, m_listen);
 }
 
 void CallerListener::open()
@@ -39,10 +48,7 @@
 
 void CallerListener::accept()
 {
-    const auto descriptors = m_core.settings.descriptors;
-    const std::size_t most = std::max<std::size_t>(
-        leastConnections, descriptors > reservedDescriptors ? descriptors - reservedDescriptors : 0);
-    if (m_connections.size() >= most) {
+    if (m_connections.size() >= m_mostConnections) {
         m_pause.expires_after(acceptPause);
         m_pause.async_wait([this](const error_code &ec) {
             if (!ec) {
@@ -57,7 +63,7 @@
         }
         if (!ec) {
             const auto connection =
-                std::make_shared<CallerConnection>(m_core, std::move(socket), [this](CallerConnection *it) {
+                std::make_shared<CallerConnection>(m_service, m_clock, std::move(socket), [this](CallerConnection *it) {
                     m_connections.erase(it->shared_from_this());
                 });
             m_connections.insert(connection);
@@ -82,6 +88,14 @@
     }
 }
 
+void CallerListener::cutAll()
+{
+    const auto connections = m_connections;
+    for (const auto &it : connections) {
+        it->cut();
+    }
+}
+
 std::size_t CallerListener::connections() const
 {
     return m_connections.size();
--- a/packages/gateway/src/listening.cpp
+++ b/packages/callers/src/listening.cpp
@@ -1,4 +1,4 @@
-#include "listening.h"
+#include "monsoonward/callers/listening.h"
 
 namespace monsoonward
 {
--- a/packages/gateway/src/socketoptions.cpp
+++ b/packages/callers/src/socketoptions.cpp
@@ -1,4 +1,4 @@
-#include "socketoptions.h"
+#include "monsoonward/callers/socketoptions.h"
 
 #include <netinet/tcp.h>
 #include <sys/socket.h>
@@ -9,7 +9,6 @@
 namespace
 {
 
-constexpr int unansweredMs = 1500; // about ten round trips between regions with a repeat of the packet
 constexpr int keepAliveIdleSeconds = 1; // the shortest that the kernel takes
 constexpr int keepAliveIntervalSeconds = 1;
 constexpr int keepAliveProbes = 2;
@@ -22,7 +21,7 @@
 
 } // namespace
 
-void setSocketOptions(boost::asio::ip::tcp::socket &socket)
+void setSocketOptions(boost::asio::ip::tcp::socket &socket, Duration silence)
 {
     const int handle = socket.native_handle();
     setOption(handle, IPPROTO_TCP, TCP_NODELAY, 1);
@@ -30,7 +29,10 @@
     setOption(handle, IPPROTO_TCP, TCP_KEEPIDLE, keepAliveIdleSeconds);
     setOption(handle, IPPROTO_TCP, TCP_KEEPINTVL, keepAliveIntervalSeconds);
     setOption(handle, IPPROTO_TCP, TCP_KEEPCNT, keepAliveProbes);
-    setOption(handle, IPPROTO_TCP, TCP_USER_TIMEOUT, unansweredMs);
+    setOption(handle,
+              IPPROTO_TCP,
+              TCP_USER_TIMEOUT,
+              static_cast<int>(std::chrono::duration_cast<std::chrono::milliseconds>(silence).count()));
 }
 
 } // namespace monsoonward
--- a/packages/daemon/include/monsoonward/daemon/settings.h
+++ b/packages/daemon/include/monsoonward/daemon/settings.h
@@ -29,7 +29,8 @@
     Address streamListen; ///< HTTP/2; port 0: none
     std::uint32_t maxBodyBytes = 0;
     std::uint32_t maxOpenRequests = 0;
-    std::uint32_t maxThreads = 0;
+    std::uint32_t maxConnections = 0;
+    std::uint32_t maxThreads = 0; ///< without effect
     // [admin]
     Address adminListen; ///< metrics, dump and operators
     std::string bootstrapTokenHash;
@@ -54,6 +55,7 @@
                        streamListen,
                        maxBodyBytes,
                        maxOpenRequests,
+                       maxConnections,
                        maxThreads,
                        adminListen,
                        bootstrapTokenHash,
--- a/packages/daemon/src/callerstream.cpp
+++ b/packages/daemon/src/callerstream.cpp
@@ -25,7 +25,7 @@
 
 } // namespace
 
-StreamSink::StreamSink(IoLoop &loop, std::weak_ptr<CallerConnection> connection, StreamId stream)
+StreamSink::StreamSink(IoLoop &loop, std::weak_ptr<StreamConnection> connection, StreamId stream)
     : m_loop(loop)
     , m_connection(std::move(connection))
     , m_stream(stream)
@@ -34,17 +34,17 @@
 
 void StreamSink::accepted(const RequestId &id)
 {
-    onLoop([stream = m_stream, id](CallerConnection &it) { it.accepted(stream, id); });
+    onLoop([stream = m_stream, id](StreamConnection &it) { it.accepted(stream, id); });
 }
 
 void StreamSink::begin(unsigned status, const HeaderList &headers)
 {
-    onLoop([stream = m_stream, status, headers](CallerConnection &it) { it.answerBegin(stream, status, headers); });
+    onLoop([stream = m_stream, status, headers](StreamConnection &it) { it.answerBegin(stream, status, headers); });
 }
 
 bool StreamSink::bytes(const std::string &bytes, std::size_t wireBytes, const std::shared_ptr<AnswerCredit> &credit)
 {
-    onLoop([stream = m_stream, bytes, wireBytes, credit](CallerConnection &it) {
+    onLoop([stream = m_stream, bytes, wireBytes, credit](StreamConnection &it) {
         it.answerBytes(stream, bytes, wireBytes, credit);
     });
     return true;
@@ -52,17 +52,17 @@
 
 void StreamSink::completed()
 {
-    onLoop([stream = m_stream](CallerConnection &it) { it.answerCompleted(stream); });
+    onLoop([stream = m_stream](StreamConnection &it) { it.answerCompleted(stream); });
 }
 
 void StreamSink::refused(const RequestId &id, const Refusal &refusal)
 {
-    onLoop([stream = m_stream, reply = refusalReply(id, refusal)](CallerConnection &it) {
+    onLoop([stream = m_stream, reply = refusalReply(id, refusal)](StreamConnection &it) {
         it.answerRefused(stream, reply);
     });
 }
 
-void StreamSink::onLoop(std::function<void(CallerConnection &)> task)
+void StreamSink::onLoop(std::function<void(StreamConnection &)> task)
 {
     m_loop.post([weak = m_connection, task = std::move(task)] {
         if (const auto connection = weak.lock()) {
@@ -71,7 +71,7 @@
     });
 }
 
-CallerConnection::CallerConnection(
+StreamConnection::StreamConnection(
     IoLoop &loop, const H2Limits &limits, std::size_t maxBodyBytes, EntryNode &node, Gone gone)
     : m_loop(loop)
     , m_maxBodyBytes(maxBodyBytes)
@@ -81,12 +81,12 @@
 {
 }
 
-void CallerConnection::accept(cxxtools::net::TcpServer &server)
+void StreamConnection::accept(cxxtools::net::TcpServer &server)
 {
     m_connection->accept(server);
 }
 
-void CallerConnection::close()
+void StreamConnection::close()
 {
     m_connection->close();
     for (const auto &[stream, it] : m_streams) {
@@ -95,7 +95,7 @@
     m_streams.clear();
 }
 
-void CallerConnection::accepted(StreamId stream, const RequestId &id)
+void StreamConnection::accepted(StreamId stream, const RequestId &id)
 {
     if (auto *it = find(stream)) {
         it->id = id;
@@ -104,7 +104,7 @@
     }
 }
 
-void CallerConnection::answerBegin(StreamId stream, unsigned status, const HeaderList &headers)
+void StreamConnection::answerBegin(StreamId stream, unsigned status, const HeaderList &headers)
 {
     auto *it = find(stream);
     if (it == nullptr || it->begun) {
@@ -117,7 +117,7 @@
     m_connection->respond(stream, list);
 }
 
-void CallerConnection::answerBytes(StreamId stream,
+void StreamConnection::answerBytes(StreamId stream,
                                    std::string bytes,
                                    std::size_t wireBytes,
                                    std::shared_ptr<AnswerCredit> credit)
@@ -128,7 +128,7 @@
     }
 }
 
-void CallerConnection::answerCompleted(StreamId stream)
+void StreamConnection::answerCompleted(StreamId stream)
 {
     if (auto *it = find(stream)) {
         it->ended = true;
@@ -136,7 +136,7 @@
     }
 }
 
-void CallerConnection::answerRefused(StreamId stream, const HttpReply &reply)
+void StreamConnection::answerRefused(StreamId stream, const HttpReply &reply)
 {
     auto *it = find(stream);
     if (it == nullptr) {
@@ -150,11 +150,11 @@
     }
 }
 
-void CallerConnection::connected()
+void StreamConnection::connected()
 {
 }
 
-void CallerConnection::streamHeaders(StreamId stream, const Headers &headers)
+void StreamConnection::streamHeaders(StreamId stream, const Headers &headers)
 {
     auto &it = m_streams[stream];
     for (const auto &[name, value] : headers) {
@@ -168,7 +168,7 @@
     }
 }
 
-void CallerConnection::streamData(StreamId stream, std::string_view bytes)
+void StreamConnection::streamData(StreamId stream, std::string_view bytes)
 {
     m_connection->consume(stream, bytes.size());
     auto *it = find(stream);
@@ -185,7 +185,7 @@
     it->request.body.append(bytes);
 }
 
-void CallerConnection::streamEnded(StreamId stream)
+void StreamConnection::streamEnded(StreamId stream)
 {
     auto *it = find(stream);
     if (it == nullptr || it->ended || it->submitted) {
@@ -200,7 +200,7 @@
     }
 }
 
-void CallerConnection::streamClosed(StreamId stream)
+void StreamConnection::streamClosed(StreamId stream)
 {
     const auto it = m_streams.find(stream);
     if (it != m_streams.end()) {
@@ -209,7 +209,7 @@
     }
 }
 
-void CallerConnection::streamSent(StreamId stream, std::size_t sent)
+void StreamConnection::streamSent(StreamId stream, std::size_t sent)
 {
     auto *it = find(stream);
     while (it != nullptr && sent > 0 && !it->untaken.empty()) {
@@ -224,26 +224,26 @@
     }
 }
 
-void CallerConnection::disconnected(const std::string & /*why*/)
+void StreamConnection::disconnected(const std::string & /*why*/)
 {
     close();
     m_gone(*this);
 }
 
-CallerConnection::Stream *CallerConnection::find(StreamId stream)
+StreamConnection::Stream *StreamConnection::find(StreamId stream)
 {
     const auto it = m_streams.find(stream);
     return it == m_streams.end() ? nullptr : &it->second;
 }
 
-void CallerConnection::reply(StreamId stream, const HttpReply &reply)
+void StreamConnection::reply(StreamId stream, const HttpReply &reply)
 {
     m_connection->respond(stream, toH2(reply.status, reply.headers));
     m_connection->write(stream, reply.body);
     m_connection->finish(stream);
 }
 
-void CallerConnection::cancel(const Stream &stream)
+void StreamConnection::cancel(const Stream &stream)
 {
     if (stream.id && !stream.ended) {
         m_node.cancel(*stream.id);
--- a/packages/daemon/src/callerstream.h
+++ b/packages/daemon/src/callerstream.h
@@ -11,13 +11,13 @@
 namespace monsoonward
 {
 
-class CallerConnection;
+class StreamConnection;
 
-/// @brief Passes one answer to a stream of a CallerConnection. Any thread.
+/// @brief Passes one answer to a stream of a StreamConnection. Any thread.
 class StreamSink : public AnswerSink
 {
 public:
-    StreamSink(IoLoop &loop, std::weak_ptr<CallerConnection> connection, StreamId stream);
+    StreamSink(IoLoop &loop, std::weak_ptr<StreamConnection> connection, StreamId stream);
 
     void accepted(const RequestId &id) override;
     void begin(unsigned status, const HeaderList &headers) override;
@@ -26,20 +26,20 @@
     void refused(const RequestId &id, const Refusal &refusal) override;
 
 private:
-    void onLoop(std::function<void(CallerConnection &)> task);
+    void onLoop(std::function<void(StreamConnection &)> task);
 
     IoLoop &m_loop;
-    std::weak_ptr<CallerConnection> m_connection;
+    std::weak_ptr<StreamConnection> m_connection;
     StreamId m_stream;
 };
 
 /// @brief One caller's HTTP/2 connection, on the listener's I/O thread.
-class CallerConnection : public H2Handler, public std::enable_shared_from_this<CallerConnection>
+class StreamConnection : public H2Handler, public std::enable_shared_from_this<StreamConnection>
 {
 public:
-    using Gone = std::function<void(CallerConnection &)>;
+    using Gone = std::function<void(StreamConnection &)>;
 
-    CallerConnection(IoLoop &loop, const H2Limits &limits, std::size_t maxBodyBytes, EntryNode &node, Gone gone);
+    StreamConnection(IoLoop &loop, const H2Limits &limits, std::size_t maxBodyBytes, EntryNode &node, Gone gone);
 
     void accept(cxxtools::net::TcpServer &server);
     /// Cancels what is in progress and ends the connection.
--- a/packages/daemon/src/handlers.cpp
+++ b/packages/daemon/src/handlers.cpp
@@ -25,22 +25,31 @@
 {
 }
 
-HttpReply CallerHandler::answer(const HttpRequest &request, const std::function<bool()> &callerGone)
+std::shared_ptr<PendingReply> CallerHandler::handle(const HttpRequest &request, Done done)
 {
-    const auto sink = std::make_shared<WholeAnswerSink>(maxAnswerBytes);
+    const auto sink =
+        std::make_shared<WholeAnswerSink>(maxAnswerBytes, done, [this](const RequestId &id) { m_node.cancel(id); });
     if (auto reply = m_node.submit(request, sink)) {
-        return *reply;
+        done(*reply);
+        return nullptr;
     }
-    return sink->wait(callerGone, [this](const RequestId &id) { m_node.cancel(id); });
+    return sink;
 }
 
-AdminHandler::AdminHandler(Node &node, Metrics &metrics)
+AdminHandler::AdminHandler(Node &node, Metrics &metrics, std::size_t maxThreads)
     : m_node(node)
     , m_metrics(metrics)
+    , m_workers(maxThreads)
 {
 }
 
-HttpReply AdminHandler::answer(const HttpRequest &request, const std::function<bool()> & /*callerGone*/)
+std::shared_ptr<PendingReply> AdminHandler::handle(const HttpRequest &request, Done done)
+{
+    m_workers.run([this, request, done = std::move(done)] { done(answerOf(request)); });
+    return nullptr;
+}
+
+HttpReply AdminHandler::answerOf(const HttpRequest &request)
 {
     const auto path = request.path.substr(0, request.path.find('?'));
     if (path == "/dump") {
--- a/packages/daemon/src/handlers.h
+++ b/packages/daemon/src/handlers.h
@@ -2,16 +2,17 @@
 
 #include "entrynode.h"
 #include "httplistener.h"
+#include "workerpool.h"
 
 namespace monsoonward
 {
 
-/// @brief Callers over HTTP/1.1: a thread waits for the whole answer.
+/// @brief Callers over HTTP/1.1: each gets its whole answer.
 class CallerHandler : public HttpRequestHandler
 {
 public:
     explicit CallerHandler(EntryNode &node);
-    HttpReply answer(const HttpRequest &request, const std::function<bool()> &callerGone) override;
+    std::shared_ptr<PendingReply> handle(const HttpRequest &request, Done done) override;
 
 private:
     EntryNode &m_node;
@@ -21,12 +22,16 @@
 class AdminHandler : public HttpRequestHandler
 {
 public:
-    AdminHandler(Node &node, Metrics &metrics);
-    HttpReply answer(const HttpRequest &request, const std::function<bool()> &callerGone) override;
+    /// @param maxThreads operators' calls that wait for the store at once
+    AdminHandler(Node &node, Metrics &metrics, std::size_t maxThreads);
+    std::shared_ptr<PendingReply> handle(const HttpRequest &request, Done done) override;
 
 private:
+    HttpReply answerOf(const HttpRequest &request);
+
     Node &m_node;
     Metrics &m_metrics;
+    WorkerPool m_workers; // the node answers operators by blocking calls
 };
 
 } // namespace monsoonward
--- a/packages/daemon/src/httplistener.cpp
+++ b/packages/daemon/src/httplistener.cpp
@@ -1,247 +1,140 @@
 #include "httplistener.h"
 
-#include <cxxtools/eventloop.h>
-#include <cxxtools/http/reply.h>
-#include <cxxtools/http/request.h>
-#include <cxxtools/http/responder.h>
-#include <cxxtools/http/server.h>
-#include <cxxtools/http/service.h>
-#include <cxxtools/net/tcpsocket.h>
-#include <cxxtools/regex.h>
+#include <monsoonward/callers/callers.h>
 
-#include <poll.h>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/post.hpp>
 
-#include <cstring>
 #include <thread>
 
 namespace monsoonward
 {
 
-namespace
-{
+namespace asio = boost::asio;
+namespace http = boost::beast::http;
 
-constexpr unsigned minThreads = 4;
-
-const char *statusText(unsigned status)
+namespace
 {
-    switch (status) {
-    case 200:
-        return "OK";
-    case 400:
-        return "Bad Request";
-    case 401:
-        return "Unauthorized";
-    case 403:
-        return "Forbidden";
-    case 404:
-        return "Not Found";
-    case 409:
-        return "Conflict";
-    case 411:
-        return "Length Required";
-    case 413:
-        return "Content Too Large";
-    case 422:
-        return "Unprocessable Content";
-    case 429:
-        return "Too Many Requests";
-    case 500:
-        return "Internal Server Error";
-    case 502:
-        return "Bad Gateway";
-    case 503:
-        return "Service Unavailable";
-    case 504:
-        return "Gateway Timeout";
-    default:
-        return "Status";
-    }
-}
 
-bool peerClosed(int fd)
+HttpRequest decoded(CallerRequest from)
 {
-    pollfd it {fd, POLLRDHUP, 0};
-    return poll(&it, 1, 0) > 0 && (it.revents & (POLLRDHUP | POLLHUP | POLLERR)) != 0;
+    HttpRequest request;
+    request.method = std::string(from.method_string());
+    request.path = std::string(from.target());
+    for (const auto &it : from.base()) {
+        request.headers.emplace_back(std::string(it.name_string()), std::string(it.value()));
+    }
+    request.body = std::move(from.body());
+    return request;
 }
 
-HeaderList toHeaders(const cxxtools::http::MessageHeader &header)
+/// @return whether Beast can write the header; a line break in it would end the header early
+bool isWritable(const HeaderList &headers)
 {
-    HeaderList headers;
-    for (auto it = header.begin(); it != header.end(); ++it) {
-        headers.emplace_back(it->first, it->second);
+    for (const auto &[name, value] : headers) {
+        if (name.empty() || name.find_first_of("\r\n: ") != std::string::npos
+            || value.find_first_of("\r\n") != std::string::npos) {
+            return false;
+        }
     }
-    return headers;
+    return true;
 }
 
-void write(const HttpReply &from, std::ostream &out, cxxtools::http::Reply &to)
+CallerAnswer encoded(HttpReply from)
 {
-    try {
-        for (const auto &[name, value] : from.headers) {
-            to.addHeader(name.c_str(), value.c_str());
-        }
-        to.httpReturn(from.status, statusText(from.status));
-        out << from.body;
-    } catch (const std::exception &error) {
-        to.header().clear();
+    if (!isWritable(from.headers)) {
         const auto *verdict = findHeader(from.headers, verdictHeader);
         const bool ran = verdict != nullptr && *verdict != textOf(Verdict::NotRun);
-        const auto refusal = Refusal {
-            RefusalReason::EngineFailed, ran ? Verdict::MayHaveRun : Verdict::NotRun, std::nullopt, error.what()};
-        const auto reply = refusalReply({}, refusal);
-        to.httpReturn(reply.status, statusText(reply.status));
-        to.setHeader(verdictHeader, textOf(refusal.verdict).c_str());
-        out << reply.body;
-    }
+        from = refusalReply({},
+                            {RefusalReason::EngineFailed,
+                             ran ? Verdict::MayHaveRun : Verdict::NotRun,
+                             std::nullopt,
+                             "a header of the answer isn't valid"});
+    }
+    CallerAnswer answer;
+    answer.status = from.status;
+    for (const auto &[name, value] : from.headers) {
+        answer.fields.insert(name, value);
+    }
+    answer.body = std::move(from.body);
+    return answer;
 }
 
-/// Thrown out of the reading of a request that is refused at once.
-class EarlyRefusal : public std::runtime_error
-{
-public:
-    explicit EarlyRefusal(HttpReply reply)
-        : std::runtime_error("request refused")
-        , m_reply(std::move(reply))
-    {
-    }
-    const HttpReply &reply() const
-    {
-        return m_reply;
-    }
-
-private:
-    HttpReply m_reply;
-};
-
-class Responder : public cxxtools::http::Responder
+/// One request that a handler answers as a whole.
+class WholeExchange : public CallerExchange, public std::enable_shared_from_this<WholeExchange>
 {
 public:
-    Responder(cxxtools::http::Service &service, HttpRequestHandler &handler, std::size_t maxBodyBytes)
-        : cxxtools::http::Responder(service)
+    WholeExchange(std::shared_ptr<asio::io_context> io,
+                  HttpRequestHandler &handler,
+                  HttpRequest request,
+                  CallerSink &sink)
+        : m_io(std::move(io))
         , m_handler(handler)
-        , m_maxBodyBytes(maxBodyBytes)
+        , m_request(std::move(request))
+        , m_sink(&sink)
     {
     }
 
-    void
-    beginRequest(cxxtools::net::TcpSocket &socket, std::istream & /*in*/, cxxtools::http::Request &request) override
+    void start() override
     {
-        m_fd = socket.getFd();
-        m_body.clear();
-        const auto headers = toHeaders(request.header());
-        const auto *length = findHeader(headers, "Content-Length");
-        if (findHeader(headers, "Transfer-Encoding") != nullptr) {
-            const bool both = length != nullptr;
-            throw EarlyRefusal(refusalBeforeSubmit(both ? 400 : 411,
-                                                   both ? "ambiguous-length" : "length-required",
-                                                   "a request needs a Content-Length and no Transfer-Encoding"));
-        }
-        if (length != nullptr && !lengthAllowed(*length)) {
-            throw EarlyRefusal(refusalBeforeSubmit(413,
-                                                   "body-too-large",
-                                                   "Content-Length \"" + *length + "\" isn't a number up to "
-                                                       + std::to_string(m_maxBodyBytes)));
-        }
+        m_call = m_handler.handle(m_request, [io = m_io, weak = weak_from_this()](HttpReply reply) {
+            asio::post(*io, [weak, reply = std::move(reply)]() mutable {
+                if (const auto self = weak.lock()) {
+                    self->answered(std::move(reply));
+                }
+            });
+        });
+        m_request = {};
     }
 
-    std::size_t readBody(std::istream &in) override
+    void taken() override
     {
-        const auto available = static_cast<std::size_t>(std::max<std::streamsize>(in.rdbuf()->in_avail(), 0));
-        const auto before = m_body.size();
-        m_body.resize(before + available);
-        in.read(m_body.data() + before, static_cast<std::streamsize>(available));
-        return available;
     }
 
-    void reply(std::ostream &out, cxxtools::http::Request &request, cxxtools::http::Reply &reply) override
+    void callerGone() override
     {
-        const auto &query = request.qparams();
-        const HttpRequest call {request.method(),
-                                encodePath(request.url()) + (query.empty() ? "" : "?" + query),
-                                toHeaders(request.header()),
-                                std::move(m_body)};
-        const auto answer = m_handler.answer(call, [this] { return peerClosed(m_fd); });
-        write(answer, out, reply);
-    }
-
-    void replyError(std::ostream &out,
-                    cxxtools::http::Request & /*request*/,
-                    cxxtools::http::Reply &reply,
-                    const std::exception &error) override
-    {
-        const auto *early = dynamic_cast<const EarlyRefusal *>(&error);
-        write(early != nullptr ? early->reply() : refusalBeforeSubmit(400, "malformed-request", error.what()),
-              out,
-              reply);
-        reply.setHeader("Connection", "close");
+        m_sink = nullptr;
+        if (const auto call = std::exchange(m_call, nullptr)) {
+            call->cancel();
+        }
     }
 
 private:
-    bool lengthAllowed(const std::string &text) const
-    {
-        constexpr std::size_t maxDigits = 12;
-        const bool number =
-            !text.empty() && text.size() <= maxDigits && text.find_first_not_of("0123456789") == std::string::npos;
-        return number && std::stoull(text) <= m_maxBodyBytes;
-    }
-
-    HttpRequestHandler &m_handler;
-    std::size_t m_maxBodyBytes;
-    std::string m_body;
-    int m_fd = -1;
-};
-
-class Service : public cxxtools::http::Service
-{
-public:
-    Service(HttpRequestHandler &handler, std::size_t maxBodyBytes)
-        : m_handler(handler)
-        , m_maxBodyBytes(maxBodyBytes)
-    {
-    }
-
-protected:
-    cxxtools::http::Responder *createResponder(const cxxtools::http::Request & /*request*/) override
-    {
-        return new Responder(*this, m_handler, m_maxBodyBytes);
-    }
-    void releaseResponder(cxxtools::http::Responder *responder) override
+    void answered(HttpReply reply)
     {
-        delete responder;
+        m_call.reset();
+        if (auto *sink = std::exchange(m_sink, nullptr)) {
+            sink->answer(encoded(std::move(reply)));
+        }
     }
 
-private:
+    std::shared_ptr<asio::io_context> m_io; // an answer may come after the listener has stopped
     HttpRequestHandler &m_handler;
-    std::size_t m_maxBodyBytes;
+    HttpRequest m_request;
+    CallerSink *m_sink; // null once it was answered or the caller has gone
+    std::shared_ptr<PendingReply> m_call;
 };
 
 } // namespace
 
-class HttpListener::Impl
+class HttpListener::Impl : public CallerService
 {
 public:
     Impl(const HttpListenerOptions &options, HttpRequestHandler &handler)
         : m_options(options)
-        , m_service(handler, options.maxBodyBytes)
+        , m_handler(handler)
+        , m_listener(*m_io, m_clock, *this, options.listen, options.maxConnections)
     {
     }
 
     Result<void> start()
     {
-        try {
-            m_loop = std::make_unique<cxxtools::EventLoop>();
-            m_server = std::make_unique<cxxtools::http::Server>(*m_loop);
-            m_server->minThreads(std::min(minThreads, m_options.maxThreads));
-            m_server->maxThreads(m_options.maxThreads);
-            m_server->addService(cxxtools::Regex(".*"), m_service);
-            m_server->listen(m_options.listen.ip, m_options.listen.port);
-        } catch (const std::exception &error) {
-            m_server.reset();
-            m_loop.reset();
-            return Error {ErrorCode::Unavailable,
-                          "listen " + m_options.listen.ip + ":" + std::to_string(m_options.listen.port) + ": "
-                              + error.what()};
-        }
-        m_thread = std::thread([this] { m_loop->run(); });
+        BOOST_OUTCOME_TRY(m_listener.listen());
+        m_listener.open();
+        m_thread = std::thread([this] {
+            const auto work = asio::make_work_guard(*m_io);
+            m_io->run();
+        });
         return boost::outcome_v2::success();
     }
 
@@ -250,17 +143,45 @@
         if (!m_thread.joinable()) {
             return;
         }
-        m_loop->exit();
+        asio::post(*m_io, [this] {
+            m_listener.stopAccepting();
+            m_listener.cutAll();
+            m_io->stop();
+        });
         m_thread.join();
-        m_server.reset();
-        m_loop.reset();
+        m_io->restart();
+        m_io->poll(); // what was cancelled is told so, and lets go of its connection
+    }
+
+    CallerLimits limits() const override
+    {
+        CallerLimits limits;
+        limits.bodyBytes = static_cast<std::uint32_t>(m_options.maxBodyBytes);
+        return limits;
+    }
+
+    bool isStopping() const override
+    {
+        return false;
+    }
+
+    std::shared_ptr<CallerExchange>
+    makeExchange(CallerRequest request, TimePoint /*arrived*/, CallerSink &sink) override
+    {
+        return std::make_shared<WholeExchange>(m_io, m_handler, decoded(std::move(request)), sink);
+    }
+
+    CallerAnswer refusal(unsigned status, const std::string &reason) override
+    {
+        return encoded(refusalBeforeSubmit(status, reason, "the request was not read to its end"));
     }
 
 private:
     HttpListenerOptions m_options;
-    Service m_service;
-    std::unique_ptr<cxxtools::EventLoop> m_loop;
-    std::unique_ptr<cxxtools::http::Server> m_server;
+    HttpRequestHandler &m_handler;
+    SystemClock m_clock;
+    std::shared_ptr<asio::io_context> m_io = std::make_shared<asio::io_context>(1);
+    CallerListener m_listener;
     std::thread m_thread;
 };
 
@@ -284,21 +205,4 @@
     m_impl->stop();
 }
 
-std::string encodePath(const std::string &path)
-{
-    constexpr const char *digits = "0123456789ABCDEF";
-    constexpr const char *allowed = "-._~!$&'()*+,;=:@/";
-    std::string encoded;
-    for (const auto c : path) {
-        const auto byte = static_cast<unsigned char>(c);
-        const bool letterOrDigit = (c >= 'a' && c <= 'z') || (c >= 'A' && c <= 'Z') || (c >= '0' && c <= '9');
-        if (letterOrDigit || (c != '\0' && std::strchr(allowed, c) != nullptr)) {
-            encoded.push_back(c);
-        } else {
-            encoded += {'%', digits[byte >> 4U], digits[byte & 0xfU]};
-        }
-    }
-    return encoded;
-}
-
 } // namespace monsoonward
--- a/packages/daemon/src/httplistener.h
+++ b/packages/daemon/src/httplistener.h
@@ -8,13 +8,25 @@
 namespace monsoonward
 {
 
-/// @brief Answers the requests that come to an HttpListener. Calls come on the server's threads, several at once.
+/// @brief A request that was passed to an HttpRequestHandler and has no answer yet.
+class PendingReply
+{
+public:
+    virtual ~PendingReply() = default;
+    /// The caller has closed its connection.
+    virtual void cancel() = 0;
+};
+
+/// @brief Answers the requests that come to an HttpListener. Calls come on the listener's event loop and don't block.
 class HttpRequestHandler
 {
 public:
+    /// Takes the answer, once, from any thread.
+    using Done = std::function<void(HttpReply)>;
+
     virtual ~HttpRequestHandler() = default;
-    /// @param callerGone whether the caller has closed its connection
-    virtual HttpReply answer(const HttpRequest &request, const std::function<bool()> &callerGone) = 0;
+    /// @return the call while its answer is outstanding; null when nothing is left to cancel
+    virtual std::shared_ptr<PendingReply> handle(const HttpRequest &request, Done done) = 0;
 };
 
 /// @brief Bounds of an HttpListener.
@@ -22,15 +34,15 @@
 {
     Address listen;
     std::size_t maxBodyBytes = 0;
-    unsigned maxThreads = 0; ///< one for each request in progress
-    MONSOONWARD_FIELDS(listen, maxBodyBytes, maxThreads)
+    std::size_t maxConnections = 0; ///< more wait in the kernel
+    MONSOONWARD_FIELDS(listen, maxBodyBytes, maxConnections)
 };
 
-/// @brief HTTP/1.1 by the server of cxxtools, which decodes percent-encoded paths: a path is encoded again, and "%2F"
-/// becomes "/". Chunked requests are refused with 411, both kinds of framing at once with 400.
+/// @brief Whole answers over HTTP/1.1: the callers' listener on an event loop of its own thread.
 class HttpListener
 {
 public:
+    /// @param handler outlives the listener
     HttpListener(const HttpListenerOptions &options, HttpRequestHandler &handler);
     ~HttpListener();
     HttpListener(const HttpListener &) = delete;
@@ -38,6 +50,7 @@
 
     /// Listens and serves. Unavailable when the address can't be listened on.
     Result<void> start();
+    /// Closes all connections; what is in progress is cancelled.
     void stop();
 
 private:
@@ -45,7 +58,4 @@
     std::unique_ptr<Impl> m_impl;
 };
 
-/// @return @p path with every byte percent-encoded that may not stand in a path
-std::string encodePath(const std::string &path);
-
 } // namespace monsoonward
--- a/packages/daemon/src/process.cpp
+++ b/packages/daemon/src/process.cpp
@@ -16,7 +16,8 @@
 {
 
 constexpr unsigned platformThreads = 4;
-constexpr unsigned adminThreads = 16;
+constexpr std::size_t adminThreads = 16; // operators and scrapes at once; more wait
+constexpr std::size_t adminConnections = 64;
 constexpr std::size_t maxAdminBody = std::size_t {8} * 1024 * 1024;
 constexpr auto checkInterval = std::chrono::milliseconds(100);
 constexpr auto goodbyeTime = std::chrono::milliseconds(100); // for last messages to leave
@@ -101,9 +102,9 @@
         , m_supervisor({}, m_clock, *m_events)
     {
         makeNode();
-        m_admin = std::make_unique<AdminHandler>(*m_node, m_metrics);
+        m_admin = std::make_unique<AdminHandler>(*m_node, m_metrics, adminThreads);
         m_adminServer = std::make_unique<HttpListener>(
-            HttpListenerOptions {settings.adminListen, maxAdminBody, adminThreads}, *m_admin);
+            HttpListenerOptions {settings.adminListen, maxAdminBody, adminConnections}, *m_admin);
         addChildren();
     }
 
@@ -170,7 +171,7 @@
         if (m_entry != nullptr) {
             m_callers = std::make_unique<CallerHandler>(*m_entry);
             m_callerServer = std::make_unique<HttpListener>(
-                HttpListenerOptions {m_settings.callerListen, m_settings.maxBodyBytes, m_settings.maxThreads},
+                HttpListenerOptions {m_settings.callerListen, m_settings.maxBodyBytes, m_settings.maxConnections},
                 *m_callers);
             add(
                 "callers", [this] { return m_callerServer->start(); }, [this] { m_callerServer->stop(); });
--- a/packages/daemon/src/streamlistener.cpp
+++ b/packages/daemon/src/streamlistener.cpp
@@ -57,8 +57,8 @@
     void onConnection(cxxtools::net::TcpServer &server)
     {
         const H2Limits limits {m_options.maxStreams, streamWindow};
-        const auto connection = std::make_shared<CallerConnection>(
-            m_loop, limits, m_options.maxBodyBytes, m_node, [this](CallerConnection &it) { forget(it); });
+        const auto connection = std::make_shared<StreamConnection>(
+            m_loop, limits, m_options.maxBodyBytes, m_node, [this](StreamConnection &it) { forget(it); });
         try {
             connection->accept(server);
         } catch (const std::exception &) {
@@ -73,7 +73,7 @@
         m_connections.insert(connection);
     }
 
-    void forget(CallerConnection &connection)
+    void forget(StreamConnection &connection)
     {
         const auto it = m_connections.find(connection.shared_from_this());
         if (it != m_connections.end()) {
@@ -86,7 +86,7 @@
     EntryNode &m_node;
     IoLoop m_loop;
     cxxtools::net::TcpServer m_server;
-    std::set<std::shared_ptr<CallerConnection>> m_connections;
+    std::set<std::shared_ptr<StreamConnection>> m_connections;
 };
 
 StreamListener::StreamListener(const StreamListenerOptions &options, EntryNode &node)
--- a/packages/daemon/src/wholeanswersink.cpp
+++ b/packages/daemon/src/wholeanswersink.cpp
@@ -3,20 +3,24 @@
 namespace monsoonward
 {
 
-namespace
-{
-constexpr auto callerCheckInterval = std::chrono::milliseconds(100);
-} // namespace
-
-WholeAnswerSink::WholeAnswerSink(std::size_t maxBytes)
+WholeAnswerSink::WholeAnswerSink(std::size_t maxBytes, HttpRequestHandler::Done done, Cancel cancel)
     : m_maxBytes(maxBytes)
+    , m_done(std::move(done))
+    , m_cancel(std::move(cancel))
 {
 }
 
 void WholeAnswerSink::accepted(const RequestId &id)
 {
-    const std::lock_guard lock(m_mutex);
-    m_id = id;
+    bool wasCancelled = false;
+    {
+        const std::lock_guard lock(m_mutex);
+        m_id = id;
+        wasCancelled = m_cancelled;
+    }
+    if (wasCancelled) {
+        m_cancel(id);
+    }
 }
 
 void WholeAnswerSink::begin(unsigned status, const HeaderList &headers)
@@ -41,37 +45,40 @@
 
 void WholeAnswerSink::completed()
 {
-    const std::lock_guard lock(m_mutex);
-    m_reply.headers.emplace_back(verdictHeader, textOf(Verdict::Completed));
-    m_reply.headers.emplace_back(requestIdHeader, textOf(*m_id));
-    m_done = true;
-    m_changed.notify_all();
+    HttpReply reply;
+    {
+        const std::lock_guard lock(m_mutex);
+        m_reply.headers.emplace_back(verdictHeader, textOf(Verdict::Completed));
+        m_reply.headers.emplace_back(requestIdHeader, textOf(*m_id));
+        m_ended = true;
+        reply = std::move(m_reply);
+    }
+    m_done(std::move(reply));
 }
 
 void WholeAnswerSink::refused(const RequestId &id, const Refusal &refusal)
 {
-    const std::lock_guard lock(m_mutex);
-    m_reply = refusalReply(id, refusal);
-    m_done = true;
-    m_changed.notify_all();
+    {
+        const std::lock_guard lock(m_mutex);
+        m_ended = true;
+    }
+    m_done(refusalReply(id, refusal));
 }
 
-HttpReply WholeAnswerSink::wait(const std::function<bool()> &callerGone,
-                                const std::function<void(const RequestId &)> &cancel)
+void WholeAnswerSink::cancel()
 {
-    bool cancelled = false;
-    std::unique_lock lock(m_mutex);
-    while (!m_changed.wait_for(lock, callerCheckInterval, [this] { return m_done; })) {
-        if (cancelled || !m_id || !callerGone()) {
-            continue;
+    std::optional<RequestId> id;
+    {
+        const std::lock_guard lock(m_mutex);
+        if (m_cancelled || m_ended) {
+            return;
         }
-        cancelled = true;
-        const auto id = *m_id;
-        lock.unlock();
-        cancel(id);
-        lock.lock();
+        m_cancelled = true;
+        id = m_id;
+    }
+    if (id) {
+        m_cancel(*id);
     }
-    return std::move(m_reply);
 }
 
 } // namespace monsoonward
--- a/packages/daemon/src/wholeanswersink.h
+++ b/packages/daemon/src/wholeanswersink.h
@@ -1,20 +1,23 @@
 #pragma once
 
 #include "answersink.h"
+#include "httplistener.h"
 
-#include <condition_variable>
-#include <functional>
 #include <mutex>
 
 namespace monsoonward
 {
 
-/// @brief Keeps an answer until it is whole, for a thread that waits for it.
-class WholeAnswerSink : public AnswerSink
+/// @brief Keeps an answer until it is whole.
+class WholeAnswerSink : public AnswerSink, public PendingReply
 {
 public:
+    using Cancel = std::function<void(const RequestId &)>;
+
     /// @param maxBytes longest body that is kept
-    explicit WholeAnswerSink(std::size_t maxBytes);
+    /// @param done takes the answer, on the thread that brings its end
+    /// @param cancel cancels the request; called at most once
+    WholeAnswerSink(std::size_t maxBytes, HttpRequestHandler::Done done, Cancel cancel);
 
     void accepted(const RequestId &id) override;
     void begin(unsigned status, const HeaderList &headers) override;
@@ -22,18 +25,18 @@
     void completed() override;
     void refused(const RequestId &id, const Refusal &refusal) override;
 
-    /// Waits for the final answer.
-    /// @param callerGone asked every 100 ms
-    /// @param cancel called once with the request's ID when the caller has gone
-    HttpReply wait(const std::function<bool()> &callerGone, const std::function<void(const RequestId &)> &cancel);
+    /// The caller has gone. Any thread.
+    void cancel() override;
 
 private:
     std::size_t m_maxBytes;
+    HttpRequestHandler::Done m_done;
+    Cancel m_cancel;
     std::mutex m_mutex;
-    std::condition_variable m_changed;
     std::optional<RequestId> m_id;
     HttpReply m_reply;
-    bool m_done = false;
+    bool m_ended = false;
+    bool m_cancelled = false;
 };
 
 } // namespace monsoonward
--- a/packages/dispatch/include/monsoonward/dispatch/servingconfiguration.h
+++ b/packages/dispatch/include/monsoonward/dispatch/servingconfiguration.h
@@ -76,16 +76,6 @@
     MONSOONWARD_FIELDS(name, keys, tier, unitsPerSecond, burstUnits, countsTokens, plainRequestUnits)
 };
 
-/// @brief Bounds on what a caller may send and how long it may take.
-struct CallerLimits
-{
-    std::uint32_t headerBytes = 16U * 1024U;
-    std::uint32_t bodyBytes = 4U * 1024U * 1024U;
-    Duration headerTime = std::chrono::seconds(3);
-    Duration idleTime = std::chrono::seconds(15);
-    MONSOONWARD_FIELDS(headerBytes, bodyBytes, headerTime, idleTime)
-};
-
 /// @brief Everything that operators declare for gateways, at one revision.
 struct ServingConfiguration
 {
--- a/packages/gateway/src/enginecall.cpp
+++ b/packages/gateway/src/enginecall.cpp
@@ -1,6 +1,6 @@
 #include "enginecall.h"
 
-#include "socketoptions.h"
+#include <monsoonward/callers/callers.h>
 
 #include <charconv>
 
@@ -81,7 +81,7 @@
             self->end(AttemptEnd::NotSent, "connect: " + ec.message());
             return;
         }
-        setSocketOptions(self->m_connection->socket);
+        setSocketOptions(self->m_connection->socket, serverSilence);
         self->send();
     });
 }
--- a/packages/gateway/src/exchange.h
+++ b/packages/gateway/src/exchange.h
@@ -1,15 +1,16 @@
 #pragma once
 
-#include "calleranswer.h"
 #include "enginecall.h"
 #include "gatewaycore.h"
 
+#include <monsoonward/callers/callers.h>
+
 namespace monsoonward
 {
 
 /// @brief One request of a caller, from its arrival to its final answer: finds route, customer and engine, sends it,
 /// sends it again where that is allowed, and passes the answer on.
-class Exchange : public EngineCallHandler, public std::enable_shared_from_this<Exchange>
+class Exchange : public CallerExchange, public EngineCallHandler, public std::enable_shared_from_this<Exchange>
 {
 public:
     using Request = EngineCall::Request;
@@ -20,11 +21,10 @@
     Exchange(const Exchange &) = delete;
     Exchange &operator=(const Exchange &) = delete;
 
-    void start();
-    /// The caller has taken the bytes that it was given last.
-    void taken();
-    /// The caller has closed its connection: the request is cancelled.
-    void callerGone();
+    void start() override;
+    void taken() override;
+    /// Cancels the request.
+    void callerGone() override;
 
     void answerBegan(const AnswerHead &head) override;
     void answerBytes(std::string_view bytes) override;
--- a/packages/gateway/src/gatewayprocess.cpp
+++ b/packages/gateway/src/gatewayprocess.cpp
@@ -1,6 +1,6 @@
 #include "monsoonward/gateway/gatewayprocess.h"
 
-#include "callerlistener.h"
+#include "gatewaycallers.h"
 #include "loadreports.h"
 #include "memberlist.h"
 #include "statusserver.h"
@@ -53,7 +53,8 @@
                 settings.host,
                 m_life)
         , m_core(m_io, m_clock, settings, adapter, m_log, m_metrics)
-        , m_callers(m_core)
+        , m_callerService(m_core)
+        , m_callers(m_io, m_clock, m_callerService, settings.callerListen, mostCallerConnections(settings.descriptors))
         , m_reports(m_core, m_life)
         , m_members(m_core, m_life, [this](const std::vector<MemberRecord> &it) { membersChanged(it); })
         , m_health(m_io, settings.healthListen, [this](const std::string &path) { return healthReply(path); })
@@ -480,6 +481,7 @@
     GatewayMetrics m_metrics;
     StructuredLog m_log;
     GatewayCore m_core;
+    GatewayCallers m_callerService;
     CallerListener m_callers;
     LoadReports m_reports;
     MemberList m_members;
--- a/packages/gateway/src/httpchannel.cpp
+++ b/packages/gateway/src/httpchannel.cpp
@@ -1,6 +1,6 @@
 #include "monsoonward/gateway/httpchannel.h"
 
-#include "socketoptions.h"
+#include <monsoonward/callers/callers.h>
 
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/steady_timer.hpp>
@@ -66,7 +66,7 @@
                 self->fail("connect: " + ec.message());
                 return;
             }
-            setSocketOptions(self->m_socket);
+            setSocketOptions(self->m_socket, serverSilence);
             self->send();
         });
     }
--- a/packages/gateway/src/statusserver.cpp
+++ b/packages/gateway/src/statusserver.cpp
@@ -1,6 +1,6 @@
 #include "statusserver.h"
 
-#include "listening.h"
+#include <monsoonward/callers/callers.h>
 
 #include <boost/asio/steady_timer.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
--- a/packages/values/include/monsoonward/values/values.h
+++ b/packages/values/include/monsoonward/values/values.h
@@ -1,6 +1,7 @@
 #pragma once
 
 /// The public header of the values package: names, IDs, time, verdicts, errors, messages and the configuration.
+#include "monsoonward/values/callerlimits.h"
 #include "monsoonward/values/configuration.h"
 #include "monsoonward/values/error.h"
 #include "monsoonward/values/eventlog.h"
