Spread requests by what other gateways can't have reported yet; report loads every 50 ms within a region

Cause: in a fleet of 22 gateways each request sent since the last report counted as one from every other gateway at that engine. Reports came every 210 ms.

Change: the others' requests of the time since their reports are thought to fill the engines evenly up to one level (sharedchoice.h), growth of this gateway stands for the others' only beyond chance, and a part of what was reported is taken as ended. Short reports of requests go to gateways of the region every 50 ms; whole ones, with customers, as before. Expected time is bounded by 0.3 to 0.15 of the objective instead of 0.55 to 0.25, since load is no longer overstated. Waiting calls for engines and gateways are longer.

Log: first_ms, pause_ms, left_ms and load_percent of a request.

--- a/packages/dispatch/include/monsoonward/dispatch/fleetview.h
+++ b/packages/dispatch/include/monsoonward/dispatch/fleetview.h
@@ -21,7 +21,8 @@
     std::map<EngineName, std::uint32_t> requests; ///< in progress at each engine, through this daemon
     std::map<CustomerName, double> demand; ///< units a second asked of this daemon
     std::map<CustomerName, double> spent; ///< units granted by this daemon in its life
-    MONSOONWARD_FIELDS(host, life, number, requests, demand, spent)
+    bool isShort = false; ///< tells of requests only, and nothing of customers
+    MONSOONWARD_FIELDS(host, life, number, requests, demand, spent, isShort)
 };
 
 /// @brief What a report that was heard adds to what was known.
@@ -44,7 +45,7 @@
     /// All daemons that registered, this one or not.
     void setMembers(const std::vector<HostName> &members, TimePoint now);
     /// @return nothing when the report is older than one that was heard, or from no member. What a daemon granted while
-    /// it was silent is not told: its part of the limits was left out meanwhile.
+    /// it was silent is not told: its part of the limits was left out meanwhile. A short report doesn't end a silence.
     std::optional<HeardReport> heard(const LoadReport &report, TimePoint now);
     /// @return whether the member has reported lately
     bool hears(const HostName &member, TimePoint now) const;
--- a/packages/dispatch/include/monsoonward/dispatch/placement.h
+++ b/packages/dispatch/include/monsoonward/dispatch/placement.h
@@ -72,7 +72,7 @@
     virtual void forget(const EngineName &engine) = 0;
     /// The other daemons are told of ownRequests(). What is sent from now on they don't know of, as this daemon doesn't
     /// know of theirs.
-    virtual void reported() = 0;
+    virtual void reported(TimePoint now) = 0;
     /// @return requests in progress at each engine through this daemon
     virtual const std::map<EngineName, std::uint32_t> &ownRequests() const = 0;
 };
--- a/packages/dispatch/src/fleetview.cpp
+++ b/packages/dispatch/src/fleetview.cpp
@@ -55,6 +55,15 @@
     if (last.life > report.life || (last.life == report.life && last.number >= report.number)) {
         return std::nullopt;
     }
+    if (report.isShort) {
+        if (member.isHeard && last.life == report.life) {
+            addLoads(last, -1);
+            member.report.number = report.number;
+            member.report.requests = report.requests;
+            addLoads(report, 1);
+        }
+        return std::nullopt;
+    }
     HeardReport heard;
     heard.wasSilent = !hears(report.host, now);
     if (!heard.wasSilent || last.life != report.life) {
--- a/packages/dispatch/src/fleetview_test.cpp
+++ b/packages/dispatch/src/fleetview_test.cpp
@@ -92,3 +92,26 @@
     CHECK(view.requestsAt(engine) == 0);
     CHECK(view.silentFor(2s, clock.now()) == std::vector<HostName> {HostName("b")});
 }
+
+TEST_CASE("a short report tells of requests, and of customers what was told before holds")
+{
+    VirtualClock clock;
+    FleetView view {HostName("a")};
+    view.setMembers({HostName("a"), HostName("b")}, clock.now());
+    LoadReport brief {HostName("b"), 1, 1, {{engine, 9}}, {}, {}, true};
+    view.heard(brief, clock.now());
+    CHECK(view.requestsAt(engine) == 0); // b has not told yet what it granted
+    view.heard(reportOf("b", 2, 300, 4), clock.now());
+    brief.number = 3;
+    view.heard(brief, clock.now());
+    CHECK(view.requestsAt(engine) == 9);
+    CHECK(view.shareOf(customer, 100, clock.now()) == doctest::Approx(0.275));
+    const auto heard = view.heard(reportOf("b", 4, 300, 1), clock.now());
+    REQUIRE(heard);
+    CHECK(heard->spent.at(customer) == doctest::Approx(200));
+    CHECK(view.requestsAt(engine) == 1);
+    clock.advance(FleetView::silenceBound + 1ms);
+    brief.number = 5;
+    view.heard(brief, clock.now());
+    CHECK_FALSE(view.hears(HostName("b"), clock.now()));
+}
--- a/packages/dispatch/src/placement.cpp
+++ b/packages/dispatch/src/placement.cpp
@@ -1,5 +1,7 @@
 #include "monsoonward/dispatch/placement.h"
 
+#include "sharedchoice.h"
+
 #include <algorithm>
 #include <cmath>
 
@@ -12,11 +14,10 @@
 using Seconds = std::chrono::duration<double>;
 
 /// Part of the latency objective that the expected time to the first bytes may take: for the most urgent requests, and
-/// for those that all others go before; in between by the share of more urgent requests. From rounds on both first
-/// deployments.
-constexpr double mostUrgentPart = 0.55;
-constexpr double leastUrgentPart = 0.25;
-constexpr double returningPart = 0.55; // of a caller that was sent away and returns as it was told
+/// for those that all others go before; in between by the share of more urgent requests. From rounds on both grown
+/// deployments (journal of 2026-12-04).
+constexpr double mostUrgentPart = 0.3;
+constexpr double leastUrgentPart = 0.15;
 constexpr Seconds unstatedObjective {1.0}; // of routes without one
 constexpr double mostLoad = 4; // requests for each slot; engines refuse when their own queue is full
 constexpr double leastLoad = 0.5; // below it there is room whatever was learned
@@ -24,6 +25,9 @@
 constexpr double failurePenalty = 4; // an engine that fails each request counts as five times as slow
 constexpr Seconds regionPenalty {0.030}; // two crossings of the link between regions, and its price
 constexpr Seconds dataCentrePenalty {0.005}; // two crossings between data centres, and their price
+constexpr double chanceDeviations = 1.5; // of a count: nine in ten deviations by chance are smaller
+constexpr double gapWeight = 0.1; // of one gap between reports in the usual one
+constexpr Seconds loadPenalty {0.020}; // of full slots: each token takes longer, also where the first one does not
 constexpr Seconds shortestRetryAfter {0.1};
 constexpr Seconds longestRetryAfter {5.0};
 constexpr double returnPart = 0.33; // of the time left that a caller waits at most before it returns
@@ -78,52 +82,43 @@
     Placement place(const PlacementRequest &request, TimePoint now) override
     {
         const auto part = objectivePart(request, now);
+        const auto choice = choose(request, now);
         Placement best;
-        auto bestScore = Seconds::max();
-        for (const auto *it : m_directory.ofService(request.service)) {
-            const auto &excluded = request.excluded;
-            if (std::find(excluded.begin(), excluded.end(), it->name) != excluded.end()
-                || !m_health.mayTry(it->name, now)) {
-                continue;
-            }
-            const auto inProgress = requestsAt(it->name);
-            const double load = inProgress / static_cast<double>(std::max(1U, it->slots));
-            const Seconds expected = m_model.expected(it->service, it->name, load);
-            const auto score = expected * (1 + failurePenalty * m_health.failureRate(it->name))
-                + penaltyOf(m_places.distanceTo(it->dataCentre));
-            if (score >= bestScore) {
-                continue;
-            }
-            bestScore = score;
-            best.engine = *it;
-            best.inProgress = inProgress;
-            best.load = load;
-            best.expected = std::chrono::duration_cast<Duration>(expected);
-            best.outcome = PlacementOutcome::Full;
-        }
-        if (best.outcome == PlacementOutcome::NoEngine) {
+        if (choice.empty()) {
             best.retryAfter = std::chrono::duration_cast<Duration>(shortestRetryAfter);
             return best;
         }
         const auto objective = objectiveOf(request);
-        best.limit = std::chrono::duration_cast<Duration>(objective * part);
-        if (best.load < leastLoad || (best.expected <= best.limit && best.load < mostLoad)) {
-            best.outcome = PlacementOutcome::Placed;
-        } else {
-            best.retryAfter = retryAfter(request, best, objective);
+        const auto limit = objective * part;
+        for (const auto &it : choice) {
+            best.engine = *it.engine;
+            best.inProgress = static_cast<std::uint32_t>(std::lround(it.inProgress));
+            best.load = it.load;
+            best.expected = std::chrono::duration_cast<Duration>(it.expected);
+            best.limit = std::chrono::duration_cast<Duration>(limit);
+            if (it.load < leastLoad || (it.expected <= limit && it.load < mostLoad)) {
+                best.outcome = PlacementOutcome::Placed;
+                return best;
+            }
         }
+        best.outcome = PlacementOutcome::Full;
+        best.retryAfter = retryAfter(request, best, objective);
         return best;
     }
 
     void started(const EngineName &engine, TimePoint /*now*/) override
     {
         ++m_requests[engine];
-        ++m_sentSinceReport[engine];
     }
 
-    void reported() override
+    void reported(TimePoint now) override
     {
-        m_sentSinceReport.clear();
+        m_reported = m_requests;
+        if (m_reportedAt != TimePoint()) {
+            const Seconds gap = now - m_reportedAt;
+            m_reportGap += gapWeight * (gap - m_reportGap);
+        }
+        m_reportedAt = now;
     }
 
     void firstBytes(const EngineRecord &engine, double load, Duration length) override
@@ -155,14 +150,111 @@
         return request.latencyObjective > Duration::zero() ? Seconds(request.latencyObjective) : unstatedObjective;
     }
 
-    std::uint32_t requestsAt(const EngineName &engine) const
+    /// @brief An engine that may get the request.
+    struct Candidate
+    {
+        const EngineRecord *engine = nullptr;
+        double inProgress = 0;
+        double load = 0;
+        Seconds expected {};
+    };
+
+    static std::uint32_t countOf(const std::map<EngineName, std::uint32_t> &counts, const EngineName &engine)
+    {
+        const auto it = counts.find(engine);
+        return it == counts.end() ? 0 : it->second;
+    }
+
+    /// @return the engine chosen for the request, then the one that would answer earliest if it is another; nothing
+    /// when no engine may be tried
+    std::vector<Candidate> choose(const PlacementRequest &request, TimePoint now) const
+    {
+        const auto engines = m_directory.ofService(request.service);
+        const auto load = unseenLoad(request.service, engines, now);
+        std::vector<Candidate> candidates;
+        std::vector<ChoiceCost> costs;
+        for (const auto *it : engines) {
+            const auto &excluded = request.excluded;
+            if (std::find(excluded.begin(), excluded.end(), it->name) == excluded.end()
+                && m_health.mayTry(it->name, now)) {
+                candidates.push_back(candidateOf(*it, load));
+                costs.push_back(costOf(candidates.back()));
+            }
+        }
+        if (candidates.empty()) {
+            return {};
+        }
+        const auto chosen = chooseAmong(costs, load.deciding, request.spread);
+        const auto least = chooseAmong(costs, 0, 0);
+        std::vector<Candidate> choice {candidates[chosen]};
+        if (least != chosen) {
+            choice.push_back(candidates[least]);
+        }
+        return choice;
+    }
+
+    /// @brief What the other daemons' reports don't tell yet.
+    struct UnseenLoad
+    {
+        double staying = 1; ///< part of the reported requests that still runs
+        double perEngine = 0; ///< requests that began since, at each engine in the mean
+        double deciding = 0; ///< requests that the others place by the same reports until the next ones come
+    };
+
+    /// Judges the others by this daemon: as many requests each, as long, and grown by as much since the last report, as
+    /// far as that is more than chance.
+    UnseenLoad
+    unseenLoad(const ServiceName &service, const std::vector<const EngineRecord *> &engines, TimePoint now) const
+    {
+        double own = 0;
+        double reported = 0;
+        for (const auto *it : engines) {
+            own += countOf(m_requests, it->name);
+            reported += countOf(m_reported, it->name);
+        }
+        const double rate = ownRate(service, now);
+        const double sinceReports = std::min(own, rate * m_reportGap.count() / 2);
+        const double grown = std::max(0.0, own - reported - chanceDeviations * std::sqrt(own + reported));
+        const auto others = static_cast<double>(m_fleet.size() - 1);
+        const auto count = static_cast<double>(std::max<std::size_t>(1, engines.size()));
+        return {own > 0 ? 1 - sinceReports / own : 1,
+                others * (sinceReports + grown) / count,
+                others * std::min(own, rate * m_reportGap.count())};
+    }
+
+    Candidate candidateOf(const EngineRecord &engine, const UnseenLoad &unseen) const
     {
-        const auto own = m_requests.find(engine);
-        const auto recent = m_sentSinceReport.find(engine);
-        // The others see the same reports and choose alike: each has sent there about as many as this daemon.
-        const auto unknown = recent == m_sentSinceReport.end() ? 0 : recent->second * (m_fleet.size() - 1);
-        return (own == m_requests.end() ? 0 : own->second) + m_fleet.requestsAt(engine)
-            + static_cast<std::uint32_t>(unknown);
+        Candidate candidate;
+        candidate.engine = &engine;
+        candidate.inProgress =
+            countOf(m_requests, engine.name) + unseen.staying * m_fleet.requestsAt(engine.name) + unseen.perEngine;
+        candidate.load = candidate.inProgress / std::max(1U, engine.slots);
+        candidate.expected = m_model.expected(engine.service, engine.name, candidate.load);
+        return candidate;
+    }
+
+    ChoiceCost costOf(const Candidate &candidate) const
+    {
+        const auto &engine = *candidate.engine;
+        const double oneMore = 1.0 / std::max(1U, engine.slots);
+        const Seconds next = m_model.expected(engine.service, engine.name, candidate.load + oneMore);
+        const double weight = 1 + failurePenalty * m_health.failureRate(engine.name);
+        return {(candidate.expected + loadPenalty * candidate.load) * weight
+                    + penaltyOf(m_places.distanceTo(engine.dataCentre)),
+                (next - candidate.expected + loadPenalty * oneMore) * weight};
+    }
+
+    /// @return requests of the service that come to this daemon each second
+    double ownRate(const ServiceName &service, TimePoint now) const
+    {
+        const auto seen = m_tiers.find(service);
+        double requests = 0;
+        if (seen != m_tiers.end()) {
+            for (const auto &it : seen->second) {
+                requests += it.second.at(now);
+            }
+        }
+        return requests / tierMemory.count();
     }
 
     /// @return part of the objective that the expected time may take
@@ -181,7 +273,7 @@
         }
         const double share = all > 0 ? moreUrgent / all : 0;
         const double part = mostUrgentPart - (mostUrgentPart - leastUrgentPart) * share;
-        return request.isRepeat ? mostUrgentPart : request.isReturning ? std::max(part, returningPart) : part;
+        return request.isRepeat || request.isReturning ? mostUrgentPart : part;
     }
 
     /// @return when to come back: as soon as there may be room, if that can still be in time; else as late as the
@@ -202,7 +294,9 @@
     const FleetView &m_fleet;
     FirstBytesModel m_model;
     std::map<EngineName, std::uint32_t> m_requests;
-    std::map<EngineName, std::uint32_t> m_sentSinceReport;
+    std::map<EngineName, std::uint32_t> m_reported; // as the other daemons know them
+    TimePoint m_reportedAt;
+    Seconds m_reportGap {0}; // usual time between two reports
     std::map<ServiceName, std::map<Tier, RecentRequests>> m_tiers;
 };
 
--- a/packages/gateway/src/exchange.cpp
+++ b/packages/gateway/src/exchange.cpp
@@ -477,6 +477,11 @@
         m_core.metrics.firstBytes(m_service, m_tier, m_core.clock.now() - m_arrived);
         m_sink->begin(m_head.status, endToEndFields(m_head.fields));
     }
+    const auto now = m_core.clock.now();
+    if (m_lastEventAt != TimePoint()) {
+        m_longestPause = std::max(m_longestPause, now - m_lastEventAt);
+    }
+    m_lastEventAt = now;
     m_sink->bytes(std::move(events));
 }
 
@@ -611,7 +616,11 @@
                       {"sends", static_cast<std::int64_t>(m_sends)},
                       {"events", static_cast<std::int64_t>(m_events.events())},
                       {"status", static_cast<std::int64_t>(m_head.status)},
+                      {"first_ms", m_firstBytesAt == TimePoint() ? -1 : milliseconds(m_firstBytesAt - m_arrived)},
+                      {"pause_ms", milliseconds(m_longestPause)},
                       {"after_ms", milliseconds(now - m_arrived)},
+                      {"left_ms", milliseconds(timeLeft())},
+                      {"load_percent", static_cast<std::int64_t>(m_load * 100)},
                       {"revision", static_cast<std::int64_t>(m_serving ? m_serving->configuration->revision : 0)},
                       {"proof_age_ms", proofAge ? milliseconds(*proofAge) : std::int64_t {-1}}});
 }
--- a/packages/gateway/src/exchange.h
+++ b/packages/gateway/src/exchange.h
@@ -78,6 +78,8 @@
     EventSplitter m_events;
     std::string m_body; // of an answer that is passed on whole
     TimePoint m_firstBytesAt;
+    TimePoint m_lastEventAt;
+    Duration m_longestPause {}; // between events that were passed on
 };
 
 /// Copies @p from without the headers that concern only one connection.
--- a/packages/gateway/src/gatewayprocess.cpp
+++ b/packages/gateway/src/gatewayprocess.cpp
@@ -23,8 +23,8 @@
 {
 
 constexpr Duration tickInterval = std::chrono::milliseconds(250); // expiry of engines, connections and members
-constexpr Duration engineWait = std::chrono::seconds(5); // of the call that follows registrations
-constexpr Duration memberWait = std::chrono::seconds(10); // of the call that follows the gateways
+constexpr Duration engineWait = std::chrono::seconds(10); // of the call that follows registrations
+constexpr Duration memberWait = std::chrono::seconds(20); // of the call that follows the gateways
 constexpr Duration longestClosedStart = std::chrono::milliseconds(900); // callers give a connection about a second
 constexpr Duration leastShutdown = std::chrono::seconds(3); // the load balancer takes two checks to look elsewhere
 constexpr Duration idleClose = std::chrono::milliseconds(2500); // then callers have moved their new requests
@@ -284,11 +284,12 @@
     void membersChanged(const std::vector<MemberRecord> &members)
     {
         std::vector<HostName> hosts;
-        std::vector<Address> peers;
+        std::vector<ReportPeer> peers;
         for (const auto &it : members) {
             hosts.push_back(it.host);
             if (it.host != m_core.settings.host) {
-                peers.push_back(it.peerAddress);
+                const bool isNear = m_core.settings.places.distanceTo(it.dataCentre) != Distance::OtherRegion;
+                peers.push_back({it.peerAddress, isNear});
             }
         }
         m_core.fleet.setMembers(hosts, m_clock.now());
--- a/packages/gateway/src/loadreports.cpp
+++ b/packages/gateway/src/loadreports.cpp
@@ -14,7 +14,15 @@
 
 constexpr Duration leastInterval = std::chrono::milliseconds(50); // a few requests arrive meanwhile at most
 constexpr Duration longestInterval = std::chrono::milliseconds(400); // three reports within FleetView::silenceBound
-constexpr int peersAtLeastInterval = 5; // with more, the interval grows with them: a constant rate of reports
+constexpr int peersAtLeastInterval = 5; // with more, the interval grows with them: a constant rate of whole reports
+constexpr int nearPeersAtLeastInterval = 10; // the same for short reports, which are a quarter as long
+
+/// @return time between two reports to so many gateways
+Duration intervalFor(std::size_t peers, int atLeastInterval)
+{
+    const auto n = std::max(static_cast<int>(peers), atLeastInterval);
+    return std::min<Duration>(leastInterval * n / atLeastInterval, longestInterval);
+}
 
 } // namespace
 
@@ -32,12 +40,12 @@
     for (const auto &[customer, units] : report.spent) {
         spent[customer.text()] = static_cast<std::int64_t>(units);
     }
-    return Json::to_msgpack({{"h", report.host.text()},
-                             {"l", report.life},
-                             {"n", report.number},
-                             {"r", std::move(requests)},
-                             {"d", std::move(demand)},
-                             {"s", std::move(spent)}});
+    Json json {{"h", report.host.text()}, {"l", report.life}, {"n", report.number}, {"r", std::move(requests)}};
+    if (!report.isShort) {
+        json["d"] = std::move(demand);
+        json["s"] = std::move(spent);
+    }
+    return Json::to_msgpack(json);
 }
 
 Result<LoadReport> decodeReport(const std::uint8_t *bytes, std::size_t size)
@@ -51,6 +59,10 @@
         for (const auto &[engine, n] : json.at("r").items()) {
             report.requests[EngineName(engine)] = n.get<std::uint32_t>();
         }
+        report.isShort = !json.contains("d");
+        if (report.isShort) {
+            return report;
+        }
         for (const auto &[customer, units] : json.at("d").items()) {
             report.demand[CustomerName(customer)] = static_cast<double>(units.get<std::uint64_t>());
         }
@@ -91,14 +103,15 @@
     return boost::outcome_v2::success();
 }
 
-void LoadReports::setPeers(const std::vector<Address> &peers)
+void LoadReports::setPeers(const std::vector<ReportPeer> &peers)
 {
-    m_peers.clear();
+    m_near.clear();
+    m_far.clear();
     for (const auto &it : peers) {
         error_code ec;
-        const auto ip = boost::asio::ip::make_address(it.ip, ec);
+        const auto ip = boost::asio::ip::make_address(it.address.ip, ec);
         if (!ec) {
-            m_peers.emplace_back(ip, it.port);
+            (it.isNear ? m_near : m_far).emplace_back(ip, it.address.port);
         }
     }
 }
@@ -144,9 +157,13 @@
 
 void LoadReports::tick()
 {
-    send();
-    const auto peers = std::max(static_cast<int>(m_peers.size()), peersAtLeastInterval);
-    m_timer.expires_after(std::min<Duration>(leastInterval * peers / peersAtLeastInterval, longestInterval));
+    const auto now = m_core.clock.now();
+    const auto whole = intervalFor(m_near.size() + m_far.size(), peersAtLeastInterval);
+    const auto shorter = std::min(whole, intervalFor(m_near.size(), nearPeersAtLeastInterval));
+    const bool isWholeDue = now - m_wholeAt + shorter / 2 >= whole;
+    m_core.fleet.expire(now);
+    send(!isWholeDue);
+    m_timer.expires_after(shorter);
     m_timer.async_wait([this](const error_code &ec) {
         if (!ec) {
             tick();
@@ -154,22 +171,34 @@
     });
 }
 
-void LoadReports::send()
+void LoadReports::send(bool isShort)
 {
-    m_core.fleet.expire(m_core.clock.now());
-    if (m_peers.empty()) {
+    if (m_near.empty() && m_far.empty()) {
         return;
     }
+    const auto now = m_core.clock.now();
     LoadReport report;
     report.host = m_core.settings.host;
     report.life = m_life;
     report.number = ++m_number;
     report.requests = m_core.placer->ownRequests();
-    m_core.placer->reported();
-    report.demand = m_core.allotments.demands(m_core.clock.now());
+    report.isShort = isShort;
+    m_core.placer->reported(now);
+    if (isShort) {
+        sendTo(m_near, report);
+        return;
+    }
+    m_wholeAt = now;
+    report.demand = m_core.allotments.demands(now);
     report.spent = m_core.allotments.spent();
+    sendTo(m_near, report);
+    sendTo(m_far, report);
+}
+
+void LoadReports::sendTo(const std::vector<udp::endpoint> &peers, const LoadReport &report)
+{
     const auto bytes = encodeReport(report);
-    for (const auto &it : m_peers) {
+    for (const auto &it : peers) {
         error_code ignored; // a report that is lost is replaced by the next one
         m_socket.send_to(boost::asio::buffer(bytes), it, 0, ignored);
     }
--- a/packages/gateway/src/loadreports.h
+++ b/packages/gateway/src/loadreports.h
@@ -7,7 +7,16 @@
 namespace monsoonward
 {
 
-/// @brief Exchanges load reports with the other gateways by datagrams: a lost one is replaced by the next.
+/// @brief Another gateway that gets reports.
+struct ReportPeer
+{
+    Address address;
+    bool isNear = false; ///< in the same region: it sends to the same engines, and bytes to it are cheap
+    MONSOONWARD_FIELDS(address, isNear)
+};
+
+/// @brief Exchanges load reports with the other gateways by datagrams: a lost one is replaced by the next. Whole
+/// reports go to all; between them near gateways get short ones, which tell of requests only.
 class LoadReports
 {
 public:
@@ -18,13 +27,14 @@
 
     /// Errors: Unavailable when the address can't be bound.
     Result<void> start();
-    void setPeers(const std::vector<Address> &peers);
+    void setPeers(const std::vector<ReportPeer> &peers);
 
 private:
     void receive();
     void received(std::size_t size);
     void tick();
-    void send();
+    void send(bool isShort);
+    void sendTo(const std::vector<boost::asio::ip::udp::endpoint> &peers, const LoadReport &report);
 
     GatewayCore &m_core;
     std::uint64_t m_life;
@@ -33,7 +43,9 @@
     boost::asio::ip::udp::endpoint m_sender;
     std::array<std::uint8_t, 65536> m_bytes {};
     boost::asio::steady_timer m_timer;
-    std::vector<boost::asio::ip::udp::endpoint> m_peers;
+    std::vector<boost::asio::ip::udp::endpoint> m_near;
+    std::vector<boost::asio::ip::udp::endpoint> m_far;
+    TimePoint m_wholeAt; // when the last whole report was sent
 };
 
 /// @return the report as bytes
--- a/packages/gateway/src/memberlist.cpp
+++ b/packages/gateway/src/memberlist.cpp
@@ -19,7 +19,10 @@
 std::string encodeMember(const MemberRecord &member)
 {
     const auto &address = member.peerAddress;
-    return Json {{"peer-address", address.ip + ":" + std::to_string(address.port)}, {"life", member.life}}.dump();
+    return Json {{"peer-address", address.ip + ":" + std::to_string(address.port)},
+                 {"life", member.life},
+                 {"data-centre", member.dataCentre.text()}}
+        .dump();
 }
 
 Result<MemberRecord> decodeMember(const std::string &key, const std::string &text)
@@ -30,12 +33,17 @@
         return Error {ErrorCode::Invalid, "member " + key + ": no object with peer-address and life"};
     }
     BOOST_OUTCOME_TRY(address, parseAddress(json["peer-address"].get<std::string>()));
-    return MemberRecord {HostName(key), address, json["life"].get<std::uint64_t>()};
+    const auto dataCentre = json.find("data-centre");
+    const bool hasDataCentre = dataCentre != json.end() && dataCentre->is_string();
+    return MemberRecord {HostName(key),
+                         address,
+                         json["life"].get<std::uint64_t>(),
+                         DataCentreName(hasDataCentre ? dataCentre->get<std::string>() : std::string())};
 }
 
 MemberList::MemberList(GatewayCore &core, std::uint64_t life, Changed changed)
     : m_core(core)
-    , m_own {core.settings.host, core.settings.peerListen, life}
+    , m_own {core.settings.host, core.settings.peerListen, life, core.settings.places.ownDataCentre}
     , m_changed(std::move(changed))
     , m_store(core.adapter.makeRowStore(core.io, core.settings.store))
 {
--- a/packages/gateway/src/memberlist.h
+++ b/packages/gateway/src/memberlist.h
@@ -11,7 +11,8 @@
     HostName host;
     Address peerAddress; ///< for load reports
     std::uint64_t life = 0;
-    MONSOONWARD_FIELDS(host, peerAddress, life)
+    DataCentreName dataCentre; ///< empty in rows of versions that didn't tell it
+    MONSOONWARD_FIELDS(host, peerAddress, life, dataCentre)
 };
 
 std::string encodeMember(const MemberRecord &member);
