--- a/packages/dispatch/include/monsoonward/dispatch/placement.h
+++ b/packages/dispatch/include/monsoonward/dispatch/placement.h
@@ -66,7 +66,7 @@
     virtual void started(const EngineName &engine, TimePoint now) = 0;
     /// @param load of the engine when the request was placed
     /// @param length from sending to the first bytes
-    virtual void firstBytes(const EngineRecord &engine, double load, Duration length) = 0;
+    virtual void firstBytes(const EngineRecord &engine, double load, Duration length, TimePoint now) = 0;
     virtual void ended(const EngineName &engine) = 0;
     /// The engine is gone.
     virtual void forget(const EngineName &engine) = 0;
@@ -78,9 +78,9 @@
 };
 
 /// @brief Sends each request to the engine that is expected to bring the first bytes soonest, by what was learned of
-/// its pace and of the load that all daemons together have put on it. A request is admitted while that time is within a
-/// part of its latency objective; the part is smaller the more urgent tiers the service has, so that a burst of patient
-/// requests leaves room for urgent ones. The rest is refused at once.
+/// its pace and of the load that all daemons together have put on it. A request is admitted while load delays it by no
+/// more than a part of its latency objective; the part is smaller the more urgent tiers the service has, so that a
+/// burst of patient requests leaves room for urgent ones. The rest is refused at once.
 /// @param directory, health, fleet outlive the placer
 std::unique_ptr<Placer> makeFirstBytesPlacer(const Places &places,
                                              const EngineDirectory &directory,
--- a/packages/dispatch/src/firstbytesmodel_test.cpp
+++ b/packages/dispatch/src/firstbytesmodel_test.cpp
@@ -12,9 +12,11 @@
 const EngineName fast("fast");
 const EngineName slow("slow");
 
-double expectedMs(const FirstBytesModel &model, const EngineName &engine, double load)
+const TimePoint start {1h};
+
+double expectedMs(const FirstBytesModel &model, const EngineName &engine, double load, TimePoint now = start)
 {
-    return std::chrono::duration<double, std::milli>(model.expected(service, engine, load)).count();
+    return std::chrono::duration<double, std::milli>(model.expected(service, engine, load, now)).count();
 }
 
 } // namespace
@@ -25,8 +27,8 @@
     for (unsigned n = 0; n < 400; ++n) {
         const double load = (n % 8) / 4.0;
         const auto usual = 50ms + (load > 1 ? std::chrono::milliseconds(static_cast<int>(200 * (load - 1))) : 0ms);
-        model.learn(service, fast, load, usual * 6 / 10);
-        model.learn(service, slow, load, usual * 17 / 10);
+        model.learn(service, fast, load, usual * 6 / 10, start);
+        model.learn(service, slow, load, usual * 17 / 10, start);
     }
     CHECK(model.pace(slow) / model.pace(fast) == doctest::Approx(1.7 / 0.6).epsilon(0.25));
     CHECK(expectedMs(model, fast, 0.5) == doctest::Approx(30).epsilon(0.3));
@@ -41,8 +43,23 @@
 {
     FirstBytesModel model;
     CHECK(expectedMs(model, fast, 0) == doctest::Approx(50));
-    model.learn(service, fast, 0, 30ms);
+    model.learn(service, fast, 0, 30ms, start);
     CHECK(expectedMs(model, fast, 0.5) < 100);
-    model.learn(service, fast, 0, 60s);
+    model.learn(service, fast, 0, 60s, start);
     CHECK(model.pace(fast) < 2);
 }
+
+TEST_CASE("a burst is over: what it taught of a load fades, and the first answer after it counts most")
+{
+    FirstBytesModel model;
+    for (unsigned n = 0; n < 50; ++n) {
+        model.learn(service, fast, 0.3, 50ms, start);
+        model.learn(service, fast, 0.8, 500ms, start);
+    }
+    const auto learned = expectedMs(model, fast, 0.8);
+    CHECK(learned > 300);
+    CHECK(expectedMs(model, fast, 0.8, start + 10s) < 100);
+    CHECK(expectedMs(model, fast, 0.3, start + 10s) == doctest::Approx(expectedMs(model, fast, 0.3)));
+    model.learn(service, fast, 0.8, 500ms, start + 10s);
+    CHECK(expectedMs(model, fast, 0.8, start + 10s) > learned / 2);
+}
--- a/packages/dispatch/src/placement.cpp
+++ b/packages/dispatch/src/placement.cpp
@@ -13,11 +13,13 @@
 
 using Seconds = std::chrono::duration<double>;
 
-/// Part of the latency objective that the expected time to the first bytes may take: for the most urgent requests, and
-/// for those that all others go before; in between by the share of more urgent requests. From rounds on both grown
-/// deployments (journal of 2026-12-04).
-constexpr double mostUrgentPart = 0.3;
-constexpr double leastUrgentPart = 0.15;
+/// Part of the latency objective by which load may delay the first bytes: for the most urgent requests, and for those
+/// that all others go before; in between by the share of more urgent requests. From rounds on both grown deployments
+/// (journal of 2026-12-04).
+constexpr double mostUrgentPart = 0.12;
+constexpr double leastUrgentPart = 0.0;
+/// Part of the objective that the time without load may take at most: what is longer was learned under load.
+constexpr double longestIdlePart = 0.3;
 constexpr Seconds unstatedObjective {1.0}; // of routes without one
 constexpr double mostLoad = 4; // requests for each slot; engines refuse when their own queue is full
 constexpr double leastLoad = 0.5; // below it there is room whatever was learned
@@ -89,8 +91,10 @@
             return best;
         }
         const auto objective = objectiveOf(request);
-        const auto limit = objective * part;
         for (const auto &it : choice) {
+            // What this daemon and its links add is in the time without load, and no sign of a busy engine.
+            const Seconds idle = m_model.expected(request.service, it.engine->name, 0, now);
+            const auto limit = std::min(idle, objective * longestIdlePart) + objective * part;
             best.engine = *it.engine;
             best.inProgress = static_cast<std::uint32_t>(std::lround(it.inProgress));
             best.load = it.load;
@@ -121,9 +125,9 @@
         m_reportedAt = now;
     }
 
-    void firstBytes(const EngineRecord &engine, double load, Duration length) override
+    void firstBytes(const EngineRecord &engine, double load, Duration length, TimePoint now) override
     {
-        m_model.learn(engine.service, engine.name, load, length);
+        m_model.learn(engine.service, engine.name, load, length, now);
     }
 
     void ended(const EngineName &engine) override
@@ -177,8 +181,8 @@
             const auto &excluded = request.excluded;
             if (std::find(excluded.begin(), excluded.end(), it->name) == excluded.end()
                 && m_health.mayTry(it->name, now)) {
-                candidates.push_back(candidateOf(*it, load));
-                costs.push_back(costOf(candidates.back()));
+                candidates.push_back(candidateOf(*it, load, now));
+                costs.push_back(costOf(candidates.back(), now));
             }
         }
         if (candidates.empty()) {
@@ -222,22 +226,22 @@
                 others * std::min(own, rate * m_reportGap.count())};
     }
 
-    Candidate candidateOf(const EngineRecord &engine, const UnseenLoad &unseen) const
+    Candidate candidateOf(const EngineRecord &engine, const UnseenLoad &unseen, TimePoint now) const
     {
         Candidate candidate;
         candidate.engine = &engine;
         candidate.inProgress =
             countOf(m_requests, engine.name) + unseen.staying * m_fleet.requestsAt(engine.name) + unseen.perEngine;
         candidate.load = candidate.inProgress / std::max(1U, engine.slots);
-        candidate.expected = m_model.expected(engine.service, engine.name, candidate.load);
+        candidate.expected = m_model.expected(engine.service, engine.name, candidate.load, now);
         return candidate;
     }
 
-    ChoiceCost costOf(const Candidate &candidate) const
+    ChoiceCost costOf(const Candidate &candidate, TimePoint now) const
     {
         const auto &engine = *candidate.engine;
         const double oneMore = 1.0 / std::max(1U, engine.slots);
-        const Seconds next = m_model.expected(engine.service, engine.name, candidate.load + oneMore);
+        const Seconds next = m_model.expected(engine.service, engine.name, candidate.load + oneMore, now);
         const double weight = 1 + failurePenalty * m_health.failureRate(engine.name);
         return {(candidate.expected + loadPenalty * candidate.load) * weight
                     + penaltyOf(m_places.distanceTo(engine.dataCentre)),
@@ -257,7 +261,7 @@
         return requests / tierMemory.count();
     }
 
-    /// @return part of the objective that the expected time may take
+    /// @return part of the objective by which load may delay the first bytes
     double objectivePart(const PlacementRequest &request, TimePoint now)
     {
         double all = 0;
--- a/packages/dispatch/src/placement_test.cpp
+++ b/packages/dispatch/src/placement_test.cpp
@@ -47,7 +47,7 @@
             const unsigned inProgress = n % 18;
             const auto length = slowness * (60ms + (inProgress > 5 ? (inProgress - 5) * 40ms : 0ms));
             for (const auto &it : engines) {
-                placer->firstBytes(*directory.find(EngineName(it)), inProgress / 5.0, length);
+                placer->firstBytes(*directory.find(EngineName(it)), inProgress / 5.0, length, clock.now());
             }
         }
     }
--- a/packages/dispatch/src/placementfleet_test.cpp
+++ b/packages/dispatch/src/placementfleet_test.cpp
@@ -39,8 +39,10 @@
             for (unsigned k = 0; k < 1000; ++k) {
                 const unsigned inProgress = k % (4 * slots);
                 const auto length = 50ms + (inProgress > slots ? (inProgress - slots) * 20ms : 0ms);
-                it->placer->firstBytes(
-                    *it->directory.find(EngineName(std::to_string(k % engines))), inProgress / double(slots), length);
+                it->placer->firstBytes(*it->directory.find(EngineName(std::to_string(k % engines))),
+                                       inProgress / double(slots),
+                                       length,
+                                       m_clock.now());
             }
         }
     }
--- a/packages/gateway/src/exchange.cpp
+++ b/packages/gateway/src/exchange.cpp
@@ -444,13 +444,19 @@
     m_head = head;
     m_isStreaming = m_route->isStream && head.status < firstRedirect && isEventStream(head.fields);
     if (!m_isStreaming && head.status < firstRedirect) {
-        m_core.placer->firstBytes(m_call->engine(), m_load, m_core.clock.now() - m_sentAt);
+        learnFirstBytes();
     }
     if (m_firstBytesAt == TimePoint()) {
         m_firstBytesAt = m_core.clock.now();
     }
 }
 
+void Exchange::learnFirstBytes()
+{
+    const auto now = m_core.clock.now();
+    m_core.placer->firstBytes(m_call->engine(), m_load, now - m_sentAt, now);
+}
+
 void Exchange::answerBytes(std::string_view bytes)
 {
     if (!m_isStreaming) {
@@ -473,7 +479,7 @@
     }
     if (!m_answerBegan) {
         m_answerBegan = true;
-        m_core.placer->firstBytes(m_call->engine(), m_load, m_core.clock.now() - m_sentAt);
+        learnFirstBytes();
         m_core.metrics.firstBytes(m_service, m_tier, m_core.clock.now() - m_arrived);
         m_sink->begin(m_head.status, endToEndFields(m_head.fields));
     }
--- a/packages/gateway/src/exchange.h
+++ b/packages/gateway/src/exchange.h
@@ -45,6 +45,7 @@
     void conclude(NextStep step, const std::string &why);
     void finishAnswer();
     void passOnFailure();
+    void learnFirstBytes();
     void timeOut();
     Duration timeLeft() const;
 
--- a/packages/gateway/src/gatewayprocess.cpp
+++ b/packages/gateway/src/gatewayprocess.cpp
@@ -24,6 +24,9 @@
 
 constexpr Duration tickInterval = std::chrono::milliseconds(250); // expiry of engines, connections and members
 constexpr Duration engineWait = std::chrono::seconds(10); // of the call that follows registrations
+constexpr Duration configurationPause = std::chrono::milliseconds(300); // between calls, when changes come in series
+constexpr Duration otherPause =
+    std::chrono::milliseconds(600); // the same; a leaving engine may get requests for longer
 constexpr Duration memberWait = std::chrono::seconds(20); // of the call that follows the gateways
 constexpr Duration longestClosedStart = std::chrono::milliseconds(900); // callers give a connection about a second
 constexpr Duration leastShutdown = std::chrono::seconds(3); // the load balancer takes two checks to look elsewhere
@@ -64,9 +67,9 @@
         , m_seed(m_random.next())
     {
         const auto &layout = adapter.layout();
-        addFeed(layout.configurationTable, settings.storeWait);
-        addFeed(layout.engineTable, engineWait);
-        addFeed(layout.memberTable, memberWait);
+        addFeed(layout.configurationTable, settings.storeWait, configurationPause);
+        addFeed(layout.engineTable, engineWait, otherPause);
+        addFeed(layout.memberTable, memberWait, otherPause);
     }
 
     int run()
@@ -189,11 +192,11 @@
         return std::max(settings.storeWait, std::min<Duration>(grown, longest));
     }
 
-    void addFeed(const std::string &table, Duration wait)
+    void addFeed(const std::string &table, Duration wait, Duration changePause)
     {
         const auto &settings = m_core.settings;
         m_feeds.push_back(std::make_unique<TableFeed>(
-            m_io, m_clock, m_core.adapter.makeRowStore(m_io, settings.store), table, wait, *this));
+            m_io, m_clock, m_core.adapter.makeRowStore(m_io, settings.store), table, wait, changePause, *this));
     }
 
     // ---- what the store says
--- a/packages/gateway/src/gatewaysettings.cpp
+++ b/packages/gateway/src/gatewaysettings.cpp
@@ -11,6 +11,7 @@
 using Row = SettingsRow<GatewaySettings>;
 using Read = std::function<Result<void>(const std::string &, GatewaySettings &)>;
 
+constexpr Duration longestDenialAge = std::chrono::milliseconds(2400); // a new route may be denied for so long at most
 constexpr Duration repeatedCall = std::chrono::seconds(1); // a store's call that fails, and the next one
 constexpr Duration revocationMargin = std::chrono::milliseconds(300); // a request's way from its caller
 
@@ -179,7 +180,7 @@
         {"store", "address", none, "", address, "The fleet's table store.", readAddress(&GatewaySettings::store)},
         {"store",
          "wait",
-         "800 ms",
+         "1200 ms",
          "time",
          "100 ms to 30 s",
          "Length of a waiting call; it bounds the age of the proof that the configuration is current.",
@@ -187,7 +188,7 @@
                       seconds(30),
                       [](GatewaySettings &it, Duration n) {
                           it.storeWait = n;
-                          it.freshness.forDenials = n * 2 + repeatedCall;
+                          it.freshness.forDenials = std::min<Duration>(n * 2 + repeatedCall, longestDenialAge);
                       })},
         {"limits",
          "memory",
--- a/packages/gateway/src/tablefeed.cpp
+++ b/packages/gateway/src/tablefeed.cpp
@@ -8,8 +8,6 @@
 namespace
 {
 
-constexpr Duration changePause =
-    std::chrono::milliseconds(300); // changes often come in series: one call brings several
 constexpr Duration firstRetry = std::chrono::milliseconds(20); // a connection that was closed while idle is no outage
 constexpr Duration longestRetry = std::chrono::milliseconds(640); // bounds the time to notice the store's return
 
@@ -20,11 +18,13 @@
                      std::unique_ptr<RowStore> store,
                      std::string table,
                      Duration wait,
+                     Duration changePause,
                      TableFeedHandler &handler)
     : m_clock(clock)
     , m_store(std::move(store))
     , m_table(std::move(table))
     , m_wait(wait)
+    , m_changePause(changePause)
     , m_handler(handler)
     , m_retry(io)
 {
@@ -120,7 +120,7 @@
     if (value.rows.empty()) {
         follow();
     } else {
-        after(changePause);
+        after(m_changePause);
     }
 }
 
--- a/packages/gateway/src/tablefeed.h
+++ b/packages/gateway/src/tablefeed.h
@@ -31,11 +31,13 @@
 {
 public:
     /// @param wait length of a waiting call when nothing changes
+    /// @param changePause after a change until the next call: changes often come in series, and one call brings several
     TableFeed(boost::asio::io_context &io,
               const Clock &clock,
               std::unique_ptr<RowStore> store,
               std::string table,
               Duration wait,
+              Duration changePause,
               TableFeedHandler &handler);
     ~TableFeed();
     TableFeed(const TableFeed &) = delete;
@@ -58,6 +60,7 @@
     std::unique_ptr<RowStore> m_store;
     std::string m_table;
     Duration m_wait;
+    Duration m_changePause;
     TableFeedHandler &m_handler;
     boost::asio::steady_timer m_retry;
     std::vector<TableRow> m_rows; // of the pages so far
--- a/packages/gateway/src/tablefeed_test.cpp
+++ b/packages/gateway/src/tablefeed_test.cpp
@@ -92,7 +92,7 @@
     {
         auto owned = std::make_unique<ScriptedStore>(io, clock);
         store = owned.get();
-        feed = std::make_unique<TableFeed>(io, clock, std::move(owned), "t", 800ms, recorder);
+        feed = std::make_unique<TableFeed>(io, clock, std::move(owned), "t", 800ms, 300ms, recorder);
     }
 
     void run()
