--- a/packages/daemon/src/path_test.cpp
+++ b/packages/daemon/src/path_test.cpp
@@ -504,7 +504,7 @@
     std::ostringstream chunked;
     chunked << chunkedHead << std::hex << body.size() << "\r\n" << body << "\r\n0\r\n\r\n";
     CHECK(statusLine(chunked.str()) == "HTTP/1.1 200");
-    const std::string longLine = "GET /" + std::string(64 * 1024, 'a') + " HTTP/1.1\r\n\r\n";
+    const std::string longLine = "GET /" + std::string(std::size_t {64} * 1024, 'a') + " HTTP/1.1\r\n\r\n";
     CHECK(statusLine(longLine) == "HTTP/1.1 431");
 }
 
