Explain a request from gateways' logs: monsoonctl explain

Reads logs from files or standard input and prints the request's lines with what its gateways had learned up to 10 s before of its engines, the configuration, the store and each other.

--- a/apps/monsoonctl/commands.cpp
+++ b/apps/monsoonctl/commands.cpp
@@ -252,6 +252,8 @@
             "GET", "/operator/log" + (options.after.empty() ? "" : "?after=" + options.after), {}, logText);
     case VerbKind::Dump:
         return dump(arguments[0], options);
+    case VerbKind::Explain: // asks no daemon: see main()
+        return ExitCode::Usage;
     case VerbKind::Intent:
         return command.plan(intentOf(verb, arguments, options));
     }
--- /dev/null
+++ b/apps/monsoonctl/explain.cpp
@@ -0,0 +1,139 @@
+#include "explain.h"
+
+#include <nlohmann/json.hpp>
+
+#include <algorithm>
+#include <chrono>
+#include <istream>
+#include <set>
+#include <sstream>
+#include <vector>
+
+namespace monsoonctl
+{
+
+namespace
+{
+
+using Json = nlohmann::json;
+
+constexpr std::int64_t contextMs = 10000; // beliefs that were formed so long before a request may explain its end
+constexpr int firstContextEvent = 4000; // configuration, store, engines, gateways: see docs/EVENTS.md
+constexpr int requestEvents = 6001;
+constexpr int lastRequestEvent = 6003;
+
+template<class T>
+T fieldOf(const Json &record, const char *name, T otherwise)
+{
+    const auto it = record.find(name);
+    if (it == record.end()) {
+        return otherwise;
+    }
+    return it->get<T>();
+}
+
+bool isRecord(const Json &json)
+{
+    return json.is_object() && json.contains("time") && json["time"].is_number_integer() && json.contains("host")
+        && json["host"].is_string() && json.contains("event") && json["event"].is_number_integer()
+        && json.contains("what") && json["what"].is_string();
+}
+
+bool isAbout(const Json &record, const std::string &request)
+{
+    const auto it = record.find("request");
+    return it != record.end() && it->is_string() && it->get<std::string>() == request;
+}
+
+std::string lineOf(const Json &record)
+{
+    static const std::set<std::string> inFront {"time", "host", "what", "life", "severity", "event", "request"};
+    std::ostringstream out;
+    out << record["time"].get<std::int64_t>() << " " << record["host"].get<std::string>() << " "
+        << record["what"].get<std::string>();
+    for (const auto &[name, value] : record.items()) {
+        const bool isEmpty = value.is_string() && value.get<std::string>().empty();
+        if (inFront.count(name) == 0 && !isEmpty) {
+            out << " " << name << "=" << (value.is_string() ? value.get<std::string>() : value.dump());
+        }
+    }
+    return out.str();
+}
+
+} // namespace
+
+struct Explanation::Parts
+{
+    std::string request;
+    std::vector<Json> own; // lines of the request
+    std::vector<Json> context; // lines that form beliefs
+    unsigned strange = 0;
+};
+
+Explanation::Explanation(std::string request)
+    : m_parts(std::make_unique<Parts>())
+{
+    m_parts->request = std::move(request);
+}
+
+Explanation::~Explanation() = default;
+
+void Explanation::read(std::istream &log)
+{
+    std::string line;
+    while (std::getline(log, line)) {
+        auto record = Json::parse(line, nullptr, false);
+        if (!isRecord(record)) {
+            m_parts->strange += line.empty() ? 0 : 1;
+            continue;
+        }
+        const auto event = record["event"].get<int>();
+        if (isAbout(record, m_parts->request)) {
+            m_parts->own.push_back(std::move(record));
+        } else if (event >= firstContextEvent && (event < requestEvents || event > lastRequestEvent)) {
+            m_parts->context.push_back(std::move(record));
+        }
+    }
+}
+
+std::string Explanation::text() const
+{
+    if (m_parts->own.empty()) {
+        return {};
+    }
+    auto records = m_parts->own;
+    std::set<std::string> hosts;
+    std::set<std::string> engines;
+    auto from = records.front()["time"].get<std::int64_t>();
+    auto until = from;
+    for (const auto &it : records) {
+        const auto time = it["time"].get<std::int64_t>();
+        hosts.insert(it["host"].get<std::string>());
+        engines.insert(fieldOf<std::string>(it, "engine", ""));
+        from = std::min(from, time - fieldOf<std::int64_t>(it, "after_ms", 0));
+        until = std::max(until, time);
+    }
+    for (const auto &it : m_parts->context) {
+        const auto time = it["time"].get<std::int64_t>();
+        const auto engine = fieldOf<std::string>(it, "engine", "");
+        if (time >= from - contextMs && time <= until && hosts.count(it["host"].get<std::string>()) != 0
+            && (engine.empty() || engines.count(engine) != 0)) {
+            records.push_back(it);
+        }
+    }
+    std::stable_sort(records.begin(), records.end(), [](const Json &a, const Json &b) {
+        return a["time"].get<std::int64_t>() < b["time"].get<std::int64_t>();
+    });
+    std::string text;
+    for (const auto &it : records) {
+        text += lineOf(it) + "\n";
+    }
+    return text;
+}
+
+unsigned Explanation::strangeLines() const
+{
+    return m_parts->strange;
+}
+
+} // namespace monsoonctl
--- /dev/null
+++ b/apps/monsoonctl/explain_test.cpp
@@ -0,0 +1,49 @@
+#include "explain.h"
+
+#include <doctest/doctest.h>
+
+#include <sstream>
+
+using monsoonctl::Explanation;
+
+namespace
+{
+
+std::string record(int time, const std::string &host, int event, const std::string &what, const std::string &more)
+{
+    return R"({"time":)" + std::to_string(time) + R"(,"host":")" + host + R"(","life":1,"severity":"info","event":)"
+        + std::to_string(event) + R"(,"what":")" + what + "\"" + more + "}\n";
+}
+
+} // namespace
+
+TEST_CASE("the story of a request: its lines and the beliefs about its engines before it, in order")
+{
+    std::istringstream first(
+        record(60000, "g1", 6002, "failed", R"(,"request":"r1","reason":"engine-lost","engine":"e1","after_ms":900)")
+        + record(59500, "g1", 6003, "attempt-failed", R"(,"request":"r1","engine":"e1","end":"broken")")
+        + record(59400, "g1", 6103, "engine-paused", R"(,"engine":"e1")")
+        + record(59300, "g1", 6103, "engine-paused", R"(,"engine":"e2")")
+        + record(59000, "g1", 6001, "served", R"(,"request":"r2","engine":"e1")") + "not a record\n");
+    std::istringstream second(record(58000, "g2", 5001, "store-unavailable", "")
+                              + record(30000, "g1", 4001, "configuration-adopted", R"(,"revision":3)")
+                              + record(55000, "g1", 4001, "configuration-adopted", R"(,"revision":4)"));
+    Explanation explanation("r1");
+    explanation.read(first);
+    explanation.read(second);
+    CHECK(explanation.text()
+          == "55000 g1 configuration-adopted revision=4\n"
+             "59400 g1 engine-paused engine=e1\n"
+             "59500 g1 attempt-failed end=broken engine=e1\n"
+             "60000 g1 failed after_ms=900 engine=e1 reason=engine-lost\n");
+    CHECK(explanation.strangeLines() == 1);
+}
+
+TEST_CASE("a request that isn't in the logs has no story")
+{
+    std::istringstream log(record(1, "g", 6001, "served", R"(,"request":"other")"));
+    Explanation explanation("r1");
+    explanation.read(log);
+    CHECK(explanation.text().empty());
+    CHECK(explanation.strangeLines() == 0);
+}
--- a/apps/monsoonctl/main.cpp
+++ b/apps/monsoonctl/main.cpp
@@ -1,5 +1,6 @@
 // The operators' command line.
 #include "commands.h"
+#include "explain.h"
 
 #include <monsoonward/ini/ini.h>
 
@@ -66,6 +67,32 @@
     }
 };
 
+/// Reads the logs in @p files, or standard input when there is none, and prints what explains the request.
+ExitCode explain(const std::string &request, const std::vector<std::string> &files)
+{
+    monsoonctl::Explanation explanation(request);
+    if (files.empty()) {
+        explanation.read(std::cin);
+    }
+    for (const auto &it : files) {
+        std::ifstream in(it);
+        if (!in) {
+            throw std::runtime_error("can't read the log \"" + it + "\"");
+        }
+        explanation.read(in);
+    }
+    if (explanation.strangeLines() != 0) {
+        std::cerr << "monsoonctl: " << explanation.strangeLines() << " lines are no log records\n";
+    }
+    const auto text = explanation.text();
+    if (text.empty()) {
+        std::cerr << "monsoonctl: request \"" << request << "\" is not in these logs\n";
+        return ExitCode::NotAccepted;
+    }
+    std::cout << text;
+    return ExitCode::Done;
+}
+
 ExitCode execute(const CommandLine &line)
 {
     const auto &values = line.values;
@@ -83,6 +110,9 @@
         return ExitCode::Usage;
     }
     const std::vector<std::string> arguments(words.begin() + 1, words.end());
+    if (verb->kind == monsoonctl::VerbKind::Explain && !arguments.empty()) {
+        return explain(arguments.front(), {arguments.begin() + 1, arguments.end()});
+    }
     if (arguments.size() != verb->arguments.size()) {
         std::cerr << monsoonctl::helpOf(*verb);
         return ExitCode::Usage;
--- a/apps/monsoonctl/verbs.cpp
+++ b/apps/monsoonctl/verbs.cpp
@@ -100,6 +100,11 @@
          {"ADDRESS"},
          "print the state of the daemon at an admin address",
          "monsoonctl dump 127.0.0.1:9001"},
+        {VerbKind::Explain,
+         "explain",
+         {"REQUEST-ID", "[FILE...]"},
+         "tell how a request ended and why, from gateways' logs in files or on standard input",
+         "monsoonctl explain 7fb87330f035c2fe gateway-*.log"},
     };
     return list;
 }
--- a/apps/monsoonctl/verbs.h
+++ b/apps/monsoonctl/verbs.h
@@ -18,7 +18,7 @@
     Denied = 5,
 };
 
-enum class VerbKind { Declare, Diff, Export, Plan, Confirm, Abort, Status, Log, Dump, Intent };
+enum class VerbKind { Declare, Diff, Export, Plan, Confirm, Abort, Status, Log, Dump, Explain, Intent };
 
 struct Verb
 {
