Count a gateway that reports without being known as one that shares the limits; shorter waits again

Change: strangers that report count until they fall silent.

fleetview_test: the new case failed first. The case 'loads of other daemons' expected that a stranger leaves the size at 2; that was the fault. It now expects 3 while the stranger reports and 2 after its silence.

--- a/packages/dispatch/include/monsoonward/dispatch/fleetview.h
+++ b/packages/dispatch/include/monsoonward/dispatch/fleetview.h
@@ -49,7 +49,7 @@
     std::optional<HeardReport> heard(const LoadReport &report, TimePoint now);
     /// @return whether the member has reported lately
     bool hears(const HostName &member, TimePoint now) const;
-    /// @return daemons that share the limits, this one included
+    /// @return daemons that share the limits, this one included, and those that report without being known as members
     std::size_t size() const;
     /// @return members that were silent for at least @p length since they registered
     std::vector<HostName> silentFor(Duration length, TimePoint now) const;
@@ -76,6 +76,7 @@
     HostName m_own;
     std::map<HostName, Member> m_members; // the others
     std::map<EngineName, std::uint32_t> m_requests;
+    std::map<HostName, TimePoint> m_strangers; // report, but are no members yet as far as this daemon knows
 };
 
 } // namespace monsoonward
--- a/packages/dispatch/src/fleetview.cpp
+++ b/packages/dispatch/src/fleetview.cpp
@@ -8,6 +8,7 @@
 namespace
 {
 
+constexpr std::size_t mostStrangers = 64; // bounds what datagrams from anywhere can do
 constexpr double evenPart = 0.1; // of the limit that is divided evenly, so that a daemon without demand can begin
 
 } // namespace
@@ -31,6 +32,9 @@
         addLoads(it.second.report, -1);
     }
     m_members = std::move(kept);
+    for (const auto &it : members) {
+        m_strangers.erase(it);
+    }
 }
 
 void FleetView::addLoads(const LoadReport &report, int sign)
@@ -48,6 +52,10 @@
 {
     const auto it = m_members.find(report.host);
     if (it == m_members.end()) {
+        // The list of members may be late: the other one takes its part of the limits all the same.
+        if (report.host != m_own && (m_strangers.size() < mostStrangers || m_strangers.count(report.host) != 0)) {
+            m_strangers[report.host] = now;
+        }
         return std::nullopt;
     }
     auto &member = it->second;
@@ -87,7 +95,7 @@
 
 std::size_t FleetView::size() const
 {
-    return m_members.size() + 1;
+    return m_members.size() + m_strangers.size() + 1;
 }
 
 std::vector<HostName> FleetView::silentFor(Duration length, TimePoint now) const
@@ -133,6 +141,9 @@
 
 void FleetView::expire(TimePoint now)
 {
+    for (auto it = m_strangers.begin(); it != m_strangers.end();) {
+        it = now - it->second > silenceBound ? m_strangers.erase(it) : std::next(it);
+    }
     for (auto &it : m_members) {
         auto &member = it.second;
         if (member.isHeard && now - member.heardAt > silenceBound) {
--- a/packages/dispatch/src/fleetview_test.cpp
+++ b/packages/dispatch/src/fleetview_test.cpp
@@ -86,10 +86,11 @@
     CHECK(view.requestsAt(engine) == 3);
     view.setMembers({HostName("a"), HostName("b")}, clock.now());
     CHECK(view.requestsAt(engine) == 1);
-    CHECK(view.size() == 2);
+    CHECK(view.size() == 3); // the stranger reports, so it takes its part of the limits
     clock.advance(2s);
     view.expire(clock.now());
     CHECK(view.requestsAt(engine) == 0);
+    CHECK(view.size() == 2);
     CHECK(view.silentFor(2s, clock.now()) == std::vector<HostName> {HostName("b")});
 }
 
@@ -115,3 +116,23 @@
     view.heard(brief, clock.now());
     CHECK_FALSE(view.hears(HostName("b"), clock.now()));
 }
+
+TEST_CASE("a daemon that reports before it is known as a member takes its part of the limits")
+{
+    VirtualClock clock;
+    FleetView view {HostName("a")};
+    view.setMembers({HostName("a"), HostName("b")}, clock.now());
+    view.heard(reportOf("b", 1, 100, 0), clock.now());
+    CHECK(view.heardPart(clock.now()) == doctest::Approx(1));
+    view.heard(reportOf("c", 1, 100, 5), clock.now());
+    CHECK(view.size() == 3);
+    CHECK(view.heardPart(clock.now()) == doctest::Approx(2.0 / 3));
+    CHECK(view.requestsAt(engine) == 0);
+    view.setMembers({HostName("a"), HostName("b"), HostName("c")}, clock.now());
+    CHECK(view.size() == 3);
+    view.setMembers({HostName("a"), HostName("b")}, clock.now());
+    view.heard(reportOf("c", 2, 100, 5), clock.now());
+    clock.advance(FleetView::silenceBound + 1ms);
+    view.expire(clock.now());
+    CHECK(view.size() == 2);
+}
--- a/packages/gateway/src/gatewayprocess.cpp
+++ b/packages/gateway/src/gatewayprocess.cpp
@@ -23,11 +23,11 @@
 {
 
 constexpr Duration tickInterval = std::chrono::milliseconds(250); // expiry of engines, connections and members
-constexpr Duration engineWait = std::chrono::seconds(10); // of the call that follows registrations
+constexpr Duration engineWait = std::chrono::seconds(5); // of the call that follows registrations
 constexpr Duration configurationPause = std::chrono::milliseconds(300); // between calls, when changes come in series
 constexpr Duration otherPause =
     std::chrono::milliseconds(600); // the same; a leaving engine may get requests for longer
-constexpr Duration memberWait = std::chrono::seconds(20); // of the call that follows the gateways
+constexpr Duration memberWait = std::chrono::seconds(10); // of the call that follows the gateways
 constexpr Duration longestClosedStart = std::chrono::milliseconds(900); // callers give a connection about a second
 constexpr Duration leastShutdown = std::chrono::seconds(3); // the load balancer takes two checks to look elsewhere
 constexpr Duration idleClose = std::chrono::milliseconds(2500); // then callers have moved their new requests
