Pass load reports between regions through one gateway in large fleets

Change: with more than 16 gateways in the other region a report goes to one of them in turn, which passes it on within its region. Beyond 100 gateways the interval grows with their number, and the bound of silence with it. Smaller fleets send as before.

--- a/packages/dispatch/include/monsoonward/dispatch/fleetview.h
+++ b/packages/dispatch/include/monsoonward/dispatch/fleetview.h
@@ -22,7 +22,8 @@
     std::map<CustomerName, double> demand; ///< units a second asked of this daemon
     std::map<CustomerName, double> spent; ///< units granted by this daemon in its life
     bool isShort = false; ///< tells of requests only, and nothing of customers
-    MONSOONWARD_FIELDS(host, life, number, requests, demand, spent, isShort)
+    bool isToPassOn = false; ///< who gets it passes it on to the daemons of its region
+    MONSOONWARD_FIELDS(host, life, number, requests, demand, spent, isShort, isToPassOn)
 };
 
 /// @brief What a report that was heard adds to what was known.
@@ -39,6 +40,8 @@
 public:
     /// A daemon that was silent for longer may be cut off and still spend its part of a limit.
     static constexpr Duration silenceBound = std::chrono::milliseconds(1500); // several reports in a row were lost
+    /// Sets the bound for fleets whose reports come more seldom; silenceBound at the start.
+    void setSilenceBound(Duration bound);
 
     explicit FleetView(HostName own);
 
@@ -76,6 +79,7 @@
     HostName m_own;
     std::map<HostName, Member> m_members; // the others
     std::map<EngineName, std::uint32_t> m_requests;
+    Duration m_silenceBound = silenceBound;
     std::map<HostName, TimePoint> m_strangers; // report, but are no members yet as far as this daemon knows
 };
 
--- a/packages/dispatch/src/fleetview.cpp
+++ b/packages/dispatch/src/fleetview.cpp
@@ -90,7 +90,12 @@
 bool FleetView::hears(const HostName &member, TimePoint now) const
 {
     const auto it = m_members.find(member);
-    return it != m_members.end() && it->second.isHeard && now - it->second.heardAt <= silenceBound;
+    return it != m_members.end() && it->second.isHeard && now - it->second.heardAt <= m_silenceBound;
+}
+
+void FleetView::setSilenceBound(Duration bound)
+{
+    m_silenceBound = bound;
 }
 
 std::size_t FleetView::size() const
@@ -142,11 +147,11 @@
 void FleetView::expire(TimePoint now)
 {
     for (auto it = m_strangers.begin(); it != m_strangers.end();) {
-        it = now - it->second > silenceBound ? m_strangers.erase(it) : std::next(it);
+        it = now - it->second > m_silenceBound ? m_strangers.erase(it) : std::next(it);
     }
     for (auto &it : m_members) {
         auto &member = it.second;
-        if (member.isHeard && now - member.heardAt > silenceBound) {
+        if (member.isHeard && now - member.heardAt > m_silenceBound) {
             addLoads(member.report, -1);
             member.report.requests.clear();
             member.isHeard = false;
--- a/packages/gateway/src/loadreports.cpp
+++ b/packages/gateway/src/loadreports.cpp
@@ -14,6 +14,8 @@
 
 constexpr Duration leastInterval = std::chrono::milliseconds(50); // a few requests arrive meanwhile at most
 constexpr Duration longestInterval = std::chrono::milliseconds(400); // three reports within FleetView::silenceBound
+constexpr int peersAtLongestInterval = 100; // with still more, the interval and the bound of silence grow with them
+constexpr std::size_t mostFarPeers = 16; // with more, one of them in turn passes reports on: the link is shared by all
 constexpr int peersAtLeastInterval = 5; // with more, the interval grows with them: a constant rate of whole reports
 constexpr int nearPeersAtLeastInterval = 10; // the same for short reports, which are a quarter as long
 
@@ -21,7 +23,8 @@
 Duration intervalFor(std::size_t peers, int atLeastInterval)
 {
     const auto n = std::max(static_cast<int>(peers), atLeastInterval);
-    return std::min<Duration>(leastInterval * n / atLeastInterval, longestInterval);
+    const Duration longest = longestInterval * std::max(n, peersAtLongestInterval) / peersAtLongestInterval;
+    return std::min<Duration>(leastInterval * n / atLeastInterval, longest);
 }
 
 } // namespace
@@ -45,6 +48,9 @@
         json["d"] = std::move(demand);
         json["s"] = std::move(spent);
     }
+    if (report.isToPassOn) {
+        json["f"] = true;
+    }
     return Json::to_msgpack(json);
 }
 
@@ -60,6 +66,7 @@
             report.requests[EngineName(engine)] = n.get<std::uint32_t>();
         }
         report.isShort = !json.contains("d");
+        report.isToPassOn = json.contains("f");
         if (report.isShort) {
             return report;
         }
@@ -114,6 +121,10 @@
             (it.isNear ? m_near : m_far).emplace_back(ip, it.address.port);
         }
     }
+    // Keeps the proportion of the bound to the interval that holds in fleets with the longest common interval.
+    const auto interval = intervalFor(peers.size(), peersAtLeastInterval);
+    m_core.fleet.setSilenceBound(
+        std::max<Duration>(FleetView::silenceBound, interval * (FleetView::silenceBound / longestInterval + 1)));
 }
 
 void LoadReports::receive()
@@ -139,6 +150,11 @@
                          {{"reason", std::string_view(report.error().message)}});
         return;
     }
+    if (report.value().isToPassOn) {
+        auto passedOn = report.value();
+        passedOn.isToPassOn = false;
+        sendTo(m_near, passedOn);
+    }
     const auto now = m_core.clock.now();
     const auto heard = m_core.fleet.heard(report.value(), now);
     if (!heard) {
@@ -192,7 +208,12 @@
     report.demand = m_core.allotments.demands(now);
     report.spent = m_core.allotments.spent();
     sendTo(m_near, report);
-    sendTo(m_far, report);
+    if (m_far.size() <= mostFarPeers) {
+        sendTo(m_far, report);
+        return;
+    }
+    report.isToPassOn = true;
+    sendTo({m_far[m_number % m_far.size()]}, report);
 }
 
 void LoadReports::sendTo(const std::vector<udp::endpoint> &peers, const LoadReport &report)
