--- a/packages/dispatch/include/monsoonward/dispatch/dispatch.h
+++ b/packages/dispatch/include/monsoonward/dispatch/dispatch.h
@@ -15,3 +15,4 @@
 #include "monsoonward/dispatch/retryallowance.h"
 #include "monsoonward/dispatch/routetable.h"
 #include "monsoonward/dispatch/servingconfiguration.h"
+#include "monsoonward/dispatch/storeknowledge.h"
--- a/packages/dispatch/include/monsoonward/dispatch/enginedirectory.h
+++ b/packages/dispatch/include/monsoonward/dispatch/enginedirectory.h
@@ -3,6 +3,8 @@
 #include "monsoonward/dispatch/servingconfiguration.h"
 
 #include <map>
+#include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -18,7 +20,9 @@
     DataCentreName dataCentre;
     std::uint32_t slots = 1; ///< requests that the engine processes concurrently
     bool isLeaving = false; ///< accepts no new requests
-    MONSOONWARD_FIELDS(name, service, address, dataCentre, slots, isLeaving)
+    /// Start time of the engine's process in Unix milliseconds; tells apart two runs under one name. 0 if not stated.
+    std::uint64_t incarnation = 0;
+    MONSOONWARD_FIELDS(name, service, address, dataCentre, slots, isLeaving, incarnation)
 };
 
 /// @brief The registered engines.
@@ -26,12 +30,21 @@
 /// Registrations expire while the store is unavailable, although the engines are running; the engines register again
 /// soon after the store has recovered. An engine whose registration is missing during that time is therefore kept, and
 /// dropped only if it hasn't registered again within the timeout.
+///
+/// An engine that said that it is leaving stays so until it registers with another incarnation. The store may be
+/// restored from an older copy: engines that were leaving stay so, and one that had departed and is listed again gets
+/// requests only after its registration has been written again, or has stayed for the confirmation time.
 class EngineDirectory
 {
 public:
     /// Engines register again within this time after the store has recovered.
     static constexpr Duration reregistrationTimeout = std::chrono::seconds(2); // stated by the store's operators
 
+    /// Engines that are gone are removed from a restored store within this time: three heartbeats and their detection.
+    static constexpr Duration confirmationTime = std::chrono::seconds(6);
+    /// Departed engines are remembered for this long; the copies that the store is restored from are seconds old.
+    static constexpr Duration departureMemory = std::chrono::minutes(1);
+
     /// A call to the store succeeded.
     void storeAnswered(TimePoint now);
     /// A call to the store failed.
@@ -39,17 +52,27 @@
     /// Applies a complete list of registrations.
     /// @return engines that were dropped
     std::vector<EngineName> replace(const std::vector<EngineRecord> &records, TimePoint now);
+    /// Applies a complete list of registrations from a store that was restored from an older copy.
+    /// @return engines that were dropped
+    std::vector<EngineName> replaceAfterRestore(const std::vector<EngineRecord> &records, TimePoint now);
     /// Adds or replaces an engine.
     void put(const EngineRecord &record);
     /// Drops an engine whose registration is missing, or keeps it until the timeout if the store has just recovered or
     /// is unavailable.
     void remove(const EngineName &name, TimePoint now);
-    /// Drops engines that didn't register again within the timeout.
+    /// The engine itself said that it is leaving. It gets no new requests in this incarnation.
+    /// @return whether this was not known yet
+    bool markLeaving(const EngineName &name);
+    /// Drops engines that didn't register again within the timeout, and confirms those that stayed registered.
     /// @return their names
     std::vector<EngineName> expire(TimePoint now);
 
     /// @return the record of an engine, or null; valid until the next change
     const EngineRecord *find(const EngineName &name) const;
+    /// @return whether the engine is known and may get new requests
+    bool mayReceive(const EngineName &name) const;
+    /// @return engines that said themselves that they are leaving
+    std::set<EngineName> leavingByOwnWord() const;
     /// @return engines of the service that may get new requests; valid until the next change
     std::vector<const EngineRecord *> ofService(const ServiceName &service) const;
     std::size_t size() const;
@@ -59,11 +82,23 @@
     {
         EngineRecord record;
         std::optional<TimePoint> dropAt; // if the registration is missing: the engine is kept until then
+        std::optional<TimePoint> confirmedAt; // listed again by a restored store: gets no requests until then
+        bool saidLeaving = false; // the engine said so itself
+    };
+    struct Departure
+    {
+        std::uint64_t incarnation = 0;
+        bool wasLeaving = false;
+        TimePoint at;
     };
 
+    static bool mayReceive(const Entry &entry);
     bool mayReregister(TimePoint now) const;
+    std::vector<EngineName> removeUnlisted(const std::vector<EngineRecord> &records, TimePoint now);
+    void erase(std::map<EngineName, Entry>::iterator it, TimePoint now);
 
     std::map<EngineName, Entry> m_engines;
+    std::map<EngineName, Departure> m_departed;
     bool m_storeUnavailable = false;
     std::optional<TimePoint> m_storeRecoveredAt;
 };
--- a/packages/dispatch/include/monsoonward/dispatch/fleetview.h
+++ b/packages/dispatch/include/monsoonward/dispatch/fleetview.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include <monsoonward/values/values.h>
+#include "monsoonward/dispatch/storeknowledge.h"
 
 #include <cstdint>
 #include <map>
@@ -21,9 +21,20 @@
     std::map<EngineName, std::uint32_t> requests; ///< in progress at each engine, sent by this daemon
     std::map<CustomerName, double> demand; ///< units per second requested from this daemon
     std::map<CustomerName, double> spent; ///< units granted by this daemon since it started
-    bool isLoadOnly = false; ///< holds request counts only; demand and spent are left out
+    bool isLoadOnly = false; ///< holds request counts only; the other fields are left out
     bool shouldForward = false; ///< the receiver forwards it to the daemons of its region
-    MONSOONWARD_FIELDS(host, incarnation, sequenceNumber, requests, demand, spent, isLoadOnly, shouldForward)
+    std::set<EngineName> leavingEngines {}; ///< engines whose own answers to this daemon said that they are leaving
+    StoreKnowledge knowledge {}; ///< what this daemon has read from the store
+    MONSOONWARD_FIELDS(host,
+                       incarnation,
+                       sequenceNumber,
+                       requests,
+                       demand,
+                       spent,
+                       isLoadOnly,
+                       shouldForward,
+                       leavingEngines,
+                       knowledge)
 };
 
 /// @brief What a new report changes compared with the daemon's previous one.
@@ -63,6 +74,19 @@
     std::vector<HostName> silentFor(Duration length, TimePoint now) const;
     /// @return requests in progress at the engine that other daemons sent
     std::uint32_t requestsAt(const EngineName &engine) const;
+    /// @return whether a daemon that reports was told by the engine that it is leaving. A hint: this daemon prefers
+    /// other engines.
+    bool isReportedLeaving(const EngineName &engine) const;
+    /// @return the highest revision of the configuration that this daemon's reporting peers hold
+    Revision highestRevision(TimePoint now) const;
+    /// @return the newest of what the reporting daemons have read from the store in @p era, field by field, except for
+    /// the proof
+    StoreKnowledge newestKnowledge(StoreEra era, TimePoint now) const;
+    /// @return the latest store time at which a reporting daemon knew @p revision to be the newest one; 0 if none did
+    std::int64_t newestProof(StoreEra era, Revision revision, TimePoint now) const;
+    /// @return how many reporting members of @p hosts come before this daemon in an order that all daemons agree on and
+    /// that spreads duties over the daemons
+    std::size_t dutyRank(const std::vector<HostName> &hosts, TimePoint now) const;
     /// @return fraction of each limit that this daemon and the reporting ones may spend together. An even share is left
     /// out for each silent daemon, because a daemon that receives no reports spends exactly that.
     double reportingFraction(TimePoint now) const;
--- a/packages/dispatch/include/monsoonward/dispatch/freshness.h
+++ b/packages/dispatch/include/monsoonward/dispatch/freshness.h
@@ -13,19 +13,29 @@
     /// If the proof is older, requests with a key are refused.
     Duration maxAgeForKeys = std::chrono::milliseconds(4700);
     /// If the proof is older, requests aren't refused as unknown or unauthorised.
-    Duration maxAgeForDenials = std::chrono::milliseconds(2500);
+    Duration maxAgeForDenials = std::chrono::milliseconds(2400);
     MONSOONWARD_FIELDS(maxAgeForKeys, maxAgeForDenials)
 };
 
 /// @brief Tracks when the active configuration was last known to be the newest one. The clock must include the time
 /// during which the machine is suspended, since a process may have missed a change then.
+///
+/// After a restore of the store, a change that was acknowledged shortly before may be missing until it is written
+/// again. Nothing that the store says until then proves that the configuration is current.
 class Freshness
 {
 public:
+    /// Lost changes are written again within this time after a restore.
+    static constexpr Duration restoreSettleTime = std::chrono::seconds(2);
+
     explicit Freshness(const FreshnessLimits &limits);
 
     /// The store answered a call that began at @p callStart and had no newer configuration than the active one.
     void recordProof(TimePoint callStart);
+    /// The store was restored from a copy; this was noticed at @p now.
+    void storeRestored(TimePoint now);
+    /// @return whether the store was restored so recently that it proves nothing
+    bool isSettling(TimePoint now) const;
     /// @return age of the last proof, or nothing before the first one
     std::optional<Duration> age(TimePoint now) const;
     /// @return whether the configuration is fresh enough to accept the keys that it contains
@@ -36,6 +46,13 @@
 private:
     FreshnessLimits m_limits;
     std::optional<TimePoint> m_lastProofAt;
+    std::optional<TimePoint> m_settledAt; // proofs from before don't count
 };
 
+/// @param rank of this daemon among those that can tell each other what they have read, see FleetView::dutyRank()
+/// @param uniformHash 0 to 1, different for each daemon
+/// @return the age of the last proof at which this daemon asks the store for a new one. The daemon of rank 0 asks first
+/// and tells the others; each further one waits long enough to hear of it, and all wait less than the limits allow.
+Duration proofAgeToRenew(const FreshnessLimits &limits, std::size_t rank, double uniformHash);
+
 } // namespace monsoonward
--- a/packages/dispatch/src/enginedirectory.cpp
+++ b/packages/dispatch/src/enginedirectory.cpp
@@ -1,7 +1,5 @@
 #include "monsoonward/dispatch/enginedirectory.h"
 
-#include <set>
-
 namespace monsoonward
 {
 
@@ -24,11 +22,37 @@
 }
 
 std::vector<EngineName> EngineDirectory::replace(const std::vector<EngineRecord> &records, TimePoint now)
+{
+    for (const auto &it : records) {
+        put(it);
+    }
+    return removeUnlisted(records, now);
+}
+
+std::vector<EngineName> EngineDirectory::replaceAfterRestore(const std::vector<EngineRecord> &records, TimePoint now)
+{
+    m_storeRecoveredAt = now; // registrations written since the copy was made are missing, too
+    for (const auto &it : records) {
+        const auto departed = m_departed.find(it.name);
+        const bool hasDeparted = departed != m_departed.end() && departed->second.incarnation == it.incarnation;
+        const auto known = m_engines.find(it.name);
+        const bool wasLeaving = known != m_engines.end() && known->second.record.isLeaving
+            && known->second.record.incarnation == it.incarnation;
+        put(it);
+        auto &entry = m_engines[it.name];
+        entry.record.isLeaving = entry.record.isLeaving || wasLeaving;
+        if (hasDeparted) {
+            entry.confirmedAt = now + confirmationTime;
+        }
+    }
+    return removeUnlisted(records, now);
+}
+
+std::vector<EngineName> EngineDirectory::removeUnlisted(const std::vector<EngineRecord> &records, TimePoint now)
 {
     std::set<EngineName> listed;
     for (const auto &it : records) {
         listed.insert(it.name);
-        put(it);
     }
     std::vector<EngineName> unlisted;
     for (const auto &it : m_engines) {
@@ -48,7 +72,20 @@
 
 void EngineDirectory::put(const EngineRecord &record)
 {
-    m_engines[record.name] = {record, std::nullopt};
+    Entry entry {record, std::nullopt, std::nullopt, false};
+    const auto known = m_engines.find(record.name);
+    if (known != m_engines.end() && known->second.record.incarnation == record.incarnation) {
+        const bool wasLeaving = record.incarnation != 0 && known->second.record.isLeaving;
+        entry.saidLeaving = known->second.saidLeaving;
+        entry.record.isLeaving = record.isLeaving || entry.saidLeaving || wasLeaving;
+    }
+    const auto departed = m_departed.find(record.name);
+    if (departed != m_departed.end()) {
+        const bool isSame = record.incarnation != 0 && departed->second.incarnation == record.incarnation;
+        entry.record.isLeaving = entry.record.isLeaving || (isSame && departed->second.wasLeaving);
+        m_departed.erase(departed);
+    }
+    m_engines[record.name] = std::move(entry);
 }
 
 void EngineDirectory::remove(const EngineName &name, TimePoint now)
@@ -58,21 +95,43 @@
         return;
     }
     if (!mayReregister(now) || it->second.record.isLeaving) {
-        m_engines.erase(it);
+        erase(it, now);
     } else if (!it->second.dropAt) {
         it->second.dropAt = m_storeRecoveredAt.value_or(now) + reregistrationTimeout;
     }
 }
 
+void EngineDirectory::erase(std::map<EngineName, Entry>::iterator it, TimePoint now)
+{
+    m_departed[it->first] = {it->second.record.incarnation, it->second.record.isLeaving, now};
+    m_engines.erase(it);
+}
+
+bool EngineDirectory::markLeaving(const EngineName &name)
+{
+    const auto it = m_engines.find(name);
+    if (it == m_engines.end() || it->second.saidLeaving) {
+        return false;
+    }
+    it->second.saidLeaving = true;
+    it->second.record.isLeaving = true;
+    return true;
+}
+
 std::vector<EngineName> EngineDirectory::expire(TimePoint now)
 {
+    for (auto it = m_departed.begin(); it != m_departed.end();) {
+        it = now - it->second.at >= departureMemory ? m_departed.erase(it) : std::next(it);
+    }
     std::vector<EngineName> dropped;
     for (auto it = m_engines.begin(); it != m_engines.end();) {
-        if (it->second.dropAt && now >= *it->second.dropAt) {
-            dropped.push_back(it->first);
-            it = m_engines.erase(it);
-        } else {
-            ++it;
+        const auto entry = it++;
+        if (entry->second.confirmedAt && now >= *entry->second.confirmedAt) {
+            entry->second.confirmedAt.reset();
+        }
+        if (entry->second.dropAt && now >= *entry->second.dropAt) {
+            dropped.push_back(entry->first);
+            erase(entry, now);
         }
     }
     return dropped;
@@ -84,12 +143,34 @@
     return it == m_engines.end() ? nullptr : &it->second.record;
 }
 
+bool EngineDirectory::mayReceive(const Entry &entry)
+{
+    return !entry.record.isLeaving && !entry.confirmedAt;
+}
+
+bool EngineDirectory::mayReceive(const EngineName &name) const
+{
+    const auto it = m_engines.find(name);
+    return it != m_engines.end() && mayReceive(it->second);
+}
+
+std::set<EngineName> EngineDirectory::leavingByOwnWord() const
+{
+    std::set<EngineName> names;
+    for (const auto &it : m_engines) {
+        if (it.second.saidLeaving) {
+            names.insert(it.first);
+        }
+    }
+    return names;
+}
+
 std::vector<const EngineRecord *> EngineDirectory::ofService(const ServiceName &service) const
 {
     std::vector<const EngineRecord *> engines;
     for (const auto &it : m_engines) {
         const auto &record = it.second.record;
-        if (record.service == service && !record.isLeaving) {
+        if (record.service == service && mayReceive(it.second)) {
             engines.push_back(&record);
         }
     }
--- a/packages/dispatch/src/enginedirectory_test.cpp
+++ b/packages/dispatch/src/enginedirectory_test.cpp
@@ -57,3 +57,55 @@
     directory.remove(EngineName("a"), clock.now());
     CHECK(directory.size() == 0);
 }
+
+TEST_CASE("an engine that said it is leaving stays so until it registers with another start time")
+{
+    VirtualClock clock;
+    EngineDirectory directory;
+    auto record = engine("a");
+    record.incarnation = 100;
+    directory.put(record);
+    CHECK(directory.mayReceive(record.name));
+    CHECK(directory.markLeaving(record.name));
+    CHECK_FALSE(directory.markLeaving(record.name));
+    CHECK_FALSE(directory.markLeaving(EngineName("unknown")));
+    CHECK(directory.leavingByOwnWord() == std::set<EngineName> {record.name});
+    directory.put(record);
+    CHECK(directory.ofService(service).empty());
+    directory.remove(record.name, clock.now());
+    directory.put(record); // written again, as after a restore of the store
+    CHECK_FALSE(directory.mayReceive(record.name));
+    record.incarnation = 101;
+    directory.put(record);
+    CHECK(directory.mayReceive(record.name));
+}
+
+TEST_CASE("a restored store brings back neither a departed engine nor a leaving one as ready")
+{
+    VirtualClock clock;
+    EngineDirectory directory;
+    directory.replace({engine("gone"), engine("leaving"), engine("new")}, clock.now());
+    directory.put(engine("leaving", true));
+    directory.remove(EngineName("gone"), clock.now());
+    // The copy is from before these changes, and from before "new" registered.
+    CHECK(directory.replaceAfterRestore({engine("gone"), engine("leaving")}, clock.now()).empty());
+    REQUIRE(directory.ofService(service).size() == 1);
+    CHECK(directory.ofService(service).front()->name == EngineName("new"));
+    clock.advance(EngineDirectory::reregistrationTimeout);
+    CHECK(directory.expire(clock.now()) == std::vector<EngineName> {EngineName("new")});
+    directory.put(engine("gone")); // written again: it runs
+    CHECK(directory.mayReceive(EngineName("gone")));
+}
+
+TEST_CASE("an engine that a restored store lists again is used if its registration stays")
+{
+    VirtualClock clock;
+    EngineDirectory directory;
+    directory.replace({engine("lapsed")}, clock.now());
+    directory.remove(EngineName("lapsed"), clock.now());
+    directory.replaceAfterRestore({engine("lapsed")}, clock.now());
+    CHECK_FALSE(directory.mayReceive(EngineName("lapsed")));
+    clock.advance(EngineDirectory::confirmationTime);
+    directory.expire(clock.now());
+    CHECK(directory.mayReceive(EngineName("lapsed")));
+}
--- a/packages/dispatch/src/fleetview.cpp
+++ b/packages/dispatch/src/fleetview.cpp
@@ -1,5 +1,7 @@
 #include "monsoonward/dispatch/fleetview.h"
 
+#include <xxhash.h>
+
 #include <algorithm>
 
 namespace monsoonward
@@ -123,6 +125,60 @@
     return it == m_requests.end() ? 0 : it->second;
 }
 
+bool FleetView::isReportedLeaving(const EngineName &engine) const
+{
+    return std::any_of(m_members.begin(), m_members.end(), [&](const auto &it) {
+        return it.second.hasCurrentReport && it.second.report.leavingEngines.count(engine) != 0;
+    });
+}
+
+Revision FleetView::highestRevision(TimePoint now) const
+{
+    Revision highest = 0;
+    for (const auto &[host, member] : m_members) {
+        if (isReporting(host, now)) {
+            highest = std::max(highest, member.report.knowledge.revision);
+        }
+    }
+    return highest;
+}
+
+StoreKnowledge FleetView::newestKnowledge(StoreEra era, TimePoint now) const
+{
+    StoreKnowledge newest;
+    newest.era = era;
+    for (const auto &[host, member] : m_members) {
+        const auto &knowledge = member.report.knowledge;
+        if (knowledge.era == era && isReporting(host, now)) {
+            newest.revision = std::max(newest.revision, knowledge.revision);
+            newest.engineVersion = std::max(newest.engineVersion, knowledge.engineVersion);
+            newest.gatewayVersion = std::max(newest.gatewayVersion, knowledge.gatewayVersion);
+        }
+    }
+    return newest;
+}
+
+std::int64_t FleetView::newestProof(StoreEra era, Revision revision, TimePoint now) const
+{
+    std::int64_t newest = 0;
+    for (const auto &[host, member] : m_members) {
+        const auto &knowledge = member.report.knowledge;
+        if (knowledge.era == era && knowledge.revision == revision && isReporting(host, now)) {
+            newest = std::max(newest, knowledge.provenAtMs);
+        }
+    }
+    return newest;
+}
+
+std::size_t FleetView::dutyRank(const std::vector<HostName> &hosts, TimePoint now) const
+{
+    const auto weight = [](const HostName &it) { return XXH3_64bits(it.text().data(), it.text().size()); };
+    const auto own = weight(m_own);
+    return static_cast<std::size_t>(std::count_if(hosts.begin(), hosts.end(), [&](const HostName &it) {
+        return it != m_own && isReporting(it, now) && weight(it) < own;
+    }));
+}
+
 double FleetView::reportingFraction(TimePoint now) const
 {
     double reporting = 1;
--- a/packages/dispatch/src/fleetview_test.cpp
+++ b/packages/dispatch/src/fleetview_test.cpp
@@ -141,3 +141,48 @@
     view.expire(clock.now());
     CHECK(view.size() == 2);
 }
+
+TEST_CASE("what other daemons have read from the store counts within one era and while they report")
+{
+    VirtualClock clock;
+    FleetView view {HostName("a")};
+    view.setMembers({HostName("b"), HostName("c")}, clock.now());
+    auto report = reportOf("b", 1, 0, 1);
+    report.knowledge = {2, 40, 5000, 100, 7};
+    view.addReport(report, clock.now());
+    report.host = HostName("c");
+    report.knowledge = {1, 41, 9000, 300, 9};
+    view.addReport(report, clock.now());
+    CHECK(view.highestRevision(clock.now()) == 41);
+    CHECK(view.newestKnowledge(2, clock.now()) == StoreKnowledge {2, 40, 0, 100, 7});
+    CHECK(view.newestProof(2, 40, clock.now()) == 5000);
+    CHECK(view.newestProof(2, 41, clock.now()) == 0);
+    clock.advance(FleetView::silenceTimeout + 1ms);
+    CHECK(view.highestRevision(clock.now()) == 0);
+    CHECK(view.newestProof(2, 40, clock.now()) == 0);
+}
+
+TEST_CASE("one daemon has the first duty rank; when it falls silent, another one has")
+{
+    VirtualClock clock;
+    const std::vector<HostName> hosts {HostName("a"), HostName("b"), HostName("c")};
+    const auto firstAmong = [&](const std::vector<HostName> &reporting) {
+        std::vector<HostName> first;
+        for (const auto &own : reporting) {
+            FleetView view {own};
+            view.setMembers(hosts, clock.now());
+            for (const auto &it : reporting) {
+                view.addReport(reportOf(it.text(), 1, 0, 1), clock.now());
+            }
+            if (view.dutyRank(hosts, clock.now()) == 0) {
+                first.push_back(own);
+            }
+        }
+        return first;
+    };
+    const auto all = firstAmong(hosts);
+    REQUIRE(all.size() == 1);
+    auto rest = hosts;
+    rest.erase(std::find(rest.begin(), rest.end(), all.front()));
+    CHECK(firstAmong(rest).size() == 1);
+}
--- a/packages/dispatch/src/freshness.cpp
+++ b/packages/dispatch/src/freshness.cpp
@@ -12,9 +12,22 @@
 
 void Freshness::recordProof(TimePoint callStart)
 {
+    if (m_settledAt && callStart < *m_settledAt) {
+        return;
+    }
     m_lastProofAt = m_lastProofAt ? std::max(*m_lastProofAt, callStart) : callStart;
 }
 
+void Freshness::storeRestored(TimePoint now)
+{
+    m_settledAt = now + restoreSettleTime;
+}
+
+bool Freshness::isSettling(TimePoint now) const
+{
+    return m_settledAt && now < *m_settledAt;
+}
+
 std::optional<Duration> Freshness::age(TimePoint now) const
 {
     return m_lastProofAt ? std::optional(now - *m_lastProofAt) : std::nullopt;
@@ -30,4 +43,16 @@
     return m_lastProofAt && now - *m_lastProofAt < m_limits.maxAgeForDenials;
 }
 
+Duration proofAgeToRenew(const FreshnessLimits &limits, std::size_t rank, double uniformHash)
+{
+    constexpr int percent = 100;
+    constexpr int firstPercent = 25; // of the shorter limit, for rank 0
+    constexpr int stepPercent = 12; // for each further rank; a report arrives within it
+    constexpr std::size_t lastRank = 3; // all further ones ask at random times within one more step
+    const auto limit = std::min(limits.maxAgeForKeys, limits.maxAgeForDenials * 2);
+    const auto step = limit * stepPercent / percent;
+    const auto spread = rank >= lastRank ? std::chrono::duration_cast<Duration>(step * uniformHash) : Duration::zero();
+    return limit * firstPercent / percent + step * static_cast<int>(std::min(rank, lastRank)) + spread;
+}
+
 } // namespace monsoonward
--- a/packages/dispatch/src/freshness_test.cpp
+++ b/packages/dispatch/src/freshness_test.cpp
@@ -33,3 +33,35 @@
     CHECK(freshness.age(clock.now()) == Duration(4s));
     CHECK(freshness.mayAcceptKeys(clock.now()));
 }
+
+TEST_CASE("a restored store proves nothing until lost changes have been written again")
+{
+    VirtualClock clock;
+    Freshness freshness({4700ms, 2500ms});
+    freshness.recordProof(clock.now());
+    clock.advance(1s);
+    freshness.storeRestored(clock.now());
+    freshness.recordProof(clock.now());
+    CHECK(freshness.age(clock.now()) == 1s);
+    CHECK(freshness.isSettling(clock.now()));
+    clock.advance(Freshness::restoreSettleTime);
+    CHECK_FALSE(freshness.isSettling(clock.now()));
+    CHECK(freshness.mayAcceptKeys(clock.now()));
+    freshness.recordProof(clock.now() - 1ms);
+    CHECK(freshness.age(clock.now()) == 3s);
+    freshness.recordProof(clock.now());
+    CHECK(freshness.age(clock.now()) == 0s);
+}
+
+TEST_CASE("proofs are renewed by one daemon, by the next one if it fails, and by all before requests are refused")
+{
+    const FreshnessLimits limits {4700ms, 2500ms};
+    for (std::size_t rank = 0; rank < 3; ++rank) {
+        CHECK(proofAgeToRenew(limits, rank + 1, 0) - proofAgeToRenew(limits, rank, 0) >= 500ms);
+    }
+    CHECK(proofAgeToRenew(limits, 0, 1) < limits.maxAgeForDenials / 2);
+    CHECK(proofAgeToRenew(limits, 1000, 1) < limits.maxAgeForKeys - 1s);
+    CHECK(proofAgeToRenew(limits, 1000, 1) > proofAgeToRenew(limits, 1000, 0));
+    const FreshnessLimits strict {700ms, 2500ms};
+    CHECK(proofAgeToRenew(strict, 1000, 1) < strict.maxAgeForKeys);
+}
--- a/packages/dispatch/src/placement.cpp
+++ b/packages/dispatch/src/placement.cpp
@@ -89,7 +89,7 @@
         const auto choices = choose(request, now);
         Placement placement;
         if (choices.empty()) {
-            placement.retryAfter = std::chrono::duration_cast<Duration>(minRetryAfter);
+            placement.retryAfter = untilPauseEnds(request, now);
             return placement;
         }
         const auto objective = objectiveOf(request);
@@ -178,19 +178,27 @@
     {
         const auto engines = m_directory.ofService(request.service);
         const auto load = unreportedLoad(request.service, engines, now);
-        std::vector<Candidate> candidates;
-        std::vector<EngineCost> costs;
+        std::vector<const EngineRecord *> usable;
+        std::vector<const EngineRecord *> reportedLeaving;
         for (const auto *it : engines) {
             const auto &excludedEngines = request.excludedEngines;
             if (std::find(excludedEngines.begin(), excludedEngines.end(), it->name) == excludedEngines.end()
                 && m_health.isAvailable(it->name, now)) {
-                candidates.push_back(candidateOf(*it, load, now));
-                costs.push_back(costOf(candidates.back(), now));
+                (m_fleet.isReportedLeaving(it->name) ? reportedLeaving : usable).push_back(it);
             }
         }
-        if (candidates.empty()) {
+        if (usable.empty()) {
+            usable = reportedLeaving;
+        }
+        if (usable.empty()) {
             return {};
         }
+        std::vector<Candidate> candidates;
+        std::vector<EngineCost> costs;
+        for (const auto *it : usable) {
+            candidates.push_back(candidateOf(*it, load, now));
+            costs.push_back(costOf(candidates.back(), now));
+        }
         const auto chosenIndex = chooseEngine(costs, load.concurrentRequests, request.uniformHash);
         const auto cheapestIndex = chooseEngine(costs, 0, 0);
         std::vector<Candidate> choices {candidates[chosenIndex]};
@@ -285,6 +293,20 @@
         return request.isRetry || request.isResend ? mostUrgentDelayFraction : fraction;
     }
 
+    /// @return time until an engine of the service may be tried, within the time that the caller is willing to wait
+    Duration untilPauseEnds(const PlacementRequest &request, TimePoint now) const
+    {
+        const Seconds maxWait = std::min(maxRetryAfter, Seconds(request.timeLeft) * maxWaitFraction);
+        Seconds wait = minRetryAfter;
+        bool isFirst = true;
+        for (const auto *it : m_directory.ofService(request.service)) {
+            const Seconds left = m_health.pausedUntil(it->name) - now;
+            wait = isFirst ? left : std::min(wait, left);
+            isFirst = false;
+        }
+        return std::chrono::duration_cast<Duration>(std::max(minRetryAfter, std::min(wait, maxWait)));
+    }
+
     /// @return time after which to retry: as soon as the request may be admitted, if that can still meet the objective.
     /// Otherwise near the end of the time that the caller is willing to wait, since the answer will be late in any case
     /// and a second refusal would cost the caller its last attempt.
--- a/packages/dispatch/src/placement_test.cpp
+++ b/packages/dispatch/src/placement_test.cpp
@@ -119,7 +119,7 @@
     CHECK(admitted < 15);
     CHECK(refused.outcome == PlacementOutcome::Full);
     CHECK(refused.retryAfter >= 100ms);
-    CHECK(refused.retryAfter <= 4s / 3);
+    CHECK(refused.retryAfter <= 4000ms / 3);
 }
 
 TEST_CASE_FIXTURE(Fixture, "the only tier of a service is treated as the most urgent one")
@@ -229,3 +229,34 @@
     }
     CHECK(place(0).outcome == PlacementOutcome::NoEngine);
 }
+
+TEST_CASE_FIXTURE(Fixture,
+                  "while all engines have asked for a pause, callers are told to return when the first one ends")
+{
+    addEngine("a", "here");
+    addEngine("b", "here");
+    health.recordRequestedPause(EngineName("a"), 800ms, clock.now());
+    health.recordRequestedPause(EngineName("b"), 600ms, clock.now());
+    CHECK(place(0).outcome == PlacementOutcome::NoEngine);
+    CHECK(place(0).retryAfter == 600ms);
+    health.recordRequestedPause(EngineName("b"), 1min, clock.now());
+    health.recordRequestedPause(EngineName("a"), 1min, clock.now());
+    CHECK(place(0).retryAfter <= 4000ms / 3); // a third of the time that the caller has left
+}
+
+TEST_CASE_FIXTURE(Fixture, "engines that another daemon was told are leaving are chosen only if there is no other")
+{
+    addEngine("a", "here");
+    addEngine("b", "here");
+    fleet.setMembers({HostName("other")}, clock.now());
+    LoadReport report {HostName("other"), 1, 1, {}, {}, {}};
+    report.leavingEngines = {EngineName("a")};
+    fleet.addReport(report, clock.now());
+    for (unsigned n = 0; n < 4; ++n) {
+        CHECK(place(0).engine.name == EngineName("b"));
+    }
+    report.sequenceNumber = 2;
+    report.leavingEngines.insert(EngineName("b"));
+    fleet.addReport(report, clock.now());
+    CHECK(place(0).outcome == PlacementOutcome::Placed);
+}
--- a/packages/gateway/include/monsoonward/gateway/httpchannel.h
+++ b/packages/gateway/include/monsoonward/gateway/httpchannel.h
@@ -3,6 +3,7 @@
 #include <monsoonward/values/values.h>
 
 #include <boost/asio/io_context.hpp>
+#include <boost/beast/http/fields.hpp>
 
 #include <functional>
 #include <memory>
@@ -15,8 +16,8 @@
 struct ChannelResponse
 {
     unsigned status = 0;
+    boost::beast::http::fields headers;
     std::string body;
-    MONSOONWARD_FIELDS(status, body)
 };
 
 /// @brief HTTP/1.1 client that reads complete responses. It makes one call at a time over one persistent connection. A
@@ -38,6 +39,9 @@
     void
     call(const std::string &method, const std::string &path, const std::string &body, Duration timeout, Callback done);
 
+    /// Abandons the call in progress, if any: its callback is not called, and the connection is closed.
+    void cancel();
+
 private:
     class Impl;
     std::shared_ptr<Impl> m_impl;
--- a/packages/gateway/include/monsoonward/gateway/httpdialect.h
+++ b/packages/gateway/include/monsoonward/gateway/httpdialect.h
@@ -18,6 +18,7 @@
     std::string expectedEngine; ///< engine name; any other engine rejects the request
     std::string notExecuted; ///< response header: the engine did not run the request
     std::string engineMarker; ///< response header: present in every successful response of an engine
+    std::string engineLeaving; ///< response header: "1" if the engine is leaving and wants no new requests
     std::string tokenCounts; ///< "prompt tokens,maximum output tokens" of a model request
     std::string lastEventId; ///< ID of the last event received, to resume a stream after it
     std::vector<std::string> reservedHeaders; ///< removed from callers' requests
@@ -29,6 +30,7 @@
                        expectedEngine,
                        notExecuted,
                        engineMarker,
+                       engineLeaving,
                        tokenCounts,
                        lastEventId,
                        reservedHeaders,
--- a/packages/gateway/include/monsoonward/gateway/rowstore.h
+++ b/packages/gateway/include/monsoonward/gateway/rowstore.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include <monsoonward/values/values.h>
+#include <monsoonward/dispatch/dispatch.h>
 
 #include <cstdint>
 #include <functional>
@@ -24,9 +24,12 @@
 struct RowPage
 {
     std::vector<TableRow> rows;
-    std::uint64_t version = 0; ///< version of the whole store; following from here misses no change
+    std::uint64_t version = 0; ///< version of the whole store; following from here misses no change in the same era
     bool hasMore = false; ///< list() has further pages
-    MONSOONWARD_FIELDS(rows, version, hasMore)
+    std::optional<StoreEra> era {}; ///< empty if the store does not state it, or not as a number
+    bool isEraMalformed = false;
+    std::int64_t storeTimeMs = 0; ///< the store's monotonic clock when it answered; 0 if it does not state it
+    MONSOONWARD_FIELDS(rows, version, hasMore, era, isEraMalformed, storeTimeMs)
 };
 
 /// @brief Client of the fleet's table store. It makes one call at a time over one persistent connection. Each callback
@@ -38,6 +41,8 @@
     using WriteCallback = std::function<void(const Result<void> &)>;
 
     virtual ~RowStore() = default;
+    /// Abandons the call in progress, if any; its callback is not called.
+    virtual void cancel() = 0;
     /// Reads a page of rows in key order, starting at key @p from. Errors: Unavailable, Invalid.
     virtual void list(const std::string &table, const std::string &from, PageCallback done) = 0;
     /// Long-polls for changes after @p version, for up to @p wait. Errors: NotFound if the store no longer has the
--- a/packages/gateway/src/enginecall.cpp
+++ b/packages/gateway/src/enginecall.cpp
@@ -17,6 +17,7 @@
 constexpr Duration connectTimeout = std::chrono::milliseconds(350); // allows many round trips between regions
 constexpr std::uint32_t maxHeaderBytes = 32U * 1024U;
 constexpr std::uint64_t maxBodyBytes = std::uint64_t {1} << 40U; // 1 TiB: bodies are streamed, not buffered
+constexpr unsigned unavailable = 503;
 constexpr unsigned misdirectedRequest = 421; // 421 Misdirected Request: another engine has this address now
 
 /// @return the value of "timeout=" in a Keep-Alive header, or zero
@@ -32,6 +33,20 @@
     return std::chrono::seconds(seconds);
 }
 
+/// @return the duration of a Retry-After header in seconds, or nothing if there is none or it can't be read
+std::optional<Duration> retryAfterOf(const http::fields &fields)
+{
+    const auto text = fields[http::field::retry_after];
+    double seconds = 0;
+    const auto end = text.data() + text.size();
+    const auto [stop, ec] = std::from_chars(text.data(), end, seconds);
+    if (text.empty() || ec != std::errc() || stop != end || !(seconds >= 0)) {
+        return std::nullopt;
+    }
+    const std::chrono::duration<double> limit = EngineHealth::maxRequestedPause;
+    return std::chrono::duration_cast<Duration>(std::min(std::chrono::duration<double>(seconds), limit));
+}
+
 bool isFailure(unsigned status)
 {
     constexpr unsigned firstServerError = 500;
@@ -88,6 +103,10 @@
 
 void EngineCall::send()
 {
+    if (const auto reason = m_handler->reasonNotToSend(); !reason.empty()) {
+        finish(AttemptOutcome::NotSent, reason);
+        return;
+    }
     m_isSent = true;
     m_serializer.emplace(*m_request);
     http::async_write(
@@ -126,6 +145,24 @@
     return it != fields.end() && it->value() != (*m_request)[m_dialect.requestId];
 }
 
+bool EngineCall::isAttributable() const
+{
+    return !m_connection->isReused || m_parser->get().count(m_dialect.requestId) != 0;
+}
+
+void EngineCall::notifyOfHeaders()
+{
+    const auto &message = m_parser->get();
+    if (message[m_dialect.engineLeaving] == "1") {
+        m_handler->engineLeaving();
+    }
+    if (message.result_int() == unavailable) {
+        if (const auto pause = retryAfterOf(message)) {
+            m_handler->pauseRequested(*pause);
+        }
+    }
+}
+
 void EngineCall::onHeaderRead()
 {
     constexpr unsigned firstSuccess = 200;
@@ -137,6 +174,11 @@
         return;
     }
     m_connection->keepAliveTimeout = keepAliveTimeoutOf(message);
+    notifyOfHeaders();
+    if (!isAttributable()) {
+        finish(AttemptOutcome::Broken, "a response without a request ID on a connection that was used before");
+        return;
+    }
     m_isStaleResponse = isStaleResponse();
     m_outcomeAfterBody = AttemptOutcome::Rejected;
     m_isDiscarding = m_isStaleResponse || status == misdirectedRequest || message.count(m_dialect.notExecuted) != 0;
--- a/packages/gateway/src/enginecall.h
+++ b/packages/gateway/src/enginecall.h
@@ -21,6 +21,13 @@
 {
 public:
     virtual ~EngineCallHandler() = default;
+    /// Called right before the request is written, which may be long after start().
+    /// @return why the request must not be sent any more; empty if it may be sent
+    virtual std::string reasonNotToSend() = 0;
+    /// The engine said in a response that it is leaving.
+    virtual void engineLeaving() = 0;
+    /// The engine rejected a request and asked for no more during @p length.
+    virtual void pauseRequested(Duration length) = 0;
     /// The response headers have arrived; the body follows.
     virtual void responseStarted(const ResponseHead &head) = 0;
     /// Part of the body has arrived. No more is read until resume() is called.
@@ -30,7 +37,8 @@
 };
 
 /// @brief Sends one request to one engine and reads the response. Late responses to earlier requests on a reused
-/// connection are recognized by their request ID and discarded.
+/// connection are recognized by their request ID and discarded. On a connection that was used before, a response
+/// without a request ID may be such a late one, so nothing is concluded from it.
 class EngineCall : public std::enable_shared_from_this<EngineCall>
 {
 public:
@@ -64,8 +72,10 @@
     void readBody();
     void onBodyRead(const boost::system::error_code &ec);
     void onResponseComplete();
+    void notifyOfHeaders();
     void finish(AttemptOutcome outcome, const std::string &reason);
     bool isStaleResponse() const;
+    bool isAttributable() const;
 
     EnginePool &m_pool;
     const HttpDialect &m_dialect;
--- a/packages/gateway/src/exchange.cpp
+++ b/packages/gateway/src/exchange.cpp
@@ -153,7 +153,9 @@
     const auto stated = sumOfList(viewOf(m_request[m_core.adapter.dialect().timeLeft]));
     auto left = m_route->timeLimit > Duration::zero() ? m_route->timeLimit : defaultTimeLimit;
     if (stated && *stated > 0) {
-        left = std::min(left, std::chrono::duration_cast<Duration>(std::chrono::duration<double, std::milli>(*stated)));
+        const std::chrono::duration<double, std::milli> limit = left; // a larger number may not fit into Duration
+        left =
+            std::chrono::duration_cast<Duration>(std::min(std::chrono::duration<double, std::milli>(*stated), limit));
     }
     m_deadline = m_arrivedAt + left;
     m_timer.expires_after(timeLeft());
@@ -301,6 +303,40 @@
     m_call->start();
 }
 
+std::string Exchange::reasonNotToSend()
+{
+    const auto now = m_core.clock.now();
+    if (now >= m_deadline) {
+        return "the time limit has passed while connecting";
+    }
+    if (m_customer != nullptr && !m_core.freshness.mayAcceptKeys(now)) {
+        return "the configuration became too old while connecting";
+    }
+    return m_core.engines.mayReceive(m_call->engine().name) ? "" : "the engine has left while connecting";
+}
+
+void Exchange::engineLeaving()
+{
+    const auto &engine = m_call->engine().name;
+    if (m_core.engines.markLeaving(engine)) {
+        m_core.log.write(Event::EngineLeaving,
+                         Severity::Info,
+                         "engine-leaving",
+                         {{"engine", std::string_view(engine.text())}, {"request", requestId()}});
+    }
+}
+
+void Exchange::pauseRequested(Duration length)
+{
+    const auto &engine = m_call->engine().name;
+    m_core.health.recordRequestedPause(engine, length, m_core.clock.now());
+    m_core.log.write(
+        Event::EnginePauseRequested,
+        Severity::Info,
+        "engine-pause-requested",
+        {{"engine", std::string_view(engine.text())}, {"request", requestId()}, {"pause_ms", milliseconds(length)}});
+}
+
 std::shared_ptr<const Exchange::Request> Exchange::makeEngineRequest(const EngineRecord &engine, Duration timeout) const
 {
     const auto &dialect = m_core.adapter.dialect();
--- a/packages/gateway/src/exchange.h
+++ b/packages/gateway/src/exchange.h
@@ -27,6 +27,9 @@
     /// Cancels the request at the engine.
     void callerDisconnected() override;
 
+    std::string reasonNotToSend() override;
+    void engineLeaving() override;
+    void pauseRequested(Duration length) override;
     void responseStarted(const ResponseHead &head) override;
     void bodyReceived(std::string_view bytes) override;
     void callEnded(AttemptOutcome outcome, const std::string &reason) override;
--- a/packages/gateway/src/gatewaycore.h
+++ b/packages/gateway/src/gatewaycore.h
@@ -51,6 +51,7 @@
     FleetView fleet;
     std::unique_ptr<Placer> placer;
     EnginePool pool;
+    StoreKnowledge knowledge; ///< what this gateway has read from the store, for its load reports
     std::size_t openRequests = 0;
     std::size_t openBodyBytes = 0; ///< bytes of request bodies in memory
     bool isStopping = false;
--- a/packages/gateway/src/gatewaymetrics.cpp
+++ b/packages/gateway/src/gatewaymetrics.cpp
@@ -77,6 +77,10 @@
                                                                  prometheus::BuildCounter(),
                                                                  "monsoonward_gateway_store_calls_total",
                                                                  "Calls of the fleet's store by table and result");
+    prometheus::Family<prometheus::Counter> &malformedEras = family(registry,
+                                                                    prometheus::BuildCounter(),
+                                                                    "monsoonward_gateway_store_era_malformed_total",
+                                                                    "Answers of the store whose era is no number");
     prometheus::Family<prometheus::Gauge> &gauges =
         family(registry, prometheus::BuildGauge(), "monsoonward_gateway_state", "Present values, by name");
     prometheus::Family<prometheus::Gauge> &retries = family(registry,
@@ -119,6 +123,16 @@
     m_impl->storeCalls.Add({{"table", table}, {"result", succeeded ? "answered" : "failed"}}).Increment();
 }
 
+void GatewayMetrics::storeEraMalformed()
+{
+    m_impl->malformedEras.Add({}).Increment();
+}
+
+void GatewayMetrics::setStoreEra(std::uint64_t era)
+{
+    m_impl->gauges.Add({{"name", "store_era"}}).Set(static_cast<double>(era));
+}
+
 void GatewayMetrics::setEngines(std::size_t engineCount, std::size_t gatewayCount)
 {
     m_impl->gauges.Add({{"name", "engines"}}).Set(static_cast<double>(engineCount));
--- a/packages/gateway/src/gatewaymetrics.h
+++ b/packages/gateway/src/gatewaymetrics.h
@@ -30,6 +30,9 @@
     void firstBytesSent(const ServiceName &service, Tier tier, Duration duration);
     void attemptEnded(const ServiceName &service, const std::string &end);
     void storeCallEnded(const std::string &table, bool succeeded);
+    /// An answer of the store stated an era that is no number.
+    void storeEraMalformed();
+    void setStoreEra(std::uint64_t era);
     void setEngines(std::size_t engineCount, std::size_t gatewayCount);
     void setConfiguration(Revision revision, Duration proofAge);
     void setOpenRequests(std::size_t requests, std::size_t connections);
--- a/packages/gateway/src/gatewayprocess.cpp
+++ b/packages/gateway/src/gatewayprocess.cpp
@@ -1,5 +1,6 @@
 #include "monsoonward/gateway/gatewayprocess.h"
 
+#include "eventloop.h"
 #include "gatewaycallers.h"
 #include "loadreports.h"
 #include "memberlist.h"
@@ -23,11 +24,9 @@
 {
 
 constexpr Duration tickInterval = std::chrono::milliseconds(250); // expires engines and idle connections
-constexpr Duration enginePollTime = std::chrono::seconds(5); // long poll of the engine registrations
 constexpr Duration configurationPollPause = std::chrono::milliseconds(300); // between polls during a burst of changes
 constexpr Duration registrationPollPause = std::chrono::milliseconds(
     600); // the same for engines and gateways; an engine that leaves may get requests for this much longer
-constexpr Duration gatewayPollTime = std::chrono::seconds(10); // long poll of the gateway registrations
 constexpr Duration maxStartupDelay = std::chrono::milliseconds(
     900); // then connections are accepted even if not ready; callers give up connecting after about a second
 constexpr Duration minShutdownTime =
@@ -37,6 +36,11 @@
 constexpr Duration shutdownTickInterval = std::chrono::milliseconds(50);
 constexpr Duration maxReadyProofAge =
     std::chrono::milliseconds(4000); // with an older proof, other gateways should serve the callers
+constexpr Duration proofWorthReporting =
+    std::chrono::milliseconds(500); // a proof from a call that took longer is not sent at once
+constexpr Duration maxTimeBehind =
+    std::chrono::milliseconds(800); // then a change that another gateway has seen should have arrived here, too
+constexpr unsigned pollSpreadSteps = 1024;
 constexpr int exitStopped = 0;
 constexpr int exitFailed = 1;
 constexpr int exitBadSettings = 3;
@@ -62,18 +66,19 @@
         , m_callerService(m_core)
         , m_callers(
               m_io, m_clock, m_callerService, settings.callerListen, maxCallerConnections(settings.maxDescriptors))
-        , m_reports(m_core, m_incarnation)
+        , m_reports(m_core, m_incarnation, [this] { learnFromPeers(); })
         , m_members(m_core, m_incarnation, [this](const std::vector<MemberRecord> &it) { membersChanged(it); })
         , m_health(m_io, settings.healthListen, [this](const std::string &path) { return healthReply(path); })
         , m_admin(m_io, settings.adminListen, [this](const std::string &path) { return adminReply(path); })
         , m_signals(m_io, SIGTERM, SIGINT, SIGHUP)
         , m_tickTimer(m_io)
+        , m_pollSpread(static_cast<double>(m_random.next() % pollSpreadSteps) / pollSpreadSteps)
         , m_hashSeed(m_random.next())
     {
         const auto &layout = adapter.storeLayout();
-        addFeed(layout.configurationTable, settings.storePollTime, configurationPollPause);
-        addFeed(layout.engineTable, enginePollTime, registrationPollPause);
-        addFeed(layout.gatewayTable, gatewayPollTime, registrationPollPause);
+        m_configurationFeed = makeFeed(layout.configurationTable, configurationPollPause);
+        m_engineFeed = makeFeed(layout.engineTable, registrationPollPause);
+        m_gatewayFeed = makeFeed(layout.gatewayTable, registrationPollPause);
     }
 
     int run()
@@ -91,13 +96,16 @@
                     Severity::Info,
                     "started",
                     {{"data_centre", std::string_view(m_core.settings.topology.ownDataCentre.text())}});
-        for (const auto &it : m_feeds) {
+        for (auto *it : feeds()) {
             it->start();
         }
         awaitSignal();
         m_startedAt = m_clock.now();
         tick();
-        m_io.run();
+        runEventLoop(m_io, [this](const std::string &what) {
+            m_log.write(
+                Event::UnexpectedError, Severity::Error, "unexpected-error", {{"reason", std::string_view(what)}});
+        });
         m_log.write(Event::DaemonStopped,
                     m_exitCode == exitStopped ? Severity::Info : Severity::Warning,
                     "stopped",
@@ -105,7 +113,7 @@
         return m_exitCode;
     }
 
-    void rowsListed(const std::string &table, const std::vector<TableRow> &rows) override
+    void rowsListed(const std::string &table, const std::vector<TableRow> &rows, ListCause cause) override
     {
         const auto &layout = m_core.adapter.storeLayout();
         if (table == layout.configurationTable) {
@@ -119,7 +127,10 @@
                     engines.push_back(std::move(*engine));
                 }
             }
-            for (const auto &it : m_core.engines.replace(engines, m_clock.now())) {
+            const auto now = m_clock.now();
+            const bool isRestored = cause == ListCause::StoreRestored;
+            for (const auto &it :
+                 isRestored ? m_core.engines.replaceAfterRestore(engines, now) : m_core.engines.replace(engines, now)) {
                 engineRemoved(it, "registration-missing");
             }
             m_enginesListed = true;
@@ -145,10 +156,16 @@
         }
     }
 
-    void upToDate(const std::string &table, TimePoint startedAt) override
+    void upToDate(const std::string &table, const ReadTime &read) override
     {
-        if (table == m_core.adapter.storeLayout().configurationTable && m_core.activeConfiguration) {
-            m_core.freshness.recordProof(startedAt);
+        if (read.storeTimeMs > 0) {
+            m_storeClock.observe(read.era, read.storeTimeMs, read.startedAt);
+        }
+        m_core.knowledge.era = m_eras.current();
+        m_core.knowledge.engineVersion = m_engineFeed->newestRowVersion();
+        m_core.knowledge.gatewayVersion = m_gatewayFeed->newestRowVersion();
+        if (table == m_core.adapter.storeLayout().configurationTable && isNewestRevision()) {
+            recordOwnProof(read);
         }
         if (isReady()) {
             m_callers.startAccepting();
@@ -169,8 +186,9 @@
     void storeFailed(const std::string &table, const Error &error) override
     {
         m_metrics.storeCallEnded(table, false);
-        if (table == m_core.adapter.storeLayout().engineTable) {
-            m_core.engines.storeFailed();
+        m_core.engines.storeFailed();
+        for (auto *it : feeds()) {
+            it->pollNow(); // a long poll on a connection that went silent would notice an outage only at its end
         }
         if (m_unavailableTables.insert(table).second) {
             m_log.write(Event::StoreUnavailable,
@@ -180,27 +198,121 @@
         }
     }
 
+    void storeRestored(StoreEra era) override
+    {
+        m_core.freshness.storeRestored(m_clock.now());
+        m_storeRevision = 0;
+        m_core.knowledge.provenAtMs = 0;
+        m_log.write(
+            Event::StoreRestored, Severity::Warning, "store-restored", {{"era", static_cast<std::int64_t>(era)}});
+        for (auto *it : feeds()) {
+            it->pollNow();
+        }
+    }
+
+    void eraMalformed(const std::string &table) override
+    {
+        m_metrics.storeEraMalformed();
+        if (!std::exchange(m_hasLoggedMalformedEra, true)) {
+            m_log.write(Event::StoreEraMalformed,
+                        Severity::Warning,
+                        "store-era-malformed",
+                        {{"table", std::string_view(table)}});
+        }
+    }
+
 private:
     static constexpr std::size_t maxLogQueueBytes = std::size_t {256} * 1024;
 
-    /// @return how long a poll of the configuration waits. It grows with the number of gateways to limit the load on
-    /// the store, as far as the age of the freshness proof permits.
-    Duration configurationPollTime() const
+    std::unique_ptr<TableFeed> makeFeed(const std::string &table, Duration changeDelay)
     {
-        constexpr int fleetSizeAtSetting = 8; // up to this many gateways, the configured time is used
-        constexpr Duration failedCallTime = std::chrono::seconds(1); // one failed call and its retry
         const auto &settings = m_core.settings;
-        const auto scaled = settings.storePollTime * static_cast<int>(m_core.fleet.size()) / fleetSizeAtSetting;
-        // A proof is dated at the start of its poll, so it is up to two poll times old when the next poll renews it.
-        const auto maxPollTime = (settings.freshness.maxAgeForKeys - failedCallTime) / 2;
-        return std::max(settings.storePollTime, std::min<Duration>(scaled, maxPollTime));
+        const auto makeStore = [&] { return m_core.adapter.makeRowStore(m_io, settings.store); };
+        return std::make_unique<TableFeed>(
+            m_io, m_clock, makeStore(), makeStore(), m_eras, table, settings.storePollTime, changeDelay, *this);
     }
 
-    void addFeed(const std::string &table, Duration pollTime, Duration changeDelay)
+    std::array<TableFeed *, 3> feeds() const
     {
-        const auto &settings = m_core.settings;
-        m_feeds.push_back(std::make_unique<TableFeed>(
-            m_io, m_clock, m_core.adapter.makeRowStore(m_io, settings.store), table, pollTime, changeDelay, *this));
+        return {m_configurationFeed.get(), m_engineFeed.get(), m_gatewayFeed.get()};
+    }
+
+    // ---- proofs that the configuration is current
+
+    /// @return whether the active configuration is the newest one that the store or another gateway is known to hold.
+    /// A restored store may hold an older one for a while.
+    bool isNewestRevision() const
+    {
+        if (!m_core.activeConfiguration) {
+            return false;
+        }
+        const auto revision = m_core.activeConfiguration->configuration->revision;
+        return m_storeRevision >= revision && m_core.fleet.highestRevision(m_clock.now()) <= revision;
+    }
+
+    void recordOwnProof(const ReadTime &read)
+    {
+        m_core.freshness.recordProof(read.startedAt);
+        auto &knowledge = m_core.knowledge;
+        knowledge.revision = m_core.activeConfiguration->configuration->revision;
+        if (read.storeTimeMs > 0 && !m_core.freshness.isSettling(read.startedAt)) {
+            // The call began no earlier than this on the store's clock.
+            const auto provenAtMs = read.storeTimeMs - milliseconds(read.answeredAt - read.startedAt);
+            const bool isRenewed = provenAtMs > knowledge.provenAtMs;
+            knowledge.provenAtMs = std::max(knowledge.provenAtMs, provenAtMs);
+            if (isRenewed && read.answeredAt - read.startedAt < proofWorthReporting) {
+                m_reports.sendFullReport();
+            }
+        }
+    }
+
+    /// Takes over a proof that another gateway reported, and polls tables in which others have seen changes.
+    void learnFromPeers()
+    {
+        const auto now = m_clock.now();
+        const auto newest = m_core.fleet.newestKnowledge(m_core.knowledge.era, now);
+        if (newest.engineVersion > m_engineFeed->newestRowVersion()) {
+            m_enginesBehindSince = m_enginesBehindSince.value_or(now);
+        } else {
+            m_enginesBehindSince.reset();
+        }
+        if (newest.gatewayVersion > m_gatewayFeed->newestRowVersion()) {
+            m_gatewaysBehindSince = m_gatewaysBehindSince.value_or(now);
+        } else {
+            m_gatewaysBehindSince.reset();
+        }
+        if (!m_core.activeConfiguration || !isNewestRevision()) {
+            return;
+        }
+        const auto revision = m_core.activeConfiguration->configuration->revision;
+        const auto provenAtMs = m_core.fleet.newestProof(m_core.knowledge.era, revision, now);
+        if (provenAtMs <= m_core.knowledge.provenAtMs) {
+            return;
+        }
+        if (const auto provenAt = m_storeClock.earliest(m_core.knowledge.era, provenAtMs, now)) {
+            m_core.freshness.recordProof(std::min(*provenAt, now));
+            m_core.knowledge.provenAtMs = provenAtMs;
+        }
+    }
+
+    /// Asks the store for a proof if it is this gateway's turn, and for changes that others have seen for some time.
+    void pollIfDue(TimePoint now)
+    {
+        const auto age = m_core.freshness.age(now);
+        const auto rank = m_core.fleet.dutyRank(m_regionHosts, now);
+        if (m_core.activeConfiguration && !m_core.freshness.isSettling(now)
+            && (!age || *age >= proofAgeToRenew(m_core.settings.freshness, rank, m_pollSpread))) {
+            m_configurationFeed->pollNow();
+        } else if (m_core.activeConfiguration
+                   && m_core.fleet.highestRevision(now) > m_core.activeConfiguration->configuration->revision) {
+            m_configurationFeed->pollNow();
+        }
+        if (m_enginesBehindSince && now - *m_enginesBehindSince >= maxTimeBehind) {
+            m_engineFeed->pollNow();
+        }
+        if (m_gatewaysBehindSince && now - *m_gatewaysBehindSince >= maxTimeBehind) {
+            m_gatewayFeed->pollNow();
+        }
     }
 
     // ---- changes in the store
@@ -214,6 +326,7 @@
             const auto decoded = it.value ? m_core.adapter.decodeConfiguration(*it.value)
                                           : Result<ServingConfiguration>(Error {ErrorCode::NotFound, "row removed"});
             if (decoded) {
+                m_storeRevision = decoded.value().revision;
                 applyConfiguration(decoded.value());
             } else {
                 m_log.write(Event::ConfigurationRejected,
@@ -293,15 +406,18 @@
     {
         std::vector<HostName> hosts;
         std::vector<ReportPeer> peers;
+        m_regionHosts.clear();
         for (const auto &it : members) {
             hosts.push_back(it.host);
             if (it.host != m_core.settings.host) {
                 const bool isSameRegion = m_core.settings.topology.distanceTo(it.dataCentre) != Distance::OtherRegion;
                 peers.push_back({it.peerAddress, isSameRegion});
+                if (isSameRegion) {
+                    m_regionHosts.push_back(it.host);
+                }
             }
         }
         m_core.fleet.setMembers(hosts, m_clock.now());
-        m_feeds.front()->setPollTime(configurationPollTime());
         m_reports.setPeers(peers);
         m_log.write(Event::GatewaysChanged,
                     Severity::Info,
@@ -343,6 +459,7 @@
         m_metrics.setEngines(m_core.engines.size(), m_core.fleet.size());
         m_metrics.setOpenRequests(m_core.openRequests, m_callers.connections());
         m_metrics.setLogRecordsDropped(m_log.dropped());
+        m_metrics.setStoreEra(m_eras.current());
         if (!m_core.activeConfiguration) {
             return;
         }
@@ -363,6 +480,8 @@
                    {"open_requests", m_core.openRequests},
                    {"caller_connections", m_callers.connections()},
                    {"gateways", m_core.fleet.size()},
+                   {"store_era", m_eras.current()},
+                   {"proof_rank", m_core.fleet.dutyRank(m_regionHosts, now)},
                    {"tables_unavailable", m_unavailableTables},
                    {"engines", Json::object()}};
         if (const auto age = m_core.freshness.age(now)) {
@@ -397,6 +516,7 @@
         }
         m_core.pool.expire(m_core.engines);
         m_members.tick();
+        pollIfDue(now);
         if (now - m_startedAt >= maxStartupDelay) {
             m_callers.startAccepting();
         }
@@ -497,9 +617,19 @@
     MemberList m_members;
     StatusServer m_health;
     StatusServer m_admin;
-    std::vector<std::unique_ptr<TableFeed>> m_feeds;
+    StoreEraTracker m_eras;
+    StoreClock m_storeClock;
+    std::unique_ptr<TableFeed> m_configurationFeed;
+    std::unique_ptr<TableFeed> m_engineFeed;
+    std::unique_ptr<TableFeed> m_gatewayFeed;
+    Revision m_storeRevision = 0; // of the configuration that the store holds, which may be older after a restore
+    std::vector<HostName> m_regionHosts; // other gateways of this region
+    std::optional<TimePoint> m_enginesBehindSince; // another gateway has seen a newer row since then
+    std::optional<TimePoint> m_gatewaysBehindSince;
+    bool m_hasLoggedMalformedEra = false;
     boost::asio::signal_set m_signals;
     boost::asio::steady_timer m_tickTimer;
+    double m_pollSpread;
     std::uint64_t m_hashSeed;
     std::set<std::string> m_unavailableTables; // tables whose last call failed
     bool m_enginesListed = false;
--- a/packages/gateway/src/gatewaysettings.cpp
+++ b/packages/gateway/src/gatewaysettings.cpp
@@ -11,8 +11,6 @@
 using Setting = SettingDefinition<GatewaySettings>;
 using Reader = std::function<Result<void>(const std::string &, GatewaySettings &)>;
 
-constexpr Duration maxDenialAge = std::chrono::milliseconds(2400); // a new route may be denied for at most this long
-constexpr Duration failedCallTime = std::chrono::seconds(1); // one failed store call and its retry
 constexpr Duration revocationMargin = std::chrono::milliseconds(300); // time in transit of a request from its caller
 
 Error invalidValue(const std::string &text)
@@ -187,17 +185,11 @@
         {"store", "address", required, "", address, "The fleet's table store.", readAddress(&GatewaySettings::store)},
         {"store",
          "wait",
-         "1200 ms",
+         "10 s",
          "time",
          "100 ms to 30 s",
-         "How long a long poll of the configuration waits for a change. Limits the age of the proof that the "
-         "configuration is current.",
-         readDuration(milliseconds(100),
-                      seconds(30),
-                      [](GatewaySettings &it, Duration n) {
-                          it.storePollTime = n;
-                          it.freshness.maxAgeForDenials = std::min<Duration>(n * 2 + failedCallTime, maxDenialAge);
-                      })},
+         "How long a long poll of a table waits for a change. Must be shorter than the history that the store keeps.",
+         readDuration(milliseconds(100), seconds(30), [](GatewaySettings &it, Duration n) { it.storePollTime = n; })},
         {"limits",
          "memory",
          "128",
--- a/packages/gateway/src/httpchannel.cpp
+++ b/packages/gateway/src/httpchannel.cpp
@@ -104,7 +104,8 @@
         if (!message.keep_alive()) {
             closeSocket();
         }
-        end(ChannelResponse {message.result_int(), std::move(message.body())});
+        auto body = std::move(message.body());
+        end(ChannelResponse {message.result_int(), std::move(message.base()), std::move(body)});
     }
 
     void fail(const std::string &reason)
@@ -151,6 +152,11 @@
     m_impl->close();
 }
 
+void HttpChannel::cancel()
+{
+    m_impl->close();
+}
+
 void HttpChannel::call(
     const std::string &method, const std::string &path, const std::string &body, Duration timeout, Callback done)
 {
--- a/packages/gateway/src/loadreports.cpp
+++ b/packages/gateway/src/loadreports.cpp
@@ -1,13 +1,12 @@
 #include "loadreports.h"
 
-#include <nlohmann/json.hpp>
+#include "reportcodec.h"
 
 namespace monsoonward
 {
 
 using boost::asio::ip::udp;
 using boost::system::error_code;
-using Json = nlohmann::json;
 
 namespace
 {
@@ -33,63 +32,10 @@
 
 } // namespace
 
-std::vector<std::uint8_t> encodeReport(const LoadReport &report)
-{
-    Json requests = Json::object();
-    for (const auto &[engine, n] : report.requests) {
-        requests[engine.text()] = n;
-    }
-    Json demand = Json::object();
-    for (const auto &[customer, units] : report.demand) {
-        demand[customer.text()] = static_cast<std::uint64_t>(units);
-    }
-    Json spent = Json::object();
-    for (const auto &[customer, units] : report.spent) {
-        spent[customer.text()] = static_cast<std::int64_t>(units);
-    }
-    Json json {
-        {"h", report.host.text()}, {"l", report.incarnation}, {"n", report.sequenceNumber}, {"r", std::move(requests)}};
-    if (!report.isLoadOnly) {
-        json["d"] = std::move(demand);
-        json["s"] = std::move(spent);
-    }
-    if (report.shouldForward) {
-        json["f"] = true;
-    }
-    return Json::to_msgpack(json);
-}
-
-Result<LoadReport> decodeReport(const std::uint8_t *bytes, std::size_t size)
-{
-    try {
-        const auto json = Json::from_msgpack(bytes, bytes + size);
-        LoadReport report;
-        report.host = HostName(json.at("h").get<std::string>());
-        report.incarnation = json.at("l").get<std::uint64_t>();
-        report.sequenceNumber = json.at("n").get<std::uint64_t>();
-        for (const auto &[engine, n] : json.at("r").items()) {
-            report.requests[EngineName(engine)] = n.get<std::uint32_t>();
-        }
-        report.isLoadOnly = !json.contains("d");
-        report.shouldForward = json.contains("f");
-        if (report.isLoadOnly) {
-            return report;
-        }
-        for (const auto &[customer, units] : json.at("d").items()) {
-            report.demand[CustomerName(customer)] = static_cast<double>(units.get<std::uint64_t>());
-        }
-        for (const auto &[customer, units] : json.at("s").items()) {
-            report.spent[CustomerName(customer)] = static_cast<double>(units.get<std::int64_t>());
-        }
-        return report;
-    } catch (const Json::exception &error) {
-        return Error {ErrorCode::Invalid, error.what()};
-    }
-}
-
-LoadReports::LoadReports(GatewayCore &core, std::uint64_t incarnation)
+LoadReports::LoadReports(GatewayCore &core, std::uint64_t incarnation, std::function<void()> onFullReport)
     : m_core(core)
     , m_incarnation(incarnation)
+    , m_onFullReport(std::move(onFullReport))
     , m_socket(core.io)
     , m_timer(core.io)
 {
@@ -170,6 +116,7 @@
     for (const auto &[customer, units] : update->spent) {
         m_core.rateLimiter.recordRemoteSpending(customer, units);
     }
+    m_onFullReport();
     if (update->wasSilent) {
         m_core.log.write(Event::GatewayHeard,
                          Severity::Info,
@@ -194,6 +141,11 @@
     });
 }
 
+void LoadReports::sendFullReport()
+{
+    send(false);
+}
+
 void LoadReports::send(bool isLoadOnly)
 {
     if (m_localPeers.empty() && m_remotePeers.empty()) {
@@ -214,6 +166,8 @@
     m_lastFullReportAt = now;
     report.demand = m_core.rateLimiter.demands(now);
     report.spent = m_core.rateLimiter.spent();
+    report.leavingEngines = m_core.engines.leavingByOwnWord();
+    report.knowledge = m_core.knowledge;
     sendTo(m_localPeers, report);
     if (m_remotePeers.size() <= maxDirectRemotePeers) {
         sendTo(m_remotePeers, report);
--- a/packages/gateway/src/loadreports.h
+++ b/packages/gateway/src/loadreports.h
@@ -4,6 +4,8 @@
 
 #include <boost/asio/ip/udp.hpp>
 
+#include <functional>
+
 namespace monsoonward
 {
 
@@ -22,12 +24,15 @@
 {
 public:
     /// @param incarnation identifies this run of the process
-    LoadReports(GatewayCore &core, std::uint64_t incarnation);
+    /// @param onFullReport called after a full report of another gateway was stored
+    LoadReports(GatewayCore &core, std::uint64_t incarnation, std::function<void()> onFullReport);
     LoadReports(const LoadReports &) = delete;
     LoadReports &operator=(const LoadReports &) = delete;
 
     /// Binds the UDP socket and starts to send and receive. Errors: Unavailable if the address can't be bound.
     Result<void> start();
+    /// Sends a full report at once, in addition to the regular ones.
+    void sendFullReport();
     void setPeers(const std::vector<ReportPeer> &peers);
 
 private:
@@ -39,6 +44,7 @@
 
     GatewayCore &m_core;
     std::uint64_t m_incarnation;
+    std::function<void()> m_onFullReport;
     std::uint64_t m_lastSequenceNumber = 0;
     boost::asio::ip::udp::socket m_socket;
     boost::asio::ip::udp::endpoint m_sender;
@@ -49,9 +55,4 @@
     TimePoint m_lastFullReportAt;
 };
 
-/// @return the report as MessagePack
-std::vector<std::uint8_t> encodeReport(const LoadReport &report);
-/// Errors: Invalid.
-Result<LoadReport> decodeReport(const std::uint8_t *bytes, std::size_t size);
-
 } // namespace monsoonward
--- a/packages/gateway/src/path_test.cpp
+++ b/packages/gateway/src/path_test.cpp
@@ -33,6 +33,7 @@
         m_dialect.expectedEngine = "Engine";
         m_dialect.notExecuted = "Not-Run";
         m_dialect.engineMarker = "Seal";
+        m_dialect.engineLeaving = "Leaving";
         m_dialect.tokenCounts = "Tokens";
         m_dialect.lastEventId = "Last-Event-Id";
         m_dialect.reservedHeaders = {"Reserved"};
@@ -258,6 +259,70 @@
     return settings;
 }
 
+/// A steady clock that the test can advance, as after a pause of the process.
+class JumpingClock : public Clock
+{
+public:
+    TimePoint now() const override
+    {
+        return m_clock.now() + Duration(m_offset.load());
+    }
+    void jump(Duration duration)
+    {
+        m_offset += duration.count();
+    }
+
+private:
+    SteadyClock m_clock;
+    std::atomic<Duration::rep> m_offset {0};
+};
+
+/// Places requests like the wrapped placer and calls a hook between the choice of an engine and the send.
+class HookedPlacer : public Placer
+{
+public:
+    HookedPlacer(std::unique_ptr<Placer> placer, const std::function<void()> &afterPlacement)
+        : m_placer(std::move(placer))
+        , m_afterPlacement(afterPlacement)
+    {
+    }
+    Placement place(const PlacementRequest &request, TimePoint now) override
+    {
+        return m_placer->place(request, now);
+    }
+    void requestSent(const EngineName &engine, TimePoint now) override
+    {
+        m_placer->requestSent(engine, now);
+        if (m_afterPlacement) {
+            m_afterPlacement();
+        }
+    }
+    void firstBytesReceived(const EngineRecord &engine, double load, Duration length, TimePoint now) override
+    {
+        m_placer->firstBytesReceived(engine, load, length, now);
+    }
+    void requestEnded(const EngineName &engine) override
+    {
+        m_placer->requestEnded(engine);
+    }
+    void forget(const EngineName &engine) override
+    {
+        m_placer->forget(engine);
+    }
+    void loadReported(TimePoint now) override
+    {
+        m_placer->loadReported(now);
+    }
+    const std::map<EngineName, std::uint32_t> &ownRequests() const override
+    {
+        return m_placer->ownRequests();
+    }
+
+private:
+    std::unique_ptr<Placer> m_placer;
+    const std::function<void()> &m_afterPlacement;
+};
+
 /// A gateway without a store, with one customer and one route for each kind of repeatability.
 class Fixture
 {
@@ -296,6 +361,7 @@
         m_core.activeConfiguration =
             std::make_shared<const ActiveConfiguration>(std::make_shared<const ServingConfiguration>(configuration), 1);
         m_core.freshness.recordProof(m_clock.now());
+        m_core.placer = std::make_unique<HookedPlacer>(std::move(m_core.placer), afterPlacement);
         REQUIRE(m_listener.listen());
         m_listener.startAccepting();
         m_thread = std::thread([this] { m_io.run(); });
@@ -334,6 +400,8 @@
             + "Connection: close\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
     }
 
+    std::function<void()> afterPlacement; ///< called between the choice of an engine and the send
+
 protected:
     static Route route(const std::string &prefix, Repeatability repeatability, bool isStream)
     {
@@ -351,7 +419,7 @@
 
     asio::io_context m_io {1};
     asio::io_context m_callerIo;
-    SteadyClock m_clock;
+    JumpingClock m_clock;
     TestAdapter m_adapter;
     GatewayMetrics m_metrics;
     StructuredLog m_log {LogLimits {"error", 1000, 1000}, HostName("g"), 1};
@@ -495,6 +563,90 @@
     CHECK(bodyOf(exchange(request("/once/"))) == "own");
 }
 
+TEST_CASE_FIXTURE(Fixture, "a rejection without a request ID on a reused connection may belong to an earlier request")
+{
+    std::atomic<unsigned> calls {0};
+    ScriptedEngine engine([&](const std::string &it) -> ScriptedResponse {
+        if (calls++ == 0) {
+            return {responseTo(it, "first")};
+        }
+        return {"HTTP/1.1 503 Full\r\nNot-Run: 1\r\nContent-Length: 0\r\n\r\n" + responseTo(it, "own")};
+    });
+    addEngine("e1", engine.address());
+    start();
+    CHECK(bodyOf(exchange(request("/once/"))) == "first");
+    const auto response = exchange(request("/once/"));
+    CHECK(statusOf(response) == 502);
+    CHECK(header(response, "Monsoonward-Verdict") == "may-have-run");
+}
+
+TEST_CASE_FIXTURE(Fixture, "a request placed before its process was paused is not sent with an outdated permission")
+{
+    ScriptedEngine engine([](const std::string &it) { return ScriptedResponse {responseTo(it, "ok")}; });
+    addEngine("a", engine.address());
+    afterPlacement = [this] { m_clock.jump(2min); };
+    start();
+    const auto response = exchange(request("/once/"));
+    CHECK(statusOf(response) == 503);
+    CHECK(header(response, "Monsoonward-Verdict") == "not-run");
+    CHECK(engine.requests().empty());
+}
+
+TEST_CASE_FIXTURE(Fixture, "an engine whose answer says that it is leaving gets no further requests")
+{
+    ScriptedEngine engine(
+        [](const std::string &it) { return ScriptedResponse {responseTo(it, "ok", "Leaving: 1\r\n")}; });
+    addEngine("a", engine.address());
+    start();
+    CHECK(statusOf(exchange(request("/once/"))) == 200);
+    const auto refused = exchange(request("/once/"));
+    CHECK(statusOf(refused) == 503);
+    CHECK(header(refused, "Monsoonward-Verdict") == "not-run");
+    CHECK_FALSE(header(refused, "Retry-After").empty());
+    CHECK(engine.requests().size() == 1);
+}
+
+TEST_CASE_FIXTURE(Fixture, "an engine that has left while a connection to it was opened gets no request")
+{
+    ScriptedEngine engine([](const std::string &it) { return ScriptedResponse {responseTo(it, "ok")}; });
+    addEngine("a", engine.address());
+    afterPlacement = [this] { m_core.engines.markLeaving(EngineName("a")); };
+    start();
+    CHECK(statusOf(exchange(request("/once/"))) == 503);
+    CHECK(engine.requests().empty());
+}
+
+TEST_CASE_FIXTURE(Fixture, "an engine that rejects a request with a pause is spared, and callers learn when to return")
+{
+    for (const auto &[text, isPause] : std::vector<std::pair<std::string, bool>> {
+             {"0.8", true}, {"7", true}, {"1e300", true}, {"-1", false}, {"soon", false}, {"", false}}) {
+        CAPTURE(text);
+        Fixture fixture;
+        ScriptedEngine engine([value = text](const std::string &it) -> ScriptedResponse {
+            return {"HTTP/1.1 503 Full\r\nNot-Run: 1\r\nRetry-After: " + value
+                    + "\r\nRequest-Id: " + header(it, "Request-Id") + "\r\nContent-Length: 0\r\n\r\n"};
+        });
+        fixture.addEngine("a", engine.address());
+        fixture.start();
+        CHECK(statusOf(fixture.exchange(request("/once/"))) == 503);
+        const auto refused = fixture.exchange(request("/once/"));
+        CHECK(statusOf(refused) == 503);
+        CHECK(engine.requests().size() == (isPause ? 1 : 2));
+        CHECK(std::stod(header(refused, "Retry-After")) >= (isPause ? 0.5 : 0.1));
+        CHECK(std::stod(header(refused, "Retry-After")) <= 1.0); // a third of the time that the caller has left
+    }
+}
+
+TEST_CASE_FIXTURE(Fixture, "a time limit beyond all bounds counts as the route's")
+{
+    ScriptedEngine engine([](const std::string &it) { return ScriptedResponse {responseTo(it, "ok")}; });
+    addEngine("a", engine.address());
+    start();
+    auto huge = request("/safe/");
+    huge.replace(huge.find("Time-Left: 3000"), 15, "Time-Left: 1e300");
+    CHECK(statusOf(exchange(huge)) == 200);
+}
+
 TEST_CASE_FIXTURE(Fixture, "events are streamed, and a stream that breaks off is resumed on another engine")
 {
     const auto response = [](const std::string &it) -> ScriptedResponse {
--- /dev/null
+++ b/packages/gateway/src/reportcodec.cpp
@@ -0,0 +1,231 @@
+#include "reportcodec.h"
+
+#include <nlohmann/json.hpp>
+
+#include <cmath>
+#include <limits>
+
+namespace monsoonward
+{
+
+using Json = nlohmann::json;
+
+namespace
+{
+
+// Names of the fields in a datagram, short because reports are sent many times a second.
+constexpr const char *hostField = "h";
+constexpr const char *incarnationField = "l";
+constexpr const char *sequenceField = "n";
+constexpr const char *requestsField = "r";
+constexpr const char *demandField = "d";
+constexpr const char *spentField = "s";
+constexpr const char *forwardField = "f";
+constexpr const char *leavingField = "v";
+constexpr const char *eraField = "e";
+constexpr const char *revisionField = "c";
+constexpr const char *provenField = "p";
+constexpr const char *engineVersionField = "ve";
+constexpr const char *gatewayVersionField = "vg";
+
+/// Builds a report from the events of a parser. Anything that a report can't hold ends the parsing, before nested data
+/// can exhaust the stack.
+class ReportReader : public Json::json_sax_t
+{
+public:
+    /// @return the report, or nothing if a required field is missing
+    std::optional<LoadReport> result() &&
+    {
+        if (!m_hasHost || !m_hasIncarnation || !m_hasSequence || !m_hasRequests || m_hasDemand != m_hasSpent) {
+            return std::nullopt;
+        }
+        m_report.isLoadOnly = !m_hasDemand;
+        return std::move(m_report);
+    }
+
+    bool null() override
+    {
+        return false;
+    }
+    bool boolean(bool value) override
+    {
+        m_report.shouldForward = value;
+        return m_depth == 1 && m_field == forwardField;
+    }
+    bool number_integer(Json::number_integer_t value) override
+    {
+        return value >= 0 ? number_unsigned(static_cast<std::uint64_t>(value)) : negativeNumber(value);
+    }
+    bool number_unsigned(Json::number_unsigned_t value) override
+    {
+        return m_depth == 1 ? topLevelNumber(value) : m_depth == 2 && entry(value);
+    }
+    bool number_float(Json::number_float_t /*value*/, const std::string & /*text*/) override
+    {
+        return false;
+    }
+    bool string(std::string &value) override
+    {
+        if (m_depth == 1 && m_field == hostField) {
+            m_report.host = HostName(value);
+            m_hasHost = !value.empty();
+            return m_hasHost;
+        }
+        if (m_depth == 2 && m_field == leavingField) {
+            m_report.leavingEngines.insert(EngineName(value));
+            return true;
+        }
+        return false;
+    }
+    bool binary(Json::binary_t & /*value*/) override
+    {
+        return false;
+    }
+    bool start_object(std::size_t /*size*/) override
+    {
+        if (++m_depth == 1) {
+            return true;
+        }
+        m_hasRequests = m_hasRequests || m_field == requestsField;
+        m_hasDemand = m_hasDemand || m_field == demandField;
+        m_hasSpent = m_hasSpent || m_field == spentField;
+        return m_depth == 2 && (m_field == requestsField || m_field == demandField || m_field == spentField);
+    }
+    bool key(std::string &value) override
+    {
+        (m_depth == 1 ? m_field : m_entry) = value;
+        return true;
+    }
+    bool end_object() override
+    {
+        --m_depth;
+        return true;
+    }
+    bool start_array(std::size_t /*size*/) override
+    {
+        return ++m_depth == 2 && m_field == leavingField;
+    }
+    bool end_array() override
+    {
+        --m_depth;
+        return true;
+    }
+    bool parse_error(std::size_t /*at*/, const std::string & /*token*/, const Json::exception & /*error*/) override
+    {
+        return false;
+    }
+
+private:
+    bool topLevelNumber(std::uint64_t value)
+    {
+        if (m_field == incarnationField) {
+            m_report.incarnation = value;
+            m_hasIncarnation = true;
+        } else if (m_field == sequenceField) {
+            m_report.sequenceNumber = value;
+            m_hasSequence = true;
+        } else if (m_field == eraField) {
+            m_report.knowledge.era = value;
+        } else if (m_field == revisionField) {
+            m_report.knowledge.revision = value;
+        } else if (m_field == provenField) {
+            constexpr auto maxMs = static_cast<std::uint64_t>(std::numeric_limits<std::int64_t>::max() / 1'000'000);
+            m_report.knowledge.provenAtMs = static_cast<std::int64_t>(value);
+            return value < maxMs; // nanoseconds of it fit into Duration
+        } else if (m_field == engineVersionField) {
+            m_report.knowledge.engineVersion = value;
+        } else if (m_field == gatewayVersionField) {
+            m_report.knowledge.gatewayVersion = value;
+        }
+        return true; // a newer version may send further numbers
+    }
+
+    bool entry(std::uint64_t value)
+    {
+        if (m_field == requestsField) {
+            m_report.requests[EngineName(m_entry)] = static_cast<std::uint32_t>(value);
+            return value <= std::numeric_limits<std::uint32_t>::max();
+        }
+        if (m_field == demandField) {
+            m_report.demand[CustomerName(m_entry)] = static_cast<double>(value);
+            return true;
+        }
+        return spent(static_cast<double>(value));
+    }
+
+    bool negativeNumber(std::int64_t value)
+    {
+        return m_depth == 2 && spent(static_cast<double>(value)); // after refunds
+    }
+
+    bool spent(double units)
+    {
+        m_report.spent[CustomerName(m_entry)] = units;
+        return m_field == spentField;
+    }
+
+    LoadReport m_report;
+    std::string m_field;
+    std::string m_entry;
+    unsigned m_depth = 0;
+    bool m_hasHost = false;
+    bool m_hasIncarnation = false;
+    bool m_hasSequence = false;
+    bool m_hasRequests = false;
+    bool m_hasDemand = false;
+    bool m_hasSpent = false;
+};
+
+} // namespace
+
+std::vector<std::uint8_t> encodeReport(const LoadReport &report)
+{
+    Json requests = Json::object();
+    for (const auto &[engine, n] : report.requests) {
+        requests[engine.text()] = n;
+    }
+    Json json {{hostField, report.host.text()},
+               {incarnationField, report.incarnation},
+               {sequenceField, report.sequenceNumber},
+               {requestsField, std::move(requests)}};
+    if (report.isLoadOnly) {
+        return Json::to_msgpack(json);
+    }
+    Json demand = Json::object();
+    for (const auto &[customer, units] : report.demand) {
+        demand[customer.text()] = static_cast<std::uint64_t>(units);
+    }
+    Json spent = Json::object();
+    for (const auto &[customer, units] : report.spent) {
+        spent[customer.text()] = static_cast<std::int64_t>(units);
+    }
+    json[demandField] = std::move(demand);
+    json[spentField] = std::move(spent);
+    const auto &knowledge = report.knowledge;
+    json[eraField] = knowledge.era;
+    json[revisionField] = knowledge.revision;
+    json[provenField] = knowledge.provenAtMs;
+    json[engineVersionField] = knowledge.engineVersion;
+    json[gatewayVersionField] = knowledge.gatewayVersion;
+    for (const auto &it : report.leavingEngines) {
+        json[leavingField].push_back(it.text());
+    }
+    if (report.shouldForward) {
+        json[forwardField] = true;
+    }
+    return Json::to_msgpack(json);
+}
+
+Result<LoadReport> decodeReport(const std::uint8_t *bytes, std::size_t size)
+{
+    ReportReader reader;
+    if (!Json::sax_parse(bytes, bytes + size, &reader, Json::input_format_t::msgpack)) {
+        return Error {ErrorCode::Invalid, "the datagram is not a load report"};
+    }
+    if (auto report = std::move(reader).result()) {
+        return *report;
+    }
+    return Error {ErrorCode::Invalid, "a required field of the load report is missing"};
+}
+
+} // namespace monsoonward
--- a/packages/gateway/src/tablefeed.cpp
+++ b/packages/gateway/src/tablefeed.cpp
@@ -17,12 +17,16 @@
 TableFeed::TableFeed(boost::asio::io_context &io,
                      const Clock &clock,
                      std::unique_ptr<RowStore> store,
+                     std::unique_ptr<RowStore> probeStore,
+                     StoreEraTracker &eras,
                      std::string table,
                      Duration pollTime,
                      Duration changeDelay,
                      TableFeedHandler &handler)
     : m_clock(clock)
     , m_store(std::move(store))
+    , m_probeStore(std::move(probeStore))
+    , m_eras(eras)
     , m_table(std::move(table))
     , m_pollTime(pollTime)
     , m_changeDelay(changeDelay)
@@ -41,9 +45,9 @@
     continueReading();
 }
 
-void TableFeed::setPollTime(Duration pollTime)
+std::uint64_t TableFeed::newestRowVersion() const
 {
-    m_pollTime = pollTime;
+    return m_newestRowVersion;
 }
 
 void TableFeed::continueReading()
@@ -56,6 +60,41 @@
     }
 }
 
+void TableFeed::readAgain(ListCause cause)
+{
+    m_version.reset();
+    m_listCause = cause;
+    m_newestRowVersion = 0;
+    continueReading();
+}
+
+TableFeed::EraCheck TableFeed::checkEra(const RowPage &page)
+{
+    if (page.isEraMalformed) {
+        m_handler.eraMalformed(m_table);
+    }
+    if (!page.era) {
+        return EraCheck::Valid;
+    }
+    const auto change = m_eras.observe(*page.era, m_clock.now());
+    if (change == EraChange::Former) {
+        return EraCheck::Former;
+    }
+    if (change == EraChange::Restored) {
+        m_handler.storeRestored(*page.era);
+    }
+    const bool isValid = !m_era || *m_era == *page.era;
+    m_era = page.era;
+    return isValid ? EraCheck::Valid : EraCheck::CursorInvalid;
+}
+
+ReadTime TableFeed::readTime(const RowPage &page, TimePoint startedAt) const
+{
+    return {startedAt, m_clock.now(), m_era.value_or(0), page.storeTimeMs};
+}
+
+// ---- reading the whole table
+
 void TableFeed::list(const std::string &from)
 {
     if (from.empty()) {
@@ -74,8 +113,22 @@
         onFailed(page.error());
         return;
     }
-    const bool isFirst = m_rows.empty();
     const auto &value = page.value();
+    const bool isFirst = m_rows.empty();
+    switch (checkEra(value)) {
+    case EraCheck::Former:
+        onFailed({ErrorCode::Unavailable, "the answer was given before the store was restored"});
+        return;
+    case EraCheck::CursorInvalid:
+        m_listCause = ListCause::StoreRestored;
+        if (!isFirst) {
+            continueReading(); // the first pages are from before the restore
+            return;
+        }
+        break;
+    case EraCheck::Valid:
+        break;
+    }
     m_firstPageVersion = isFirst ? value.version : m_firstPageVersion;
     m_rows.insert(m_rows.end(), value.rows.begin(), value.rows.end());
     if (value.hasMore && !value.rows.empty()) {
@@ -86,13 +139,18 @@
     // version.
     m_version = m_firstPageVersion;
     m_failures = 0;
+    for (const auto &it : m_rows) {
+        m_newestRowVersion = std::max(m_newestRowVersion, it.version);
+    }
     m_handler.storeAnswered(m_table);
-    m_handler.rowsListed(m_table, m_rows);
-    m_handler.upToDate(m_table, m_callStartedAt);
+    m_handler.rowsListed(m_table, m_rows, m_listCause);
+    m_handler.upToDate(m_table, readTime(value, m_callStartedAt));
     m_rows.clear();
     follow();
 }
 
+// ---- following changes
+
 void TableFeed::follow()
 {
     m_callStartedAt = m_clock.now();
@@ -112,13 +170,19 @@
         return;
     }
     const auto &value = page.value();
-    m_version = std::max(*m_version, value.version);
+    switch (checkEra(value)) {
+    case EraCheck::Former:
+        onFailed({ErrorCode::Unavailable, "the answer was given before the store was restored"});
+        return;
+    case EraCheck::CursorInvalid:
+        readAgain(ListCause::StoreRestored);
+        return;
+    case EraCheck::Valid:
+        break;
+    }
     m_failures = 0;
     m_handler.storeAnswered(m_table);
-    if (!value.rows.empty()) {
-        m_handler.rowsChanged(m_table, value.rows);
-    }
-    m_handler.upToDate(m_table, m_callStartedAt);
+    reportChanges(value, m_callStartedAt);
     if (value.rows.empty()) {
         follow();
     } else {
@@ -126,6 +190,68 @@
     }
 }
 
+void TableFeed::reportChanges(const RowPage &page, TimePoint startedAt)
+{
+    m_version = std::max(*m_version, page.version);
+    if (!page.rows.empty()) {
+        for (const auto &it : page.rows) {
+            m_newestRowVersion = std::max(m_newestRowVersion, it.version);
+        }
+        m_handler.rowsChanged(m_table, page.rows);
+    }
+    m_handler.upToDate(m_table, readTime(page, startedAt));
+}
+
+void TableFeed::pollNow()
+{
+    if (m_isProbing || !m_version || m_failures > 0) {
+        return; // the whole table is being read, or the poll that follows a failure doesn't wait either
+    }
+    m_isProbing = true;
+    m_probeStore->follow(
+        m_table,
+        *m_version,
+        Duration::zero(),
+        [this, alive = m_isAlive, version = *m_version, startedAt = m_clock.now()](const Result<RowPage> &page) {
+            if (*alive) {
+                m_isProbing = false;
+                onProbed(page, version, startedAt);
+            }
+        });
+}
+
+void TableFeed::onProbed(const Result<RowPage> &page, std::uint64_t version, TimePoint startedAt)
+{
+    if (m_version != version || m_failures > 0) {
+        return; // the long poll has ended meanwhile and knows more
+    }
+    if (!page) {
+        m_store->cancel();
+        onFailed(page.error());
+        return;
+    }
+    const auto &value = page.value();
+    const auto era = checkEra(value);
+    if (era == EraCheck::Former) {
+        return;
+    }
+    if (era == EraCheck::CursorInvalid) {
+        m_store->cancel();
+        readAgain(ListCause::StoreRestored);
+        return;
+    }
+    m_handler.storeAnswered(m_table);
+    if (value.rows.empty()) {
+        m_handler.upToDate(m_table, readTime(value, startedAt));
+        return;
+    }
+    m_store->cancel(); // its answer would repeat these rows
+    reportChanges(value, startedAt);
+    continueAfter(m_changeDelay);
+}
+
+// ---- failures and pauses
+
 void TableFeed::continueAfter(Duration pause)
 {
     m_timer.expires_after(pause);
@@ -139,8 +265,7 @@
 void TableFeed::onFailed(const Error &error)
 {
     if (error.code == ErrorCode::NotFound) {
-        m_version.reset();
-        continueReading();
+        readAgain(ListCause::HistoryLost);
         return;
     }
     constexpr unsigned maxDoublings = 5;
--- a/packages/gateway/src/tablefeed_test.cpp
+++ b/packages/gateway/src/tablefeed_test.cpp
@@ -21,6 +21,11 @@
         , m_clock(clock)
     {
     }
+    void cancel() override
+    {
+        calls.emplace_back("cancel");
+        ++m_callNumber;
+    }
     void list(const std::string & /*table*/, const std::string &from, PageCallback done) override
     {
         calls.push_back("list " + from);
@@ -48,31 +53,35 @@
         if (responses.empty()) {
             return;
         }
-        boost::asio::post(m_io, [this, done = std::move(done), page = responses.front()] {
+        boost::asio::post(m_io, [this, done = std::move(done), page = responses.front(), call = ++m_callNumber] {
             m_clock.advance(1s); // duration of the call
-            done(page);
+            if (call == m_callNumber) {
+                done(page);
+            }
         });
         responses.pop_front();
     }
 
     boost::asio::io_context &m_io;
     VirtualClock &m_clock;
+    unsigned m_callNumber = 0;
 };
 
 class Recorder : public TableFeedHandler
 {
 public:
-    void rowsListed(const std::string & /*table*/, const std::vector<TableRow> &rows) override
+    void rowsListed(const std::string & /*table*/, const std::vector<TableRow> &rows, ListCause cause) override
     {
-        events.push_back("listed " + std::to_string(rows.size()));
+        events.push_back("listed " + std::to_string(rows.size())
+                         + (cause == ListCause::StoreRestored ? " restored" : ""));
     }
     void rowsChanged(const std::string & /*table*/, const std::vector<TableRow> &rows) override
     {
         events.push_back("changed " + std::to_string(rows.size()));
     }
-    void upToDate(const std::string & /*table*/, TimePoint startedAt) override
+    void upToDate(const std::string & /*table*/, const ReadTime &read) override
     {
-        proofTimes.push_back(startedAt);
+        proofTimes.push_back(read.startedAt);
     }
     void storeAnswered(const std::string & /*table*/) override
     {
@@ -81,6 +90,14 @@
     {
         events.emplace_back("failed");
     }
+    void storeRestored(StoreEra era) override
+    {
+        events.push_back("era " + std::to_string(era));
+    }
+    void eraMalformed(const std::string & /*table*/) override
+    {
+        events.emplace_back("malformed era");
+    }
 
     std::vector<std::string> events;
     std::vector<TimePoint> proofTimes;
@@ -92,7 +109,10 @@
     {
         auto owned = std::make_unique<ScriptedStore>(io, clock);
         store = owned.get();
-        feed = std::make_unique<TableFeed>(io, clock, std::move(owned), "t", 800ms, 300ms, recorder);
+        auto ownedProbe = std::make_unique<ScriptedStore>(io, clock);
+        probe = ownedProbe.get();
+        feed = std::make_unique<TableFeed>(
+            io, clock, std::move(owned), std::move(ownedProbe), eras, "t", 800ms, 300ms, recorder);
     }
 
     void run()
@@ -104,12 +124,21 @@
     boost::asio::io_context io {1};
     VirtualClock clock;
     Recorder recorder;
+    StoreEraTracker eras;
     ScriptedStore *store = nullptr;
+    ScriptedStore *probe = nullptr;
     std::unique_ptr<TableFeed> feed;
 };
 
 const TableRow row {"k", "v", 5};
 
+RowPage page(const std::vector<TableRow> &rows, std::uint64_t version, StoreEra era)
+{
+    RowPage it {rows, version, false};
+    it.era = era;
+    return it;
+}
+
 } // namespace
 
 TEST_CASE_FIXTURE(Fixture, "a table is read page by page, then polled from the version of its first page")
@@ -147,3 +176,83 @@
           == std::vector<std::string> {"list ", "follow 7 800", "follow 7 0", "follow 7 0", "follow 8 800"});
     CHECK(recorder.proofTimes.size() == 2);
 }
+
+TEST_CASE_FIXTURE(Fixture, "after a restore the table is read again, since versions have been given out anew")
+{
+    // Version 30 is another transaction than before the restore; a cursor kept at 40 would skip rows up to 40.
+    store->responses = {page({row}, 40, 1), page({}, 40, 1), page({}, 30, 2), page({row, row}, 31, 2), page({}, 31, 2)};
+    run();
+    CHECK(recorder.events == std::vector<std::string> {"listed 1", "era 2", "listed 2 restored"});
+    CHECK(store->calls
+          == std::vector<std::string> {
+              "list ", "follow 40 800", "follow 40 800", "list ", "follow 31 800", "follow 31 800"});
+}
+
+TEST_CASE_FIXTURE(Fixture, "a restore that shows as lost history is recognized as one")
+{
+    store->responses = {page({row}, 40, 1), Error {ErrorCode::NotFound, "gone"}, page({}, 30, 2)};
+    run();
+    CHECK(recorder.events == std::vector<std::string> {"listed 1", "era 2", "listed 0 restored"});
+}
+
+TEST_CASE_FIXTURE(Fixture, "an answer from before a restore that another feed has noticed is dropped")
+{
+    eras.observe(2, clock.now());
+    store->responses = {page({row}, 40, 1), page({row}, 30, 2)};
+    run();
+    CHECK(recorder.events == std::vector<std::string> {"failed", "listed 1"});
+}
+
+TEST_CASE_FIXTURE(Fixture, "pages of two eras are not joined")
+{
+    auto first = page({row}, 40, 1);
+    first.hasMore = true;
+    store->responses = {first, page({row}, 30, 2), page({row, row}, 30, 2)};
+    run();
+    CHECK(recorder.events == std::vector<std::string> {"era 2", "listed 2 restored"});
+    CHECK(store->calls == std::vector<std::string> {"list ", "list k ", "list ", "follow 30 800"});
+}
+
+TEST_CASE_FIXTURE(Fixture, "a malformed era is reported and changes nothing else")
+{
+    auto malformed = page({}, 41, 1);
+    malformed.era.reset();
+    malformed.isEraMalformed = true;
+    store->responses = {page({row}, 40, 1), malformed, page({}, 41, 1)};
+    run();
+    CHECK(recorder.events == std::vector<std::string> {"listed 1", "malformed era"});
+    CHECK(recorder.proofTimes.size() == 3);
+}
+
+TEST_CASE_FIXTURE(Fixture, "a poll beside the long poll proves that nothing has changed")
+{
+    store->responses = {RowPage {{row}, 7, false}};
+    run();
+    probe->responses = {RowPage {{}, 9, false}};
+    const auto beganAt = clock.now();
+    feed->pollNow();
+    feed->pollNow(); // one at a time
+    io.restart();
+    io.run_for(100ms);
+    CHECK(probe->calls == std::vector<std::string> {"follow 7 0"});
+    CHECK(recorder.proofTimes.back() == beganAt);
+    CHECK(store->calls == std::vector<std::string> {"list ", "follow 7 800"});
+}
+
+TEST_CASE_FIXTURE(Fixture, "changes and failures found beside the long poll end it")
+{
+    store->responses = {RowPage {{row}, 7, false}};
+    run();
+    probe->responses = {RowPage {{row}, 9, false}};
+    feed->pollNow();
+    io.restart();
+    io.run_for(500ms); // the delay after a change
+    CHECK(recorder.events == std::vector<std::string> {"listed 1", "changed 1"});
+    CHECK(store->calls == std::vector<std::string> {"list ", "follow 7 800", "cancel", "follow 9 800"});
+    probe->responses = {Error {ErrorCode::Unknown, "silent"}};
+    feed->pollNow();
+    io.restart();
+    io.run_for(100ms);
+    CHECK(recorder.events.back() == "failed");
+    CHECK(store->calls.back() == "follow 9 0");
+}
--- a/packages/values/include/monsoonward/values/eventlog.h
+++ b/packages/values/include/monsoonward/values/eventlog.h
@@ -56,6 +56,8 @@
     // 5000: external stores
     StoreUnavailable = 5001,
     StoreRecovered = 5002,
+    StoreRestored = 5003,
+    StoreEraMalformed = 5004,
     // 6000: gateway
     RequestServed = 6001,
     RequestNotServed = 6002,
@@ -65,11 +67,14 @@
     EngineListed = 6102,
     EngineGone = 6103,
     EngineRecordRejected = 6104,
+    EngineLeaving = 6105,
+    EnginePauseRequested = 6106,
     GatewaysChanged = 6201,
     GatewaySilent = 6202,
     GatewayHeard = 6203,
     GatewayReportRejected = 6204,
     GatewayRegistrationFailed = 6205,
+    UnexpectedError = 6301,
 };
 
 enum class Severity { Info, Warning, Error };
