Answer requests that a stop would have cut, bound the time of a final write, and never shorten a large response

Causes, from the list of failures that operators of similar systems told: - At a planned stop the acceptor was closed with connections in the kernel's queue, which resets them; and a connection counted as idle while a request lay unread in its socket. Both are accepted and answered now. - A caller that read its final response a byte at a time held the connection for good: the timer ended with the exchange. It has 30 s now. - A response over 8 MiB that isn't streamed was passed on shortened, as a success. It counts as broken. - A kept connection that the store closed while it was idle made the next call fail; it is noticed and opened anew.

--- a/packages/callers/include/monsoonward/callers/callerlistener.h
+++ b/packages/callers/include/monsoonward/callers/callerlistener.h
@@ -34,7 +34,8 @@
     Result<void> listen();
     /// Starts to accept connections, unless it already does.
     void startAccepting();
-    /// Stops listening; open connections are not affected.
+    /// Accepts the connections that the kernel has already established, then stops listening. Open connections are not
+    /// affected.
     void stopAccepting();
     /// Closes the connections on which no request is in progress.
     void closeIdleConnections();
@@ -45,6 +46,7 @@
 
 private:
     void accept();
+    void addConnection(boost::asio::ip::tcp::socket socket);
 
     const Clock &m_clock;
     CallerService &m_service;
--- a/packages/callers/src/callerconnection.cpp
+++ b/packages/callers/src/callerconnection.cpp
@@ -21,6 +21,8 @@
 constexpr Duration lingerTimeout = std::chrono::seconds(1); // for the caller to read the last response and close
 constexpr Duration callerTimeout =
     std::chrono::seconds(10); // long, as a caller may pause while it reads a long response
+constexpr Duration finalWriteTimeout = std::chrono::seconds(
+    30); // for the caller to read the rest of a complete response; it may be large and the link slow
 constexpr unsigned badRequest = 400;
 constexpr unsigned requestTimeout = 408;
 constexpr unsigned bodyTooLarge = 413;
@@ -216,7 +218,7 @@
 {
     m_exchange.reset();
     m_phase = Phase::Responding;
-    m_timer.cancel();
+    startTimer(finalWriteTimeout, [this] { close(); });
     m_response.emplace();
     m_response->base() = http::response_header<>(std::move(response.fields));
     m_response->result(response.status);
@@ -301,6 +303,9 @@
 void CallerConnection::finishStream()
 {
     m_exchange.reset();
+    if (!m_isFinishPending) {
+        startTimer(finalWriteTimeout, [this] { close(); });
+    }
     if (m_isWriting) {
         m_isFinishPending = true;
         return;
@@ -368,7 +373,9 @@
 
 void CallerConnection::closeIfIdle()
 {
-    if (m_phase == Phase::Idle) {
+    error_code ec;
+    const bool hasUnreadRequest = m_phase == Phase::Idle && m_socket.available(ec) > 0;
+    if (m_phase == Phase::Idle && !hasUnreadRequest) {
         linger();
     }
 }
--- a/packages/callers/src/callerlistener.cpp
+++ b/packages/callers/src/callerlistener.cpp
@@ -59,22 +59,37 @@
             return;
         }
         if (!ec) {
-            const auto connection =
-                std::make_shared<CallerConnection>(m_service, m_clock, std::move(socket), [this](CallerConnection *it) {
-                    m_connections.erase(it->shared_from_this());
-                });
-            m_connections.insert(connection);
-            connection->start();
+            addConnection(std::move(socket));
         }
         accept();
     });
 }
 
+void CallerListener::addConnection(tcp::socket socket)
+{
+    const auto connection =
+        std::make_shared<CallerConnection>(m_service, m_clock, std::move(socket), [this](CallerConnection *it) {
+            m_connections.erase(it->shared_from_this());
+        });
+    m_connections.insert(connection);
+    connection->start();
+}
+
 void CallerListener::stopAccepting()
 {
     m_acceptRetryTimer.cancel();
-    error_code ignored; // the acceptor may be closed already
-    m_acceptor.close(ignored);
+    // Closing the acceptor would reset connections whose callers may have sent a request already.
+    error_code ec;
+    m_acceptor.cancel(ec);
+    m_acceptor.non_blocking(true, ec);
+    while (!ec && m_connections.size() < m_maxConnections) {
+        tcp::socket socket(m_acceptor.get_executor());
+        m_acceptor.accept(socket, ec);
+        if (!ec) {
+            addConnection(std::move(socket));
+        }
+    }
+    m_acceptor.close(ec);
 }
 
 void CallerListener::closeIdleConnections()
--- a/packages/callers/src/callerlistener_test.cpp
+++ b/packages/callers/src/callerlistener_test.cpp
@@ -144,6 +144,14 @@
     {
         return m_listener->connections();
     }
+    void stopAccepting()
+    {
+        m_listener->stopAccepting();
+    }
+    void closeIdleConnections()
+    {
+        m_listener->closeIdleConnections();
+    }
 
     static constexpr std::size_t maxConnections = 3;
     ScriptedService service;
@@ -267,3 +275,23 @@
     openSockets.clear();
     CHECK(fixture.read(late, "late").find("HTTP/1.1 200") == 0);
 }
+
+TEST_CASE("during shutdown a request on a connection that the kernel has just established is answered")
+{
+    ListenerFixture fixture;
+    auto socket = fixture.connect(); // the event loop has not accepted it yet
+    boost::asio::write(socket, boost::asio::buffer(postHead + "Content-Length: 2\r\n\r\nok"));
+    fixture.service.stopping = true;
+    fixture.stopAccepting();
+    CHECK(fixture.read(socket, "(never)").find("HTTP/1.1 200") == 0);
+}
+
+TEST_CASE("a connection is not idle while a request in its socket is unread")
+{
+    ListenerFixture fixture;
+    auto socket = fixture.connect();
+    CHECK(fixture.runUntil([&] { return fixture.connections() == 1; }));
+    boost::asio::write(socket, boost::asio::buffer(postHead + "Content-Length: 2\r\n\r\nok"));
+    fixture.closeIdleConnections();
+    CHECK(fixture.read(socket, "ok").find("HTTP/1.1 200") == 0);
+}
--- a/packages/dispatch/include/monsoonward/dispatch/fleetview.h
+++ b/packages/dispatch/include/monsoonward/dispatch/fleetview.h
@@ -79,6 +79,11 @@
     bool isReportedLeaving(const EngineName &engine) const;
     /// @return the highest revision of the configuration that this daemon's reporting peers hold
     Revision highestRevision(TimePoint now) const;
+    /// @param active revision of the active configuration
+    /// @param stored revision that the store holds; lower after a restore from a copy
+    /// @return whether neither the store nor a reporting daemon is known to lack @p active or to hold a higher
+    /// revision. Otherwise an answer of the store doesn't prove that @p active is the newest one.
+    bool isNewestRevision(Revision active, Revision stored, TimePoint now) const;
     /// @return the newest of what the reporting daemons have read from the store in @p era, field by field, except for
     /// the proof
     StoreKnowledge newestKnowledge(StoreEra era, TimePoint now) const;
--- a/packages/dispatch/src/fleetview.cpp
+++ b/packages/dispatch/src/fleetview.cpp
@@ -143,6 +143,11 @@
     return highest;
 }
 
+bool FleetView::isNewestRevision(Revision active, Revision stored, TimePoint now) const
+{
+    return stored >= active && highestRevision(now) <= active;
+}
+
 StoreKnowledge FleetView::newestKnowledge(StoreEra era, TimePoint now) const
 {
     StoreKnowledge newest;
--- a/packages/dispatch/src/fleetview_test.cpp
+++ b/packages/dispatch/src/fleetview_test.cpp
@@ -157,6 +157,10 @@
     CHECK(view.newestKnowledge(2, clock.now()) == StoreKnowledge {2, 40, 0, 100, 7});
     CHECK(view.newestProof(2, 40, clock.now()) == 5000);
     CHECK(view.newestProof(2, 41, clock.now()) == 0);
+    // A daemon restarted after a restore reads an older configuration than its peers hold, with keys taken away since.
+    CHECK_FALSE(view.isNewestRevision(40, 40, clock.now()));
+    CHECK_FALSE(view.isNewestRevision(41, 40, clock.now())); // the store was restored and doesn't hold 41 yet
+    CHECK(view.isNewestRevision(41, 41, clock.now()));
     clock.advance(FleetView::silenceTimeout + 1ms);
     CHECK(view.highestRevision(clock.now()) == 0);
     CHECK(view.newestProof(2, 40, clock.now()) == 0);
--- a/packages/gateway/src/exchange.cpp
+++ b/packages/gateway/src/exchange.cpp
@@ -501,17 +501,19 @@
 void Exchange::bodyReceived(std::string_view bytes)
 {
     if (!m_isStreaming) {
-        if (!m_responseStarted && m_responseBody.size() + bytes.size() <= maxBufferedBodyBytes) {
+        if (!m_responseStarted) {
             m_responseBody.append(bytes);
         }
+        if (m_responseBody.size() > maxBufferedBodyBytes) {
+            breakOff("the response is larger than " + std::to_string(maxBufferedBodyBytes) + " bytes");
+            return;
+        }
         m_call->resume();
         return;
     }
     auto events = m_eventSplitter.push(bytes);
     if (m_eventSplitter.isInvalid()) {
-        const auto call = m_call;
-        call->cancel();
-        callEnded(AttemptOutcome::Broken, "event too large, or event IDs not consecutive");
+        breakOff("event too large, or event IDs not consecutive");
         return;
     }
     if (events.empty()) {
@@ -532,6 +534,13 @@
     m_sink->sendBytes(std::move(events));
 }
 
+void Exchange::breakOff(const std::string &reason)
+{
+    const auto call = m_call;
+    call->cancel();
+    callEnded(AttemptOutcome::Broken, reason);
+}
+
 void Exchange::bytesSent()
 {
     if (m_call) {
--- a/packages/gateway/src/exchange.h
+++ b/packages/gateway/src/exchange.h
@@ -50,6 +50,8 @@
     void finishWith(NextStep step, const std::string &reason);
     void finishResponse();
     void forwardFailure();
+    /// Ends the attempt because of what the engine has sent.
+    void breakOff(const std::string &reason);
     void recordFirstBytes();
     void onDeadline();
     Duration timeLeft() const;
--- a/packages/gateway/src/gatewayprocess.cpp
+++ b/packages/gateway/src/gatewayprocess.cpp
@@ -186,7 +186,9 @@
     void storeFailed(const std::string &table, const Error &error) override
     {
         m_metrics.storeCallEnded(table, false);
-        m_core.engines.storeFailed();
+        if (table == m_core.adapter.storeLayout().engineTable) {
+            m_core.engines.storeFailed();
+        }
         for (auto *it : feeds()) {
             it->pollNow(); // a long poll on a connection that went silent would notice an outage only at its end
         }
@@ -246,8 +248,8 @@
         if (!m_core.activeConfiguration) {
             return false;
         }
-        const auto revision = m_core.activeConfiguration->configuration->revision;
-        return m_storeRevision >= revision && m_core.fleet.highestRevision(m_clock.now()) <= revision;
+        return m_core.fleet.isNewestRevision(
+            m_core.activeConfiguration->configuration->revision, m_storeRevision, m_clock.now());
     }
 
     void recordOwnProof(const ReadTime &read)
--- a/packages/gateway/src/httpchannel.cpp
+++ b/packages/gateway/src/httpchannel.cpp
@@ -39,7 +39,7 @@
                 self->fail("request timed out");
             }
         });
-        if (m_socket.is_open()) {
+        if (m_socket.is_open() && isStillConnected()) {
             send();
         } else {
             connect();
@@ -55,6 +55,18 @@
     }
 
 private:
+    /// @return whether the server has neither closed the idle connection nor sent something unexpected on it
+    bool isStillConnected()
+    {
+        char byte = 0;
+        const auto n = ::recv(m_socket.native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+        const bool isQuiet = n < 0 && (errno == EAGAIN || errno == EWOULDBLOCK || errno == EINTR);
+        if (!isQuiet) {
+            closeSocket();
+        }
+        return isQuiet;
+    }
+
     void connect()
     {
         m_buffer.clear();
--- a/packages/gateway/src/path_test.cpp
+++ b/packages/gateway/src/path_test.cpp
@@ -675,6 +675,15 @@
     CHECK(header(resumed.back(), "Last-Event-Id") == "2");
 }
 
+TEST_CASE_FIXTURE(Fixture, "a response too large to be held is not shortened")
+{
+    const std::string body(std::size_t {9} * 1024 * 1024, 'x');
+    ScriptedEngine engine([&](const std::string &it) { return ScriptedResponse {responseTo(it, body)}; });
+    addEngine("a", engine.address());
+    start();
+    CHECK(statusOf(exchange(request("/once/"))) == 502);
+}
+
 TEST_CASE_FIXTURE(Fixture, "a stream that can't be resumed never looks complete")
 {
     ScriptedEngine engine([](const std::string &it) {
