Don't charge a restarted gateway with what its peers have granted in all their lives

Cause: the first report of a peer that a gateway hears counts from zero, since its run is unknown. A restarted gateway charged its empty copy of each customer's bucket with all that every peer had granted since its own start. The longer peers have run, the longer a restart refuses.

Change: reports state the process's uptime. A run that is new here is charged in whole only if it began within the last two silence timeouts; otherwise its first report is the base for the next ones, as after a silence.

--- a/packages/dispatch/include/monsoonward/dispatch/fleetview.h
+++ b/packages/dispatch/include/monsoonward/dispatch/fleetview.h
@@ -25,6 +25,7 @@
     bool shouldForward = false; ///< the receiver forwards it to the daemons of its region
     std::set<EngineName> leavingEngines {}; ///< engines whose own answers to this daemon said that they are leaving
     StoreKnowledge knowledge {}; ///< what this daemon has read from the store
+    Duration uptime {}; ///< since the process started
     MONSOONWARD_FIELDS(host,
                        incarnation,
                        sequenceNumber,
@@ -34,7 +35,8 @@
                        isLoadOnly,
                        shouldForward,
                        leavingEngines,
-                       knowledge)
+                       knowledge,
+                       uptime)
 };
 
 /// @brief What a new report changes compared with the daemon's previous one.
@@ -62,7 +64,8 @@
     /// Stores a report of another daemon.
     /// @return the changes; nothing if the report is out of date, load-only, or not from a member. Units that a daemon
     /// granted while it was silent aren't included, since the others left out its share of the limits during that time;
-    /// those of a new incarnation are. A load-only report doesn't end a silence.
+    /// nor is what a daemon has granted in its whole life when its first report arrives here, unless it has just
+    /// started. A load-only report doesn't end a silence.
     std::optional<ReportChanges> addReport(const LoadReport &report, TimePoint now);
     /// @return whether a full report of the member arrived within the silence timeout
     bool isReporting(const HostName &member, TimePoint now) const;
--- a/packages/dispatch/src/fleetview.cpp
+++ b/packages/dispatch/src/fleetview.cpp
@@ -79,10 +79,12 @@
     }
     ReportChanges changes;
     changes.wasSilent = !isReporting(report.host, now);
-    if (!changes.wasSilent || last.incarnation != report.incarnation) {
+    const bool isSameRun = last.incarnation == report.incarnation;
+    const bool hasJustStarted = report.uptime <= m_silenceTimeout * 2;
+    if (isSameRun ? !changes.wasSilent : hasJustStarted) {
         for (const auto &[customer, units] : report.spent) {
             const auto before = last.spent.find(customer);
-            const bool isKnown = last.incarnation == report.incarnation && before != last.spent.end();
+            const bool isKnown = isSameRun && before != last.spent.end();
             changes.spent[customer] = units - (isKnown ? before->second : 0);
         }
     }
--- a/packages/dispatch/src/fleetview_test.cpp
+++ b/packages/dispatch/src/fleetview_test.cpp
@@ -77,6 +77,26 @@
     CHECK(view.addReport(reportOf("b", 10, 0, 0), clock.now())->spent.at(customer) == doctest::Approx(100));
 }
 
+TEST_CASE("a restarted daemon isn't charged with what the others have granted in all their lives")
+{
+    VirtualClock clock;
+    FleetView restarted {HostName("a")};
+    restarted.setMembers({HostName("a"), HostName("b")}, clock.now());
+    auto report = reportOf("b", 5000, 0, 0);
+    report.uptime = 1h;
+    const auto first = restarted.addReport(report, clock.now());
+    REQUIRE(first);
+    CHECK(first->spent.empty());
+    report.sequenceNumber = 5001;
+    report.spent[customer] += 70;
+    CHECK(restarted.addReport(report, clock.now())->spent.at(customer) == doctest::Approx(70));
+    // The same holds for a daemon that was dropped from the list of members for a while.
+    restarted.setMembers({HostName("a")}, clock.now());
+    restarted.setMembers({HostName("a"), HostName("b")}, clock.now());
+    report.sequenceNumber = 5002;
+    CHECK(restarted.addReport(report, clock.now())->spent.empty());
+}
+
 TEST_CASE("request counts of other daemons are added once and removed when the daemon becomes silent or leaves")
 {
     VirtualClock clock;
--- a/packages/gateway/src/loadreports.cpp
+++ b/packages/gateway/src/loadreports.cpp
@@ -56,6 +56,7 @@
         return Error {ErrorCode::Unavailable, "bind " + address.ip + ": " + ec.message()};
     }
     m_socket.non_blocking(true, ec);
+    m_startedAt = m_core.clock.now();
     receive();
     tick();
     return boost::outcome_v2::success();
@@ -168,6 +169,7 @@
     report.spent = m_core.rateLimiter.spent();
     report.leavingEngines = m_core.engines.leavingByOwnWord();
     report.knowledge = m_core.knowledge;
+    report.uptime = now - m_startedAt;
     sendTo(m_localPeers, report);
     if (m_remotePeers.size() <= maxDirectRemotePeers) {
         sendTo(m_remotePeers, report);
--- a/packages/gateway/src/loadreports.h
+++ b/packages/gateway/src/loadreports.h
@@ -52,6 +52,7 @@
     boost::asio::steady_timer m_timer;
     std::vector<boost::asio::ip::udp::endpoint> m_localPeers;
     std::vector<boost::asio::ip::udp::endpoint> m_remotePeers;
+    TimePoint m_startedAt;
     TimePoint m_lastFullReportAt;
 };
 
--- a/packages/gateway/src/reportcodec.cpp
+++ b/packages/gateway/src/reportcodec.cpp
@@ -27,6 +27,10 @@
 constexpr const char *provenField = "p";
 constexpr const char *engineVersionField = "ve";
 constexpr const char *gatewayVersionField = "vg";
+constexpr const char *uptimeField = "u"; // milliseconds
+
+constexpr auto maxMilliseconds =
+    static_cast<std::uint64_t>(std::numeric_limits<std::int64_t>::max() / 1'000'000); // fits into Duration
 
 /// Builds a report from the events of a parser. Anything that a report can't hold ends the parsing, before nested data
 /// can exhaust the stack.
@@ -40,6 +44,9 @@
             return std::nullopt;
         }
         m_report.isLoadOnly = !m_hasDemand;
+        if (!m_hasUptime && m_hasDemand) {
+            m_report.uptime = Duration::max(); // an earlier version doesn't state it
+        }
         return std::move(m_report);
     }
 
@@ -128,10 +135,12 @@
             m_report.knowledge.era = value;
         } else if (m_field == revisionField) {
             m_report.knowledge.revision = value;
+        } else if (m_field == uptimeField) {
+            m_report.uptime = std::chrono::milliseconds(std::min(value, maxMilliseconds));
+            m_hasUptime = true;
         } else if (m_field == provenField) {
-            constexpr auto maxMs = static_cast<std::uint64_t>(std::numeric_limits<std::int64_t>::max() / 1'000'000);
             m_report.knowledge.provenAtMs = static_cast<std::int64_t>(value);
-            return value < maxMs; // nanoseconds of it fit into Duration
+            return value < maxMilliseconds;
         } else if (m_field == engineVersionField) {
             m_report.knowledge.engineVersion = value;
         } else if (m_field == gatewayVersionField) {
@@ -174,6 +183,7 @@
     bool m_hasRequests = false;
     bool m_hasDemand = false;
     bool m_hasSpent = false;
+    bool m_hasUptime = false;
 };
 
 } // namespace
@@ -207,6 +217,7 @@
     json[provenField] = knowledge.provenAtMs;
     json[engineVersionField] = knowledge.engineVersion;
     json[gatewayVersionField] = knowledge.gatewayVersion;
+    json[uptimeField] = std::chrono::duration_cast<std::chrono::milliseconds>(report.uptime).count();
     for (const auto &it : report.leavingEngines) {
         json[leavingField].push_back(it.text());
     }
--- a/packages/gateway/src/reportcodec_test.cpp
+++ b/packages/gateway/src/reportcodec_test.cpp
@@ -20,7 +20,8 @@
             false,
             false,
             {EngineName("e2")},
-            {2, 40, 123'456, 77, 78}};
+            {2, 40, 123'456, 77, 78},
+            std::chrono::milliseconds(5000)};
 }
 
 LoadReport encodedAndDecoded(const LoadReport &report)
@@ -45,6 +46,7 @@
     loadOnlyReport.spent.clear();
     loadOnlyReport.leavingEngines.clear();
     loadOnlyReport.knowledge = {};
+    loadOnlyReport.uptime = {};
     loadOnlyReport.isLoadOnly = true;
     CHECK(encodedAndDecoded(loadOnlyReport) == loadOnlyReport);
     CHECK(encodeReport(loadOnlyReport).size() < encodeReport(full).size());
