Release the requests that a shutdown cuts before the components they use are destroyed

Cause, by reading: handlers left in the event loop own their exchanges, which touch the gateway's shared state in their destructors; the loop is destroyed after that state. Requests that a stop cut left no line in the log.

Change: when the loop has ended, connections are closed and their handlers run; a request that is cut so is logged as broken off, reason "stopping".

Test: a whole gateway with a request in progress is stopped; it ends in time with its exit code. It passed before as well, also with sanitizers, since the memory was still there: it guards the stop, it didn't show the fault.

--- a/packages/gateway/src/exchange.cpp
+++ b/packages/gateway/src/exchange.cpp
@@ -608,7 +608,10 @@
         m_core.placer->requestEnded(m_call->engine().name);
         m_call.reset();
     }
-    recordEnd(RequestOutcome::Abandoned, "caller-left", "");
+    const bool isCutByShutdown = m_core.isStopping && m_core.clock.now() >= m_core.abortAt;
+    recordEnd(isCutByShutdown ? RequestOutcome::BrokenOff : RequestOutcome::Abandoned,
+              isCutByShutdown ? "stopping" : "caller-left",
+              "");
 }
 
 void Exchange::refuse(unsigned status, const std::string &reason, Duration retryAfter, const std::string &detail)
--- a/packages/gateway/src/gatewayprocess.cpp
+++ b/packages/gateway/src/gatewayprocess.cpp
@@ -110,6 +110,7 @@
                     m_exitCode == exitStopped ? Severity::Info : Severity::Warning,
                     "stopped",
                     {{"cut_requests", static_cast<std::int64_t>(m_core.openRequests)}});
+        releaseRequests();
         return m_exitCode;
     }
 
@@ -508,6 +509,15 @@
         return json.dump(2);
     }
 
+    /// Ends the requests in progress and runs the handlers that refer to them. Handlers left to the event loop's
+    /// destructor would use components that are destroyed before it.
+    void releaseRequests()
+    {
+        m_callers.closeAll();
+        m_io.restart();
+        m_io.poll();
+    }
+
     // ---- timers and signals
 
     void tick()
