--- a/packages/gateway/src/gatewayprocess.cpp
+++ b/packages/gateway/src/gatewayprocess.cpp
@@ -5,7 +5,7 @@
 #include "loadreports.h"
 #include "memberlist.h"
 #include "statusserver.h"
-#include "tablefeed.h"
+#include "storewatch.h"
 
 #include <boost/asio/signal_set.hpp>
 
@@ -24,9 +24,6 @@
 {
 
 constexpr Duration tickInterval = std::chrono::milliseconds(250); // expires engines and idle connections
-constexpr Duration configurationPollPause = std::chrono::milliseconds(300); // between polls during a burst of changes
-constexpr Duration registrationPollPause = std::chrono::milliseconds(
-    600); // the same for engines and gateways; an engine that leaves may get requests for this much longer
 constexpr Duration maxStartupDelay = std::chrono::milliseconds(
     900); // then connections are accepted even if not ready; callers give up connecting after about a second
 constexpr Duration minShutdownTime =
@@ -36,11 +33,6 @@
 constexpr Duration shutdownTickInterval = std::chrono::milliseconds(50);
 constexpr Duration maxReadyProofAge =
     std::chrono::milliseconds(4000); // with an older proof, other gateways should serve the callers
-constexpr Duration proofWorthReporting =
-    std::chrono::milliseconds(500); // a proof from a call that took longer is not sent at once
-constexpr Duration maxTimeBehind =
-    std::chrono::milliseconds(800); // then a change that another gateway has seen should have arrived here, too
-constexpr unsigned pollSpreadSteps = 1024;
 constexpr int exitStopped = 0;
 constexpr int exitFailed = 1;
 constexpr int exitBadSettings = 3;
@@ -66,19 +58,15 @@
         , m_callerService(m_core)
         , m_callers(
               m_io, m_clock, m_callerService, settings.callerListen, maxCallerConnections(settings.maxDescriptors))
-        , m_reports(m_core, m_incarnation, [this] { learnFromPeers(); })
+        , m_reports(m_core, m_incarnation, [this] { m_store.learnFromPeers(); })
         , m_members(m_core, m_incarnation, [this](const std::vector<MemberRecord> &it) { membersChanged(it); })
         , m_health(m_io, settings.healthListen, [this](const std::string &path) { return healthReply(path); })
         , m_admin(m_io, settings.adminListen, [this](const std::string &path) { return adminReply(path); })
         , m_signals(m_io, SIGTERM, SIGINT, SIGHUP)
         , m_tickTimer(m_io)
-        , m_pollSpread(static_cast<double>(m_random.next() % pollSpreadSteps) / pollSpreadSteps)
+        , m_store(m_core, *this, m_random, [this] { m_reports.sendFullReport(); })
         , m_hashSeed(m_random.next())
     {
-        const auto &layout = adapter.storeLayout();
-        m_configurationFeed = makeFeed(layout.configurationTable, configurationPollPause);
-        m_engineFeed = makeFeed(layout.engineTable, registrationPollPause);
-        m_gatewayFeed = makeFeed(layout.gatewayTable, registrationPollPause);
     }
 
     int run()
@@ -96,9 +84,7 @@
                     Severity::Info,
                     "started",
                     {{"data_centre", std::string_view(m_core.settings.topology.ownDataCentre.text())}});
-        for (auto *it : feeds()) {
-            it->start();
-        }
+        m_store.start();
         awaitSignal();
         m_startedAt = m_clock.now();
         tick();
@@ -159,15 +145,7 @@
 
     void upToDate(const std::string &table, const ReadTime &read) override
     {
-        if (read.storeTimeMs > 0) {
-            m_storeClock.observe(read.era, read.storeTimeMs, read.startedAt);
-        }
-        m_core.knowledge.era = m_eras.current();
-        m_core.knowledge.engineVersion = m_engineFeed->newestRowVersion();
-        m_core.knowledge.gatewayVersion = m_gatewayFeed->newestRowVersion();
-        if (table == m_core.adapter.storeLayout().configurationTable && isNewestRevision()) {
-            recordOwnProof(read);
-        }
+        m_store.upToDate(table, read);
         if (isReady()) {
             m_callers.startAccepting();
         }
@@ -190,9 +168,7 @@
         if (table == m_core.adapter.storeLayout().engineTable) {
             m_core.engines.storeFailed();
         }
-        for (auto *it : feeds()) {
-            it->pollNow(); // a long poll on a connection that went silent would notice an outage only at its end
-        }
+        m_store.pollAll(); // a long poll on a connection that went silent would notice an outage only at its end
         if (m_unavailableTables.insert(table).second) {
             m_log.write(Event::StoreUnavailable,
                         Severity::Warning,
@@ -203,14 +179,9 @@
 
     void storeRestored(StoreEra era) override
     {
-        m_core.freshness.storeRestored(m_clock.now());
-        m_storeRevision = 0;
-        m_core.knowledge.provenAtMs = 0;
+        m_store.storeRestored();
         m_log.write(
             Event::StoreRestored, Severity::Warning, "store-restored", {{"era", static_cast<std::int64_t>(era)}});
-        for (auto *it : feeds()) {
-            it->pollNow();
-        }
     }
 
     void eraMalformed(const std::string &table) override
@@ -227,97 +198,6 @@
 private:
     static constexpr std::size_t maxLogQueueBytes = std::size_t {256} * 1024;
 
-    std::unique_ptr<TableFeed> makeFeed(const std::string &table, Duration changeDelay)
-    {
-        const auto &settings = m_core.settings;
-        const auto makeStore = [&] { return m_core.adapter.makeRowStore(m_io, settings.store); };
-        return std::make_unique<TableFeed>(
-            m_io, m_clock, makeStore(), makeStore(), m_eras, table, settings.storePollTime, changeDelay, *this);
-    }
-
-    std::array<TableFeed *, 3> feeds() const
-    {
-        return {m_configurationFeed.get(), m_engineFeed.get(), m_gatewayFeed.get()};
-    }
-
-    // ---- proofs that the configuration is current
-
-    /// @return whether the active configuration is the newest one that the store or another gateway is known to hold.
-    /// A restored store may hold an older one for a while.
-    bool isNewestRevision() const
-    {
-        if (!m_core.activeConfiguration) {
-            return false;
-        }
-        return m_core.fleet.isNewestRevision(
-            m_core.activeConfiguration->configuration->revision, m_storeRevision, m_clock.now());
-    }
-
-    void recordOwnProof(const ReadTime &read)
-    {
-        m_core.freshness.recordProof(read.startedAt);
-        auto &knowledge = m_core.knowledge;
-        knowledge.revision = m_core.activeConfiguration->configuration->revision;
-        if (read.storeTimeMs > 0 && !m_core.freshness.isSettling(read.startedAt)) {
-            // The call began no earlier than this on the store's clock.
-            const auto provenAtMs = read.storeTimeMs - milliseconds(read.answeredAt - read.startedAt);
-            const bool isRenewed = provenAtMs > knowledge.provenAtMs;
-            knowledge.provenAtMs = std::max(knowledge.provenAtMs, provenAtMs);
-            if (isRenewed && read.answeredAt - read.startedAt < proofWorthReporting) {
-                m_reports.sendFullReport();
-            }
-        }
-    }
-
-    /// Takes over a proof that another gateway reported, and polls tables in which others have seen changes.
-    void learnFromPeers()
-    {
-        const auto now = m_clock.now();
-        const auto newest = m_core.fleet.newestKnowledge(m_core.knowledge.era, now);
-        if (newest.engineVersion > m_engineFeed->newestRowVersion()) {
-            m_enginesBehindSince = m_enginesBehindSince.value_or(now);
-        } else {
-            m_enginesBehindSince.reset();
-        }
-        if (newest.gatewayVersion > m_gatewayFeed->newestRowVersion()) {
-            m_gatewaysBehindSince = m_gatewaysBehindSince.value_or(now);
-        } else {
-            m_gatewaysBehindSince.reset();
-        }
-        if (!m_core.activeConfiguration || !isNewestRevision()) {
-            return;
-        }
-        const auto revision = m_core.activeConfiguration->configuration->revision;
-        const auto provenAtMs = m_core.fleet.newestProof(m_core.knowledge.era, revision, now);
-        if (provenAtMs <= m_core.knowledge.provenAtMs) {
-            return;
-        }
-        if (const auto provenAt = m_storeClock.earliest(m_core.knowledge.era, provenAtMs, now)) {
-            m_core.freshness.recordProof(std::min(*provenAt, now));
-            m_core.knowledge.provenAtMs = provenAtMs;
-        }
-    }
-
-    /// Asks the store for a proof if it is this gateway's turn, and for changes that others have seen for some time.
-    void pollIfDue(TimePoint now)
-    {
-        const auto age = m_core.freshness.age(now);
-        const auto rank = m_core.fleet.dutyRank(m_regionHosts, now);
-        if (m_core.activeConfiguration && !m_core.freshness.isSettling(now)
-            && (!age || *age >= proofAgeToRenew(m_core.settings.freshness, rank, m_pollSpread))) {
-            m_configurationFeed->pollNow();
-        } else if (m_core.activeConfiguration
-                   && m_core.fleet.highestRevision(now) > m_core.activeConfiguration->configuration->revision) {
-            m_configurationFeed->pollNow();
-        }
-        if (m_enginesBehindSince && now - *m_enginesBehindSince >= maxTimeBehind) {
-            m_engineFeed->pollNow();
-        }
-        if (m_gatewaysBehindSince && now - *m_gatewaysBehindSince >= maxTimeBehind) {
-            m_gatewayFeed->pollNow();
-        }
-    }
-
     // ---- changes in the store
 
     void configurationRowsReceived(const std::vector<TableRow> &rows)
@@ -329,7 +209,7 @@
             const auto decoded = it.value ? m_core.adapter.decodeConfiguration(*it.value)
                                           : Result<ServingConfiguration>(Error {ErrorCode::NotFound, "row removed"});
             if (decoded) {
-                m_storeRevision = decoded.value().revision;
+                m_store.configurationRead(decoded.value().revision);
                 applyConfiguration(decoded.value());
             } else {
                 m_log.write(Event::ConfigurationRejected,
@@ -409,19 +289,20 @@
     {
         std::vector<HostName> hosts;
         std::vector<ReportPeer> peers;
-        m_regionHosts.clear();
+        std::vector<HostName> regionHosts;
         for (const auto &it : members) {
             hosts.push_back(it.host);
             if (it.host != m_core.settings.host) {
                 const bool isSameRegion = m_core.settings.topology.distanceTo(it.dataCentre) != Distance::OtherRegion;
                 peers.push_back({it.peerAddress, isSameRegion});
                 if (isSameRegion) {
-                    m_regionHosts.push_back(it.host);
+                    regionHosts.push_back(it.host);
                 }
             }
         }
         m_core.fleet.setMembers(hosts, m_clock.now());
         m_reports.setPeers(peers);
+        m_store.setRegionHosts(std::move(regionHosts));
         m_log.write(Event::GatewaysChanged,
                     Severity::Info,
                     "gateways-changed",
@@ -462,7 +343,7 @@
         m_metrics.setEngines(m_core.engines.size(), m_core.fleet.size());
         m_metrics.setOpenRequests(m_core.openRequests, m_callers.connections());
         m_metrics.setLogRecordsDropped(m_log.dropped());
-        m_metrics.setStoreEra(m_eras.current());
+        m_metrics.setStoreEra(m_store.era());
         if (!m_core.activeConfiguration) {
             return;
         }
@@ -483,8 +364,8 @@
                    {"open_requests", m_core.openRequests},
                    {"caller_connections", m_callers.connections()},
                    {"gateways", m_core.fleet.size()},
-                   {"store_era", m_eras.current()},
-                   {"proof_rank", m_core.fleet.dutyRank(m_regionHosts, now)},
+                   {"store_era", m_store.era()},
+                   {"proof_rank", m_store.proofRank(now)},
                    {"tables_unavailable", m_unavailableTables},
                    {"engines", Json::object()}};
         if (const auto age = m_core.freshness.age(now)) {
@@ -528,7 +409,7 @@
         }
         m_core.pool.expire(m_core.engines);
         m_members.tick();
-        pollIfDue(now);
+        m_store.pollIfDue(now);
         if (now - m_startedAt >= maxStartupDelay) {
             m_callers.startAccepting();
         }
@@ -629,19 +510,10 @@
     MemberList m_members;
     StatusServer m_health;
     StatusServer m_admin;
-    StoreEraTracker m_eras;
-    StoreClock m_storeClock;
-    std::unique_ptr<TableFeed> m_configurationFeed;
-    std::unique_ptr<TableFeed> m_engineFeed;
-    std::unique_ptr<TableFeed> m_gatewayFeed;
-    Revision m_storeRevision = 0; // of the configuration that the store holds, which may be older after a restore
-    std::vector<HostName> m_regionHosts; // other gateways of this region
-    std::optional<TimePoint> m_enginesBehindSince; // another gateway has seen a newer row since then
-    std::optional<TimePoint> m_gatewaysBehindSince;
     bool m_hasLoggedMalformedEra = false;
     boost::asio::signal_set m_signals;
     boost::asio::steady_timer m_tickTimer;
-    double m_pollSpread;
+    StoreWatch m_store;
     std::uint64_t m_hashSeed;
     std::set<std::string> m_unavailableTables; // tables whose last call failed
     bool m_enginesListed = false;
--- a/packages/gateway/src/path_test.cpp
+++ b/packages/gateway/src/path_test.cpp
@@ -618,12 +618,17 @@
 
 TEST_CASE_FIXTURE(Fixture, "an engine that rejects a request with a pause is spared, and callers learn when to return")
 {
-    for (const auto &[text, isPause] : std::vector<std::pair<std::string, bool>> {
-             {"0.8", true}, {"7", true}, {"1e300", true}, {"-1", false}, {"soon", false}, {"", false}}) {
-        CAPTURE(text);
+    struct Case
+    {
+        std::string value;
+        bool isPause = false;
+    };
+    for (const auto &one :
+         std::vector<Case> {{"0.8", true}, {"7", true}, {"1e300", true}, {"-1", false}, {"soon", false}, {"", false}}) {
+        CAPTURE(one.value);
         Fixture fixture;
-        ScriptedEngine engine([value = text](const std::string &it) -> ScriptedResponse {
-            return {"HTTP/1.1 503 Full\r\nNot-Run: 1\r\nRetry-After: " + value
+        ScriptedEngine engine([&one](const std::string &it) -> ScriptedResponse {
+            return {"HTTP/1.1 503 Full\r\nNot-Run: 1\r\nRetry-After: " + one.value
                     + "\r\nRequest-Id: " + header(it, "Request-Id") + "\r\nContent-Length: 0\r\n\r\n"};
         });
         fixture.addEngine("a", engine.address());
@@ -631,8 +636,8 @@
         CHECK(statusOf(fixture.exchange(request("/once/"))) == 503);
         const auto refused = fixture.exchange(request("/once/"));
         CHECK(statusOf(refused) == 503);
-        CHECK(engine.requests().size() == (isPause ? 1 : 2));
-        CHECK(std::stod(header(refused, "Retry-After")) >= (isPause ? 0.5 : 0.1));
+        CHECK(engine.requests().size() == (one.isPause ? 1 : 2));
+        CHECK(std::stod(header(refused, "Retry-After")) >= (one.isPause ? 0.5 : 0.1));
         CHECK(std::stod(header(refused, "Retry-After")) <= 1.0); // a third of the time that the caller has left
     }
 }
--- /dev/null
+++ b/packages/gateway/src/storewatch.cpp
@@ -0,0 +1,175 @@
+#include "storewatch.h"
+
+#include <algorithm>
+
+namespace monsoonward
+{
+
+namespace
+{
+
+constexpr Duration configurationPollPause = std::chrono::milliseconds(300); // between polls during a burst of changes
+constexpr Duration registrationPollPause = std::chrono::milliseconds(
+    600); // the same for engines and gateways; an engine that leaves may get requests for this much longer
+constexpr Duration proofWorthReporting =
+    std::chrono::milliseconds(500); // a proof from a call that took longer is not sent at once
+constexpr Duration maxTimeBehind =
+    std::chrono::milliseconds(800); // then a change that another gateway has seen should have arrived here, too
+
+/// Notes since when @p own lacks a version that another gateway has seen.
+void updateBehindSince(std::optional<TimePoint> &since, std::uint64_t seen, std::uint64_t own, TimePoint now)
+{
+    since = seen > own ? std::optional(since.value_or(now)) : std::nullopt;
+}
+
+} // namespace
+
+StoreWatch::StoreWatch(GatewayCore &core, TableFeedHandler &handler, Random &random, std::function<void()> reportProof)
+    : m_core(core)
+    , m_reportProof(std::move(reportProof))
+    , m_spread(random.nextDouble())
+{
+    const auto &layout = core.adapter.storeLayout();
+    m_configurationFeed = makeFeed(layout.configurationTable, configurationPollPause, handler);
+    m_engineFeed = makeFeed(layout.engineTable, registrationPollPause, handler);
+    m_gatewayFeed = makeFeed(layout.gatewayTable, registrationPollPause, handler);
+}
+
+std::unique_ptr<TableFeed>
+StoreWatch::makeFeed(const std::string &table, Duration changeDelay, TableFeedHandler &handler)
+{
+    const auto &settings = m_core.settings;
+    const auto makeStore = [&] { return m_core.adapter.makeRowStore(m_core.io, settings.store); };
+    return std::make_unique<TableFeed>(
+        m_core.io, m_core.clock, makeStore(), makeStore(), m_eras, table, settings.storePollTime, changeDelay, handler);
+}
+
+void StoreWatch::start()
+{
+    m_configurationFeed->start();
+    m_engineFeed->start();
+    m_gatewayFeed->start();
+}
+
+void StoreWatch::setRegionHosts(std::vector<HostName> hosts)
+{
+    m_regionHosts = std::move(hosts);
+}
+
+void StoreWatch::configurationRead(Revision revision)
+{
+    m_storedRevision = revision;
+}
+
+void StoreWatch::upToDate(const std::string &table, const ReadTime &read)
+{
+    if (read.storeTimeMs > 0) {
+        m_storeClock.observe(read.era, read.storeTimeMs, read.startedAt);
+    }
+    auto &knowledge = m_core.knowledge;
+    knowledge.era = m_eras.current();
+    knowledge.engineVersion = m_engineFeed->newestRowVersion();
+    knowledge.gatewayVersion = m_gatewayFeed->newestRowVersion();
+    if (table == m_core.adapter.storeLayout().configurationTable && isNewestRevision()) {
+        recordOwnProof(read);
+    }
+}
+
+bool StoreWatch::isNewestRevision() const
+{
+    return m_core.activeConfiguration
+        && m_core.fleet.isNewestRevision(
+            m_core.activeConfiguration->configuration->revision, m_storedRevision, m_core.clock.now());
+}
+
+void StoreWatch::recordOwnProof(const ReadTime &read)
+{
+    m_core.freshness.recordProof(read.startedAt);
+    auto &knowledge = m_core.knowledge;
+    knowledge.revision = m_core.activeConfiguration->configuration->revision;
+    if (read.storeTimeMs <= 0 || m_core.freshness.isSettling(read.startedAt)) {
+        return;
+    }
+    // The call began no earlier than this on the store's clock.
+    const auto callLength = read.answeredAt - read.startedAt;
+    const auto provenAtMs = read.storeTimeMs - milliseconds(callLength);
+    if (provenAtMs > knowledge.provenAtMs) {
+        knowledge.provenAtMs = provenAtMs;
+        if (callLength < proofWorthReporting) {
+            m_reportProof();
+        }
+    }
+}
+
+void StoreWatch::storeRestored()
+{
+    m_core.freshness.storeRestored(m_core.clock.now());
+    m_storedRevision = 0;
+    m_core.knowledge.provenAtMs = 0;
+    pollAll();
+}
+
+void StoreWatch::pollAll()
+{
+    m_configurationFeed->pollNow();
+    m_engineFeed->pollNow();
+    m_gatewayFeed->pollNow();
+}
+
+void StoreWatch::learnFromPeers()
+{
+    const auto now = m_core.clock.now();
+    auto &knowledge = m_core.knowledge;
+    const auto newest = m_core.fleet.newestKnowledge(knowledge.era, now);
+    updateBehindSince(m_enginesBehindSince, newest.engineVersion, m_engineFeed->newestRowVersion(), now);
+    updateBehindSince(m_gatewaysBehindSince, newest.gatewayVersion, m_gatewayFeed->newestRowVersion(), now);
+    if (!isNewestRevision()) {
+        return;
+    }
+    const auto revision = m_core.activeConfiguration->configuration->revision;
+    const auto provenAtMs = m_core.fleet.newestProof(knowledge.era, revision, now);
+    if (provenAtMs <= knowledge.provenAtMs) {
+        return;
+    }
+    if (const auto provenAt = m_storeClock.earliest(knowledge.era, provenAtMs, now)) {
+        m_core.freshness.recordProof(std::min(*provenAt, now));
+        knowledge.provenAtMs = provenAtMs;
+    }
+}
+
+bool StoreWatch::isProofDue(TimePoint now) const
+{
+    const auto &active = m_core.activeConfiguration;
+    if (!active) {
+        return false;
+    }
+    const auto age = m_core.freshness.age(now);
+    const bool isOld = !age || *age >= proofAgeToRenew(m_core.settings.freshness, proofRank(now), m_spread);
+    const bool othersHoldNewer = m_core.fleet.highestRevision(now) > active->configuration->revision;
+    return othersHoldNewer || (isOld && !m_core.freshness.isSettling(now));
+}
+
+void StoreWatch::pollIfDue(TimePoint now)
+{
+    if (isProofDue(now)) {
+        m_configurationFeed->pollNow();
+    }
+    if (m_enginesBehindSince && now - *m_enginesBehindSince >= maxTimeBehind) {
+        m_engineFeed->pollNow();
+    }
+    if (m_gatewaysBehindSince && now - *m_gatewaysBehindSince >= maxTimeBehind) {
+        m_gatewayFeed->pollNow();
+    }
+}
+
+StoreEra StoreWatch::era() const
+{
+    return m_eras.current();
+}
+
+std::size_t StoreWatch::proofRank(TimePoint now) const
+{
+    return m_core.fleet.dutyRank(m_regionHosts, now);
+}
+
+} // namespace monsoonward
--- /dev/null
+++ b/packages/gateway/src/storewatch.h
@@ -0,0 +1,62 @@
+#pragma once
+
+#include "gatewaycore.h"
+#include "tablefeed.h"
+
+#include <functional>
+
+namespace monsoonward
+{
+
+/// @brief Follows the store's tables and keeps the proof that the active configuration is current. Gateways share their
+/// proofs in load reports: few of them ask the store, and each asks for itself if it hears nothing in time.
+class StoreWatch
+{
+public:
+    /// @param handler gets the rows and states of the tables; must outlive this
+    /// @param reportProof called after a new proof of this gateway that the others should hear of at once
+    StoreWatch(GatewayCore &core, TableFeedHandler &handler, Random &random, std::function<void()> reportProof);
+    StoreWatch(const StoreWatch &) = delete;
+    StoreWatch &operator=(const StoreWatch &) = delete;
+
+    void start();
+    /// Sets the other gateways of this region, which take turns in asking for proofs.
+    void setRegionHosts(std::vector<HostName> hosts);
+    /// The store's configuration was read. It may be older than the active one after a restore.
+    void configurationRead(Revision revision);
+    /// To be called when a table is up to date, after its rows have been applied.
+    void upToDate(const std::string &table, const ReadTime &read);
+    /// The store was restored from a copy.
+    void storeRestored();
+    /// Polls every table now, beside the long polls.
+    void pollAll();
+    /// Takes over a proof that another gateway reported, and notes tables in which others have seen changes.
+    void learnFromPeers();
+    /// Asks the store for a proof if it is this gateway's turn, and for changes that others have seen for some time. To
+    /// be called several times a second.
+    void pollIfDue(TimePoint now);
+    StoreEra era() const;
+    /// @return number of gateways of the region that ask before this one
+    std::size_t proofRank(TimePoint now) const;
+
+private:
+    std::unique_ptr<TableFeed> makeFeed(const std::string &table, Duration changeDelay, TableFeedHandler &handler);
+    bool isNewestRevision() const;
+    void recordOwnProof(const ReadTime &read);
+    bool isProofDue(TimePoint now) const;
+
+    GatewayCore &m_core;
+    std::function<void()> m_reportProof;
+    double m_spread; // 0 to 1, of the time at which this gateway asks
+    StoreEraTracker m_eras;
+    StoreClock m_storeClock;
+    std::unique_ptr<TableFeed> m_configurationFeed;
+    std::unique_ptr<TableFeed> m_engineFeed;
+    std::unique_ptr<TableFeed> m_gatewayFeed;
+    Revision m_storedRevision = 0;
+    std::vector<HostName> m_regionHosts;
+    std::optional<TimePoint> m_enginesBehindSince; // another gateway has seen a newer row since then
+    std::optional<TimePoint> m_gatewaysBehindSince;
+};
+
+} // namespace monsoonward
