Learn from each report by itself, and count a table as read up to the store's version

Causes, found in reading the change again: - Each full report of a peer had every member's report searched three times: quadratic in the gateways.

Change: only the report at hand is compared; its proof is checked further only if it is newer than the one known. A table counts as read up to the version that the store stated.

--- a/packages/dispatch/include/monsoonward/dispatch/fleetview.h
+++ b/packages/dispatch/include/monsoonward/dispatch/fleetview.h
@@ -87,11 +87,6 @@
     /// @return whether neither the store nor a reporting daemon is known to lack @p active or to hold a higher
     /// revision. Otherwise an answer of the store doesn't prove that @p active is the newest one.
     bool isNewestRevision(Revision active, Revision stored, TimePoint now) const;
-    /// @return the newest of what the reporting daemons have read from the store in @p era, field by field, except for
-    /// the proof
-    StoreKnowledge newestKnowledge(StoreEra era, TimePoint now) const;
-    /// @return the latest store time at which a reporting daemon knew @p revision to be the newest one; 0 if none did
-    std::int64_t newestProof(StoreEra era, Revision revision, TimePoint now) const;
     /// @return how many reporting members of @p hosts come before this daemon in an order that all daemons agree on and
     /// that spreads duties over the daemons
     std::size_t dutyRank(const std::vector<HostName> &hosts, TimePoint now) const;
--- a/packages/dispatch/src/fleetview.cpp
+++ b/packages/dispatch/src/fleetview.cpp
@@ -150,33 +150,6 @@
     return stored >= active && highestRevision(now) <= active;
 }
 
-StoreKnowledge FleetView::newestKnowledge(StoreEra era, TimePoint now) const
-{
-    StoreKnowledge newest;
-    newest.era = era;
-    for (const auto &[host, member] : m_members) {
-        const auto &knowledge = member.report.knowledge;
-        if (knowledge.era == era && isReporting(host, now)) {
-            newest.revision = std::max(newest.revision, knowledge.revision);
-            newest.engineVersion = std::max(newest.engineVersion, knowledge.engineVersion);
-            newest.gatewayVersion = std::max(newest.gatewayVersion, knowledge.gatewayVersion);
-        }
-    }
-    return newest;
-}
-
-std::int64_t FleetView::newestProof(StoreEra era, Revision revision, TimePoint now) const
-{
-    std::int64_t newest = 0;
-    for (const auto &[host, member] : m_members) {
-        const auto &knowledge = member.report.knowledge;
-        if (knowledge.era == era && knowledge.revision == revision && isReporting(host, now)) {
-            newest = std::max(newest, knowledge.provenAtMs);
-        }
-    }
-    return newest;
-}
-
 std::size_t FleetView::dutyRank(const std::vector<HostName> &hosts, TimePoint now) const
 {
     const auto weight = [](const HostName &it) { return XXH3_64bits(it.text().data(), it.text().size()); };
--- a/packages/dispatch/src/fleetview_test.cpp
+++ b/packages/dispatch/src/fleetview_test.cpp
@@ -162,7 +162,7 @@
     CHECK(view.size() == 2);
 }
 
-TEST_CASE("what other daemons have read from the store counts within one era and while they report")
+TEST_CASE("a revision counts as the newest one only if neither the store nor a reporting daemon contradicts")
 {
     VirtualClock clock;
     FleetView view {HostName("a")};
@@ -174,16 +174,12 @@
     report.knowledge = {1, 41, 9000, 300, 9};
     view.addReport(report, clock.now());
     CHECK(view.highestRevision(clock.now()) == 41);
-    CHECK(view.newestKnowledge(2, clock.now()) == StoreKnowledge {2, 40, 0, 100, 7});
-    CHECK(view.newestProof(2, 40, clock.now()) == 5000);
-    CHECK(view.newestProof(2, 41, clock.now()) == 0);
     // A daemon restarted after a restore reads an older configuration than its peers hold, with keys taken away since.
     CHECK_FALSE(view.isNewestRevision(40, 40, clock.now()));
     CHECK_FALSE(view.isNewestRevision(41, 40, clock.now())); // the store was restored and doesn't hold 41 yet
     CHECK(view.isNewestRevision(41, 41, clock.now()));
     clock.advance(FleetView::silenceTimeout + 1ms);
     CHECK(view.highestRevision(clock.now()) == 0);
-    CHECK(view.newestProof(2, 40, clock.now()) == 0);
 }
 
 TEST_CASE("one daemon has the first duty rank; when it falls silent, another one has")
--- a/packages/gateway/src/gatewayprocess.cpp
+++ b/packages/gateway/src/gatewayprocess.cpp
@@ -58,7 +58,7 @@
         , m_callerService(m_core)
         , m_callers(
               m_io, m_clock, m_callerService, settings.callerListen, maxCallerConnections(settings.maxDescriptors))
-        , m_reports(m_core, m_incarnation, [this] { m_store.learnFromPeers(); })
+        , m_reports(m_core, m_incarnation, [this](const StoreKnowledge &it) { m_store.learnFromPeer(it); })
         , m_members(m_core, m_incarnation, [this](const std::vector<MemberRecord> &it) { membersChanged(it); })
         , m_health(m_io, settings.healthListen, [this](const std::string &path) { return healthReply(path); })
         , m_admin(m_io, settings.adminListen, [this](const std::string &path) { return adminReply(path); })
--- a/packages/gateway/src/loadreports.cpp
+++ b/packages/gateway/src/loadreports.cpp
@@ -32,10 +32,12 @@
 
 } // namespace
 
-LoadReports::LoadReports(GatewayCore &core, std::uint64_t incarnation, std::function<void()> onFullReport)
+LoadReports::LoadReports(GatewayCore &core,
+                         std::uint64_t incarnation,
+                         std::function<void(const StoreKnowledge &)> onKnowledge)
     : m_core(core)
     , m_incarnation(incarnation)
-    , m_onFullReport(std::move(onFullReport))
+    , m_onKnowledge(std::move(onKnowledge))
     , m_socket(core.io)
     , m_timer(core.io)
 {
@@ -117,7 +119,7 @@
     for (const auto &[customer, units] : update->spent) {
         m_core.rateLimiter.recordRemoteSpending(customer, units);
     }
-    m_onFullReport();
+    m_onKnowledge(report.value().knowledge);
     if (update->wasSilent) {
         m_core.log.write(Event::GatewayHeard,
                          Severity::Info,
--- a/packages/gateway/src/loadreports.h
+++ b/packages/gateway/src/loadreports.h
@@ -24,8 +24,8 @@
 {
 public:
     /// @param incarnation identifies this run of the process
-    /// @param onFullReport called after a full report of another gateway was stored
-    LoadReports(GatewayCore &core, std::uint64_t incarnation, std::function<void()> onFullReport);
+    /// @param onKnowledge called with what another gateway has read from the store, after its full report was stored
+    LoadReports(GatewayCore &core, std::uint64_t incarnation, std::function<void(const StoreKnowledge &)> onKnowledge);
     LoadReports(const LoadReports &) = delete;
     LoadReports &operator=(const LoadReports &) = delete;
 
@@ -44,7 +44,7 @@
 
     GatewayCore &m_core;
     std::uint64_t m_incarnation;
-    std::function<void()> m_onFullReport;
+    std::function<void(const StoreKnowledge &)> m_onKnowledge;
     std::uint64_t m_lastSequenceNumber = 0;
     boost::asio::ip::udp::socket m_socket;
     boost::asio::ip::udp::endpoint m_sender;
--- a/packages/gateway/src/storewatch.cpp
+++ b/packages/gateway/src/storewatch.cpp
@@ -16,10 +16,12 @@
 constexpr Duration maxTimeBehind =
     std::chrono::milliseconds(800); // then a change that another gateway has seen should have arrived here, too
 
-/// Notes since when @p own lacks a version that another gateway has seen.
-void updateBehindSince(std::optional<TimePoint> &since, std::uint64_t seen, std::uint64_t own, TimePoint now)
+/// Notes since when another gateway has @p seen a row of a version that this one hasn't @p read.
+void noteIfBehind(std::optional<TimePoint> &since, std::uint64_t seen, std::uint64_t read, TimePoint now)
 {
-    since = seen > own ? std::optional(since.value_or(now)) : std::nullopt;
+    if (seen > read && !since) {
+        since = now;
+    }
 }
 
 } // namespace
@@ -70,7 +72,13 @@
     knowledge.era = m_eras.current();
     knowledge.engineVersion = m_engineFeed->newestRowVersion();
     knowledge.gatewayVersion = m_gatewayFeed->newestRowVersion();
-    if (table == m_core.adapter.storeLayout().configurationTable && isNewestRevision()) {
+    const auto &layout = m_core.adapter.storeLayout();
+    if (table == layout.engineTable) {
+        m_enginesBehindSince.reset();
+    } else if (table == layout.gatewayTable) {
+        m_gatewaysBehindSince.reset();
+    }
+    if (table == layout.configurationTable && isNewestRevision()) {
         recordOwnProof(read);
     }
 }
@@ -116,24 +124,22 @@
     m_gatewayFeed->pollNow();
 }
 
-void StoreWatch::learnFromPeers()
+void StoreWatch::learnFromPeer(const StoreKnowledge &reported)
 {
-    const auto now = m_core.clock.now();
     auto &knowledge = m_core.knowledge;
-    const auto newest = m_core.fleet.newestKnowledge(knowledge.era, now);
-    updateBehindSince(m_enginesBehindSince, newest.engineVersion, m_engineFeed->newestRowVersion(), now);
-    updateBehindSince(m_gatewaysBehindSince, newest.gatewayVersion, m_gatewayFeed->newestRowVersion(), now);
-    if (!isNewestRevision()) {
+    if (reported.era != knowledge.era) {
         return;
     }
-    const auto revision = m_core.activeConfiguration->configuration->revision;
-    const auto provenAtMs = m_core.fleet.newestProof(knowledge.era, revision, now);
-    if (provenAtMs <= knowledge.provenAtMs) {
+    const auto now = m_core.clock.now();
+    noteIfBehind(m_enginesBehindSince, reported.engineVersion, m_engineFeed->readUpTo(), now);
+    noteIfBehind(m_gatewaysBehindSince, reported.gatewayVersion, m_gatewayFeed->readUpTo(), now);
+    // Most reports repeat a proof that is known here, so the costlier checks come last.
+    if (reported.provenAtMs <= knowledge.provenAtMs || reported.revision != knowledge.revision || !isNewestRevision()) {
         return;
     }
-    if (const auto provenAt = m_storeClock.earliest(knowledge.era, provenAtMs, now)) {
+    if (const auto provenAt = m_storeClock.earliest(knowledge.era, reported.provenAtMs, now)) {
         m_core.freshness.recordProof(std::min(*provenAt, now));
-        knowledge.provenAtMs = provenAtMs;
+        knowledge.provenAtMs = reported.provenAtMs;
     }
 }
 
--- a/packages/gateway/src/storewatch.h
+++ b/packages/gateway/src/storewatch.h
@@ -31,7 +31,7 @@
     /// Polls every table now, beside the long polls.
     void pollAll();
     /// Takes over a proof that another gateway reported, and notes tables in which others have seen changes.
-    void learnFromPeers();
+    void learnFromPeer(const StoreKnowledge &reported);
     /// Asks the store for a proof if it is this gateway's turn, and for changes that others have seen for some time. To
     /// be called several times a second.
     void pollIfDue(TimePoint now);
--- a/packages/gateway/src/tablefeed.cpp
+++ b/packages/gateway/src/tablefeed.cpp
@@ -50,6 +50,11 @@
     return m_newestRowVersion;
 }
 
+std::uint64_t TableFeed::readUpTo() const
+{
+    return m_readUpTo;
+}
+
 void TableFeed::continueReading()
 {
     if (m_version) {
@@ -65,6 +70,7 @@
     m_version.reset();
     m_listCause = cause;
     m_newestRowVersion = 0;
+    m_readUpTo = 0;
     continueReading();
 }
 
@@ -138,6 +144,7 @@
     // Changes made between reading the first and the last page are reported again by polls from the first page's
     // version.
     m_version = m_firstPageVersion;
+    m_readUpTo = m_firstPageVersion;
     m_failures = 0;
     for (const auto &it : m_rows) {
         m_newestRowVersion = std::max(m_newestRowVersion, it.version);
@@ -193,6 +200,7 @@
 void TableFeed::reportChanges(const RowPage &page, TimePoint startedAt)
 {
     m_version = std::max(*m_version, page.version);
+    m_readUpTo = std::max(m_readUpTo, page.version);
     if (!page.rows.empty()) {
         for (const auto &it : page.rows) {
             m_newestRowVersion = std::max(m_newestRowVersion, it.version);
@@ -242,6 +250,7 @@
     }
     m_handler.storeAnswered(m_table);
     if (value.rows.empty()) {
+        m_readUpTo = std::max(m_readUpTo, value.version);
         m_handler.upToDate(m_table, readTime(value, startedAt));
         return;
     }
--- a/packages/gateway/src/tablefeed.h
+++ b/packages/gateway/src/tablefeed.h
@@ -78,6 +78,8 @@
     void pollNow();
     /// @return the newest row version seen in the table; comparable within one era only
     std::uint64_t newestRowVersion() const;
+    /// @return the version of the store up to which all changes of the table have been read
+    std::uint64_t readUpTo() const;
 
 private:
     enum class EraCheck { Valid, Former, CursorInvalid };
@@ -110,6 +112,7 @@
     ListCause m_listCause = ListCause::Start;
     std::uint64_t m_firstPageVersion = 0;
     std::uint64_t m_newestRowVersion = 0;
+    std::uint64_t m_readUpTo = 0;
     TimePoint m_callStartedAt;
     bool m_isProbing = false;
     unsigned m_failures = 0; // consecutive ones
--- a/packages/gateway/src/tablefeed_test.cpp
+++ b/packages/gateway/src/tablefeed_test.cpp
@@ -236,6 +236,9 @@
     io.run_for(100ms);
     CHECK(probe->calls == std::vector<std::string> {"follow 7 0"});
     CHECK(recorder.proofTimes.back() == beganAt);
+    // A row deleted at version 9 before the table was listed must not count as missing here.
+    CHECK(feed->newestRowVersion() == 5);
+    CHECK(feed->readUpTo() == 9);
     CHECK(store->calls == std::vector<std::string> {"list ", "follow 7 800"});
 }
 
