Mend what a second reading found: proofs across a restore, the cost of leaving hints, names

Causes: - Between the notice of a restore and the next read a gateway still took proofs of the former era. If the store starts its clock anew, the kept time lies in its future and, passed on, counted as a fresh proof. The era changes with the notice now, and a proof from the future is not taken over. - Whether an engine is reported leaving searched the report of each gateway for each engine at each placement. It is a sum now, as the request counts are.

Names and comments: no private words for what an engine says of itself, titles without figures of speech, reasons for ignored errors. Test set-up of the gateway package that stood twice is in gatewaytesting.h; the test of a stopped gateway waits until it listens instead of a fixed time, and checks its file.

--- a/apps/monsoonwardd/gateway.cpp
+++ b/apps/monsoonwardd/gateway.cpp
@@ -24,8 +24,8 @@
 {
     if (!checkOnly) {
         const int exitCode = runGateway(file, *makePlatformAdapter());
-        // Skips the static destructors: log4cplus waits there for its thread pool, which took longer than the grace
-        // period on the users' machines.
+        // Skips the static destructors: log4cplus waits there for its thread pool, which can hang until the process is
+        // killed.
         std::fflush(nullptr);
         std::quick_exit(exitCode);
     }
--- a/packages/callers/src/callerconnection.cpp
+++ b/packages/callers/src/callerconnection.cpp
@@ -373,9 +373,11 @@
 
 void CallerConnection::closeIfIdle()
 {
-    error_code ec;
-    const bool hasUnreadRequest = m_phase == Phase::Idle && m_socket.available(ec) > 0;
-    if (m_phase == Phase::Idle && !hasUnreadRequest) {
+    if (m_phase != Phase::Idle) {
+        return;
+    }
+    error_code ignored; // a broken connection has nothing to read either
+    if (m_socket.available(ignored) == 0) {
         linger();
     }
 }
--- a/packages/callers/src/callerlistener.cpp
+++ b/packages/callers/src/callerlistener.cpp
@@ -78,7 +78,8 @@
 void CallerListener::stopAccepting()
 {
     m_acceptRetryTimer.cancel();
-    // Closing the acceptor would reset connections whose callers may have sent a request already.
+    // Closing the acceptor would reset connections whose callers may have sent a request already. The error that ends
+    // the loop is that none is left, or that the acceptor is closed already.
     error_code ec;
     m_acceptor.cancel(ec);
     m_acceptor.non_blocking(true, ec);
--- a/packages/dispatch/include/monsoonward/dispatch/enginedirectory.h
+++ b/packages/dispatch/include/monsoonward/dispatch/enginedirectory.h
@@ -39,7 +39,6 @@
 public:
     /// Engines register again within this time after the store has recovered.
     static constexpr Duration reregistrationTimeout = std::chrono::seconds(2); // stated by the store's operators
-
     /// Engines that are gone are removed from a restored store within this time: three heartbeats and their detection.
     static constexpr Duration confirmationTime = std::chrono::seconds(6);
     /// Departed engines are remembered for this long; the copies that the store is restored from are seconds old.
@@ -71,8 +70,8 @@
     const EngineRecord *find(const EngineName &name) const;
     /// @return whether the engine is known and may get new requests
     bool mayReceive(const EngineName &name) const;
-    /// @return engines that said themselves that they are leaving
-    std::set<EngineName> leavingByOwnWord() const;
+    /// @return engines that said in an answer that they are leaving
+    std::set<EngineName> selfReportedLeaving() const;
     /// @return engines of the service that may get new requests; valid until the next change
     std::vector<const EngineRecord *> ofService(const ServiceName &service) const;
     std::size_t size() const;
@@ -83,7 +82,7 @@
         EngineRecord record;
         std::optional<TimePoint> dropAt; // if the registration is missing: the engine is kept until then
         std::optional<TimePoint> confirmedAt; // listed again by a restored store: gets no requests until then
-        bool saidLeaving = false; // the engine said so itself
+        bool hasReportedLeaving = false; // in one of its answers
     };
     struct Departure
     {
--- a/packages/dispatch/include/monsoonward/dispatch/fleetview.h
+++ b/packages/dispatch/include/monsoonward/dispatch/fleetview.h
@@ -64,8 +64,8 @@
     /// Stores a report of another daemon.
     /// @return the changes; nothing if the report is out of date, load-only, or not from a member. Units that a daemon
     /// granted while it was silent aren't included, since the others left out its share of the limits during that time;
-    /// nor is what a daemon has granted in its whole life when its first report arrives here, unless it has just
-    /// started. A load-only report doesn't end a silence.
+    /// nor are those granted before the first report of a daemon that arrives here, unless it has just started. A
+    /// load-only report doesn't end a silence.
     std::optional<ReportChanges> addReport(const LoadReport &report, TimePoint now);
     /// @return whether a full report of the member arrived within the silence timeout
     bool isReporting(const HostName &member, TimePoint now) const;
@@ -108,11 +108,13 @@
         LoadReport report;
     };
 
-    void addRequestCounts(const LoadReport &report, int sign);
+    void addToSums(const LoadReport &report);
+    void removeFromSums(const LoadReport &report);
 
     HostName m_own;
     std::map<HostName, Member> m_members; // without this daemon
     std::map<EngineName, std::uint32_t> m_requests;
+    std::map<EngineName, std::uint32_t> m_leaving; // number of daemons that the engine told that it is leaving
     Duration m_silenceTimeout = silenceTimeout;
     std::map<HostName, TimePoint> m_unregistered; // last reports of daemons that aren't members yet
 };
--- a/packages/dispatch/include/monsoonward/dispatch/freshness.h
+++ b/packages/dispatch/include/monsoonward/dispatch/freshness.h
@@ -12,7 +12,8 @@
 {
     /// If the proof is older, requests with a key are refused.
     Duration maxAgeForKeys = std::chrono::milliseconds(4700);
-    /// If the proof is older, requests aren't refused as unknown or unauthorised.
+    /// If the proof is older, requests aren't refused as unknown or unauthorised: a new route or key may be refused so
+    /// for at most this long.
     Duration maxAgeForDenials = std::chrono::milliseconds(2400);
     MONSOONWARD_FIELDS(maxAgeForKeys, maxAgeForDenials)
 };
--- a/packages/dispatch/src/enginedirectory.cpp
+++ b/packages/dispatch/src/enginedirectory.cpp
@@ -76,8 +76,8 @@
     const auto known = m_engines.find(record.name);
     if (known != m_engines.end() && known->second.record.incarnation == record.incarnation) {
         const bool wasLeaving = record.incarnation != 0 && known->second.record.isLeaving;
-        entry.saidLeaving = known->second.saidLeaving;
-        entry.record.isLeaving = record.isLeaving || entry.saidLeaving || wasLeaving;
+        entry.hasReportedLeaving = known->second.hasReportedLeaving;
+        entry.record.isLeaving = record.isLeaving || entry.hasReportedLeaving || wasLeaving;
     }
     const auto departed = m_departed.find(record.name);
     if (departed != m_departed.end()) {
@@ -110,10 +110,10 @@
 bool EngineDirectory::markLeaving(const EngineName &name)
 {
     const auto it = m_engines.find(name);
-    if (it == m_engines.end() || it->second.saidLeaving) {
+    if (it == m_engines.end() || it->second.hasReportedLeaving) {
         return false;
     }
-    it->second.saidLeaving = true;
+    it->second.hasReportedLeaving = true;
     it->second.record.isLeaving = true;
     return true;
 }
@@ -154,11 +154,11 @@
     return it != m_engines.end() && mayReceive(it->second);
 }
 
-std::set<EngineName> EngineDirectory::leavingByOwnWord() const
+std::set<EngineName> EngineDirectory::selfReportedLeaving() const
 {
     std::set<EngineName> names;
     for (const auto &it : m_engines) {
-        if (it.second.saidLeaving) {
+        if (it.second.hasReportedLeaving) {
             names.insert(it.first);
         }
     }
--- a/packages/dispatch/src/enginedirectory_test.cpp
+++ b/packages/dispatch/src/enginedirectory_test.cpp
@@ -69,7 +69,7 @@
     CHECK(directory.markLeaving(record.name));
     CHECK_FALSE(directory.markLeaving(record.name));
     CHECK_FALSE(directory.markLeaving(EngineName("unknown")));
-    CHECK(directory.leavingByOwnWord() == std::set<EngineName> {record.name});
+    CHECK(directory.selfReportedLeaving() == std::set<EngineName> {record.name});
     directory.put(record);
     CHECK(directory.ofService(service).empty());
     directory.remove(record.name, clock.now());
--- a/packages/dispatch/src/enginehealth_test.cpp
+++ b/packages/dispatch/src/enginehealth_test.cpp
@@ -41,7 +41,7 @@
     CHECK(health.isAvailable(engine, clock.now() + EngineHealth::maxPause));
 }
 
-TEST_CASE("an engine that asked for a pause gets nothing until it ends, whatever earlier requests meet")
+TEST_CASE("an engine that asked for a pause gets nothing until it ends, even if an earlier request succeeds")
 {
     VirtualClock clock;
     EngineHealth health;
--- a/packages/dispatch/src/fleetview.cpp
+++ b/packages/dispatch/src/fleetview.cpp
@@ -14,6 +14,19 @@
 // Fraction of a limit that is divided evenly, so that a daemon without demand so far can grant requests.
 constexpr double evenFraction = 0.1;
 
+/// Subtracts @p n from a sum, which is dropped when it reaches zero.
+void subtract(std::map<EngineName, std::uint32_t> &sums, const EngineName &engine, std::uint32_t n)
+{
+    const auto it = sums.find(engine);
+    if (it == sums.end()) {
+        return;
+    }
+    it->second -= std::min(it->second, n);
+    if (it->second == 0) {
+        sums.erase(it);
+    }
+}
+
 } // namespace
 
 FleetView::FleetView(HostName own)
@@ -32,7 +45,7 @@
         }
     }
     for (const auto &it : m_members) {
-        addRequestCounts(it.second.report, -1);
+        removeFromSums(it.second.report);
     }
     m_members = std::move(kept);
     for (const auto &it : members) {
@@ -40,14 +53,23 @@
     }
 }
 
-void FleetView::addRequestCounts(const LoadReport &report, int sign)
+void FleetView::addToSums(const LoadReport &report)
 {
     for (const auto &[engine, requests] : report.requests) {
-        auto &sum = m_requests[engine];
-        sum = sign > 0 ? sum + requests : sum - std::min(sum, requests);
-        if (sum == 0) {
-            m_requests.erase(engine);
-        }
+        m_requests[engine] += requests;
+    }
+    for (const auto &it : report.leavingEngines) {
+        ++m_leaving[it];
+    }
+}
+
+void FleetView::removeFromSums(const LoadReport &report)
+{
+    for (const auto &[engine, requests] : report.requests) {
+        subtract(m_requests, engine, requests);
+    }
+    for (const auto &it : report.leavingEngines) {
+        subtract(m_leaving, it, 1);
     }
 }
 
@@ -70,10 +92,10 @@
     }
     if (report.isLoadOnly) {
         if (member.hasCurrentReport && last.incarnation == report.incarnation) {
-            addRequestCounts(last, -1);
+            removeFromSums(last);
             member.report.sequenceNumber = report.sequenceNumber;
             member.report.requests = report.requests;
-            addRequestCounts(report, 1);
+            addToSums(member.report);
         }
         return std::nullopt;
     }
@@ -88,9 +110,9 @@
             changes.spent[customer] = units - (isKnown ? before->second : 0);
         }
     }
-    addRequestCounts(last, -1);
+    removeFromSums(last);
     member = {now, true, report};
-    addRequestCounts(report, 1);
+    addToSums(report);
     return changes;
 }
 
@@ -129,9 +151,7 @@
 
 bool FleetView::isReportedLeaving(const EngineName &engine) const
 {
-    return std::any_of(m_members.begin(), m_members.end(), [&](const auto &it) {
-        return it.second.hasCurrentReport && it.second.report.leavingEngines.count(engine) != 0;
-    });
+    return m_leaving.count(engine) != 0;
 }
 
 Revision FleetView::highestRevision(TimePoint now) const
@@ -191,8 +211,9 @@
     for (auto &it : m_members) {
         auto &member = it.second;
         if (member.hasCurrentReport && now - member.lastReportAt > m_silenceTimeout) {
-            addRequestCounts(member.report, -1);
+            removeFromSums(member.report);
             member.report.requests.clear();
+            member.report.leavingEngines.clear();
             member.hasCurrentReport = false;
         }
     }
--- a/packages/dispatch/src/fleetview_test.cpp
+++ b/packages/dispatch/src/fleetview_test.cpp
@@ -77,7 +77,7 @@
     CHECK(view.addReport(reportOf("b", 10, 0, 0), clock.now())->spent.at(customer) == doctest::Approx(100));
 }
 
-TEST_CASE("a restarted daemon isn't charged with what the others have granted in all their lives")
+TEST_CASE("a restarted daemon doesn't count units that the others granted before it started")
 {
     VirtualClock clock;
     FleetView restarted {HostName("a")};
@@ -162,7 +162,7 @@
     CHECK(view.size() == 2);
 }
 
-TEST_CASE("a revision counts as the newest one only if neither the store nor a reporting daemon contradicts")
+TEST_CASE("a revision is the newest one only if the store holds it and no reporting daemon holds a higher one")
 {
     VirtualClock clock;
     FleetView view {HostName("a")};
@@ -182,6 +182,32 @@
     CHECK(view.highestRevision(clock.now()) == 0);
 }
 
+TEST_CASE("an engine is reported leaving as long as one daemon that reports says so")
+{
+    VirtualClock clock;
+    FleetView view {HostName("a")};
+    view.setMembers({HostName("b"), HostName("c")}, clock.now());
+    auto report = reportOf("b", 1, 0, 2);
+    report.leavingEngines = {engine};
+    view.addReport(report, clock.now());
+    report.host = HostName("c");
+    view.addReport(report, clock.now());
+    LoadReport loadOnly {HostName("c"), 1, 2, {{engine, 5}}, {}, {}, true};
+    view.addReport(loadOnly, clock.now());
+    CHECK(view.isReportedLeaving(engine));
+    CHECK(view.requestsAt(engine) == 7);
+    view.addReport(reportOf("b", 2, 0, 2), clock.now());
+    CHECK(view.isReportedLeaving(engine)); // c still says so
+    view.addReport(reportOf("c", 3, 0, 2), clock.now());
+    CHECK_FALSE(view.isReportedLeaving(engine));
+    report.sequenceNumber = 4;
+    view.addReport(report, clock.now());
+    CHECK(view.isReportedLeaving(engine));
+    clock.advance(FleetView::silenceTimeout + 1ms);
+    view.expire(clock.now());
+    CHECK_FALSE(view.isReportedLeaving(engine));
+}
+
 TEST_CASE("one daemon has the first duty rank; when it falls silent, another one has")
 {
     VirtualClock clock;
--- a/packages/gateway/src/gatewayprocess.cpp
+++ b/packages/gateway/src/gatewayprocess.cpp
@@ -510,12 +510,12 @@
     MemberList m_members;
     StatusServer m_health;
     StatusServer m_admin;
-    bool m_hasLoggedMalformedEra = false;
     boost::asio::signal_set m_signals;
     boost::asio::steady_timer m_tickTimer;
     StoreWatch m_store;
     std::uint64_t m_hashSeed;
     std::set<std::string> m_unavailableTables; // tables whose last call failed
+    bool m_hasLoggedMalformedEra = false;
     bool m_enginesListed = false;
     TimePoint m_startedAt;
     TimePoint m_stoppingSince;
--- a/packages/gateway/src/gatewayprocess_test.cpp
+++ b/packages/gateway/src/gatewayprocess_test.cpp
@@ -1,5 +1,5 @@
 // Tests a whole gateway process over loopback sockets, with its store in memory.
-#include "monsoonward/gateway/gateway.h"
+#include "gatewaytesting.h"
 
 #include <doctest/doctest.h>
 
@@ -58,31 +58,12 @@
 };
 
 /// Every row of the store is the configuration with one route, or the one engine.
-class SingleEngineAdapter : public Adapter
+class SingleEngineAdapter : public TestAdapter
 {
 public:
-    explicit SingleEngineAdapter(const Address &engine)
-        : m_engine(engine)
+    explicit SingleEngineAdapter(Address engine)
+        : m_engine(std::move(engine))
     {
-        m_dialect.requestId = "Request-Id";
-        m_dialect.timeLeft = "Time-Left";
-        m_dialect.apiKey = "Key";
-        m_dialect.customer = "Customer";
-        m_dialect.expectedEngine = "Engine";
-        m_dialect.notExecuted = "Not-Run";
-        m_dialect.engineMarker = "Seal";
-        m_dialect.engineLeaving = "Leaving";
-        m_dialect.tokenCounts = "Tokens";
-        m_dialect.lastEventId = "Last-Event-Id";
-        m_dialect.readyPath = "/ready";
-    }
-    const HttpDialect &dialect() const override
-    {
-        return m_dialect;
-    }
-    const StoreLayout &storeLayout() const override
-    {
-        return m_layout;
     }
     Result<ServingConfiguration> decodeConfiguration(const std::string & /*text*/) const override
     {
@@ -111,16 +92,55 @@
     }
 
 private:
-    HttpDialect m_dialect;
-    StoreLayout m_layout {"configuration", "row", "engines", "gateways"};
     Address m_engine;
 };
 
-std::string freeAddress()
+std::string textOf(const Address &address)
 {
-    asio::io_context io;
-    const tcp::acceptor acceptor(io, {asio::ip::make_address(loopback), 0});
-    return std::string(loopback) + ":" + std::to_string(acceptor.local_endpoint().port());
+    return address.ip + ":" + std::to_string(address.port);
+}
+
+/// Writes a settings file that is deleted at the end of the scope.
+class TemporaryFile
+{
+public:
+    explicit TemporaryFile(const std::string &text)
+    {
+        const int handle = mkstemp(m_path.data()); // replaces the X's
+        REQUIRE(handle >= 0);
+        close(handle);
+        std::ofstream(m_path) << text;
+    }
+    ~TemporaryFile()
+    {
+        std::remove(m_path.c_str());
+    }
+    TemporaryFile(const TemporaryFile &) = delete;
+    TemporaryFile &operator=(const TemporaryFile &) = delete;
+
+    const std::string &path() const
+    {
+        return m_path;
+    }
+
+private:
+    std::string m_path = "/tmp/monsoonward-test-XXXXXX";
+};
+
+/// Connects as soon as the gateway listens, which must happen within a few seconds.
+tcp::socket connectTo(asio::io_context &io, const Address &address)
+{
+    const auto giveUpAt = std::chrono::steady_clock::now() + 5s;
+    while (true) {
+        tcp::socket socket(io);
+        boost::system::error_code ec;
+        socket.connect({asio::ip::make_address(address.ip), address.port}, ec);
+        if (!ec || std::chrono::steady_clock::now() > giveUpAt) {
+            REQUIRE_FALSE(ec);
+            return socket;
+        }
+        std::this_thread::sleep_for(10ms);
+    }
 }
 
 } // namespace
@@ -129,20 +149,16 @@
 {
     asio::io_context io;
     tcp::acceptor engine(io, {asio::ip::make_address(loopback), 0}); // accepts connections and never responds
-    const auto callers = freeAddress();
-    char file[] = "/tmp/monsoonward-test-XXXXXX";
-    close(mkstemp(file));
-    std::ofstream(file)
-        << "[daemon]\nrole = gateway\nhost = g\ndata-centre = a\nregions = a: r\ngrace = 1 s\n[callers]\nlisten = "
-        << callers << "\n[health]\nlisten = " << freeAddress() << "\n[admin]\nlisten = " << freeAddress()
-        << "\n[peer]\nlisten = " << freeAddress() << "\n[store]\naddress = 127.0.0.1:1\n[log]\nlevel = error\n";
+    const auto callers = freeLoopbackAddress();
+    const TemporaryFile settings(
+        "[daemon]\nrole = gateway\nhost = g\ndata-centre = a\nregions = a: r\ngrace = 1 s\n[callers]\nlisten = "
+        + textOf(callers) + "\n[health]\nlisten = " + textOf(freeLoopbackAddress())
+        + "\n[admin]\nlisten = " + textOf(freeLoopbackAddress()) + "\n[peer]\nlisten = " + textOf(freeLoopbackAddress())
+        + "\n[store]\naddress = 127.0.0.1:1\n[log]\nlevel = error\n");
     const SingleEngineAdapter adapter({loopback, engine.local_endpoint().port()});
     int exitCode = -1;
-    std::thread gateway([&] { exitCode = runGateway(file, adapter); });
-    std::this_thread::sleep_for(300ms);
-    tcp::socket caller(io);
-    caller.connect({asio::ip::make_address(loopback),
-                    static_cast<unsigned short>(std::stoul(callers.substr(callers.find(':') + 1)))});
+    std::thread gateway([&] { exitCode = runGateway(settings.path(), adapter); });
+    auto caller = connectTo(io, callers);
     asio::write(caller,
                 asio::buffer(std::string("POST / HTTP/1.1\r\nHost: h\r\nRequest-Id: r\r\nContent-Length: 0\r\n\r\n")));
     tcp::socket engineSide(io);
@@ -152,5 +168,4 @@
     gateway.join();
     CHECK(exitCode == 4);
     CHECK(std::chrono::steady_clock::now() - stoppedAt < 1s);
-    std::remove(file);
 }
--- a/packages/gateway/src/loadreports.cpp
+++ b/packages/gateway/src/loadreports.cpp
@@ -169,7 +169,7 @@
     m_lastFullReportAt = now;
     report.demand = m_core.rateLimiter.demands(now);
     report.spent = m_core.rateLimiter.spent();
-    report.leavingEngines = m_core.engines.leavingByOwnWord();
+    report.leavingEngines = m_core.engines.selfReportedLeaving();
     report.knowledge = m_core.knowledge;
     report.uptime = now - m_startedAt;
     sendTo(m_localPeers, report);
--- a/packages/gateway/src/path_test.cpp
+++ b/packages/gateway/src/path_test.cpp
@@ -1,5 +1,6 @@
 // Tests requests through a gateway over loopback sockets. Callers and engines are scripted byte by byte.
 #include "gatewaycallers.h"
+#include "gatewaytesting.h"
 
 #include <doctest/doctest.h>
 
@@ -20,51 +21,6 @@
 
 const std::string loopback = "127.0.0.1";
 
-/// Adapter with header names for the tests, and without a store.
-class TestAdapter : public Adapter
-{
-public:
-    TestAdapter()
-    {
-        m_dialect.requestId = "Request-Id";
-        m_dialect.timeLeft = "Time-Left";
-        m_dialect.apiKey = "Key";
-        m_dialect.customer = "Customer";
-        m_dialect.expectedEngine = "Engine";
-        m_dialect.notExecuted = "Not-Run";
-        m_dialect.engineMarker = "Seal";
-        m_dialect.engineLeaving = "Leaving";
-        m_dialect.tokenCounts = "Tokens";
-        m_dialect.lastEventId = "Last-Event-Id";
-        m_dialect.reservedHeaders = {"Reserved"};
-        m_dialect.readyPath = "/ready";
-    }
-    const HttpDialect &dialect() const override
-    {
-        return m_dialect;
-    }
-    const StoreLayout &storeLayout() const override
-    {
-        return m_layout;
-    }
-    Result<ServingConfiguration> decodeConfiguration(const std::string & /*text*/) const override
-    {
-        return Error {ErrorCode::Invalid, "no configuration"};
-    }
-    Result<EngineRecord> decodeEngine(const std::string & /*key*/, const std::string & /*text*/) const override
-    {
-        return Error {ErrorCode::Invalid, "no engine"};
-    }
-    std::unique_ptr<RowStore> makeRowStore(asio::io_context & /*io*/, const Address & /*store*/) const override
-    {
-        return nullptr;
-    }
-
-private:
-    HttpDialect m_dialect;
-    StoreLayout m_layout;
-};
-
 /// Reads one request or response with its headers, and its body if a Content-Length is given.
 /// @param unread bytes received after the message; kept for the next call
 /// @return the message, or empty if the connection was closed
@@ -239,18 +195,11 @@
     return "id: " + std::to_string(id) + "\ndata: x\n\n";
 }
 
-Address freeAddress()
-{
-    asio::io_context io;
-    const tcp::acceptor acceptor(io, {asio::ip::make_address(loopback), 0});
-    return {loopback, acceptor.local_endpoint().port()};
-}
-
 GatewaySettings testSettings()
 {
     GatewaySettings settings;
     settings.host = HostName("g");
-    settings.callerListen = freeAddress();
+    settings.callerListen = freeLoopbackAddress();
     settings.maxMemoryMegabytes = 128;
     settings.maxDescriptors = 1024;
     settings.freshness = {1min, 1min};
@@ -536,7 +485,7 @@
 {
     ScriptedEngine broken([](const std::string & /*request*/) { return ScriptedResponse {"", true}; });
     ScriptedEngine working([](const std::string &it) { return ScriptedResponse {responseTo(it, "ok")}; });
-    addEngine("a", freeAddress());
+    addEngine("a", freeLoopbackAddress());
     addEngine("b", broken.address());
     addEngine("c", working.address());
     m_core.settings.retryBudget = {10, 1000, 10s};
--- a/packages/gateway/src/reportcodec.cpp
+++ b/packages/gateway/src/reportcodec.cpp
@@ -2,7 +2,6 @@
 
 #include <nlohmann/json.hpp>
 
-#include <cmath>
 #include <limits>
 
 namespace monsoonward
--- a/packages/gateway/src/storewatch.cpp
+++ b/packages/gateway/src/storewatch.cpp
@@ -11,8 +11,8 @@
 constexpr Duration configurationPollPause = std::chrono::milliseconds(300); // between polls during a burst of changes
 constexpr Duration registrationPollPause = std::chrono::milliseconds(
     600); // the same for engines and gateways; an engine that leaves may get requests for this much longer
-constexpr Duration proofWorthReporting =
-    std::chrono::milliseconds(500); // a proof from a call that took longer is not sent at once
+constexpr Duration maxCallTimeToReport =
+    std::chrono::milliseconds(500); // a proof is dated at the start of its call; an older one waits for the next report
 constexpr Duration maxTimeBehind =
     std::chrono::milliseconds(800); // then a change that another gateway has seen should have arrived here, too
 
@@ -103,7 +103,7 @@
     const auto provenAtMs = read.storeTimeMs - milliseconds(callLength);
     if (provenAtMs > knowledge.provenAtMs) {
         knowledge.provenAtMs = provenAtMs;
-        if (callLength < proofWorthReporting) {
+        if (callLength < maxCallTimeToReport) {
             m_reportProof();
         }
     }
@@ -113,6 +113,8 @@
 {
     m_core.freshness.storeRestored(m_core.clock.now());
     m_storedRevision = 0;
+    // From now on, reports that date proofs in the former era are not comparable.
+    m_core.knowledge.era = m_eras.current();
     m_core.knowledge.provenAtMs = 0;
     pollAll();
 }
@@ -137,8 +139,9 @@
     if (reported.provenAtMs <= knowledge.provenAtMs || reported.revision != knowledge.revision || !isNewestRevision()) {
         return;
     }
-    if (const auto provenAt = m_storeClock.earliest(knowledge.era, reported.provenAtMs, now)) {
-        m_core.freshness.recordProof(std::min(*provenAt, now));
+    const auto provenAt = m_storeClock.earliest(knowledge.era, reported.provenAtMs, now);
+    if (provenAt && *provenAt <= now) { // a proof from the future is an error of its sender
+        m_core.freshness.recordProof(*provenAt);
         knowledge.provenAtMs = reported.provenAtMs;
     }
 }
--- a/packages/gateway/src/tablefeed.cpp
+++ b/packages/gateway/src/tablefeed.cpp
@@ -231,7 +231,7 @@
 void TableFeed::onProbed(const Result<RowPage> &page, std::uint64_t version, TimePoint startedAt)
 {
     if (m_version != version || m_failures > 0) {
-        return; // the long poll has ended meanwhile and knows more
+        return; // the long poll has been answered or has failed meanwhile
     }
     if (!page) {
         m_store->cancel();
