Split exchange.cpp and path_test.cpp, and keep status codes and header values once

exchange.cpp (689 lines) is parted into the life and attempts of an exchange (296), its checks before placement and its response and record; path_test.cpp (789) into a fixture, tests of requests and tests of engines' responses. HTTP status codes that EngineCall and Exchange both defined are in httpstatus.h, the reading of header values in headervalues.h with a test of its own.

--- a/packages/gateway/src/enginecall.cpp
+++ b/packages/gateway/src/enginecall.cpp
@@ -1,8 +1,9 @@
 #include "enginecall.h"
 
-#include <monsoonward/callers/callers.h>
+#include "headervalues.h"
+#include "httpstatus.h"
 
-#include <charconv>
+#include <monsoonward/callers/callers.h>
 
 namespace monsoonward
 {
@@ -17,43 +18,6 @@
 constexpr Duration connectTimeout = std::chrono::milliseconds(350); // allows many round trips between regions
 constexpr std::uint32_t maxHeaderBytes = 32U * 1024U;
 constexpr std::uint64_t maxBodyBytes = std::uint64_t {1} << 40U; // 1 TiB: bodies are streamed, not buffered
-constexpr unsigned unavailable = 503;
-constexpr unsigned misdirectedRequest = 421; // 421 Misdirected Request: another engine has this address now
-
-/// @return the value of "timeout=" in a Keep-Alive header, or zero
-Duration keepAliveTimeoutOf(const http::fields &fields)
-{
-    constexpr std::string_view key = "timeout=";
-    const std::string_view text(fields["Keep-Alive"].data(), fields["Keep-Alive"].size());
-    const auto at = text.find(key);
-    unsigned seconds = 0;
-    if (at != std::string_view::npos) {
-        std::from_chars(text.data() + at + key.size(), text.data() + text.size(), seconds);
-    }
-    return std::chrono::seconds(seconds);
-}
-
-/// @return the duration of a Retry-After header in seconds, or nothing if there is none or it can't be read
-std::optional<Duration> retryAfterOf(const http::fields &fields)
-{
-    const auto text = fields[http::field::retry_after];
-    double seconds = 0;
-    const auto end = text.data() + text.size();
-    const auto [stop, ec] = std::from_chars(text.data(), end, seconds);
-    if (text.empty() || ec != std::errc() || stop != end || !(seconds >= 0)) {
-        return std::nullopt;
-    }
-    const std::chrono::duration<double> limit = EngineHealth::maxRequestedPause;
-    return std::chrono::duration_cast<Duration>(std::min(std::chrono::duration<double>(seconds), limit));
-}
-
-bool isFailure(unsigned status)
-{
-    constexpr unsigned firstServerError = 500;
-    constexpr unsigned requestTimeout = 408;
-    constexpr unsigned tooManyRequests = 429;
-    return status >= firstServerError || status == requestTimeout || status == tooManyRequests;
-}
 
 } // namespace
 
@@ -156,8 +120,8 @@
     if (message[m_dialect.engineLeaving] == "1") {
         m_handler->engineLeaving();
     }
-    if (message.result_int() == unavailable) {
-        if (const auto pause = retryAfterOf(message)) {
+    if (message.result_int() == httpstatus::unavailable) {
+        if (const auto pause = retryAfterOf(message, EngineHealth::maxRequestedPause)) {
             m_handler->pauseRequested(*pause);
         }
     }
@@ -165,11 +129,9 @@
 
 void EngineCall::onHeaderRead()
 {
-    constexpr unsigned firstSuccess = 200;
-    constexpr unsigned firstRedirect = 300;
     const auto &message = m_parser->get();
     const auto status = message.result_int();
-    if (status < firstSuccess) {
+    if (status < httpstatus::firstSuccess) {
         readHeader(); // a 1xx response
         return;
     }
@@ -181,14 +143,15 @@
     }
     m_isStaleResponse = isStaleResponse();
     m_outcomeAfterBody = AttemptOutcome::Rejected;
-    m_isDiscarding = m_isStaleResponse || status == misdirectedRequest || message.count(m_dialect.notExecuted) != 0;
+    m_isDiscarding =
+        m_isStaleResponse || status == httpstatus::misdirectedRequest || message.count(m_dialect.notExecuted) != 0;
     if (!m_isDiscarding) {
-        const bool isSuccess = status < firstRedirect;
+        const bool isSuccess = status < httpstatus::firstRedirect;
         if (isSuccess && (message.count(m_dialect.engineMarker) == 0 || message.count(m_dialect.requestId) == 0)) {
             finish(AttemptOutcome::Broken, "a success without the engine's marks");
             return;
         }
-        m_outcomeAfterBody = isFailure(status) ? AttemptOutcome::Failed : AttemptOutcome::Complete;
+        m_outcomeAfterBody = httpstatus::isFailure(status) ? AttemptOutcome::Failed : AttemptOutcome::Complete;
         m_handler->responseStarted({status, message.base()});
         if (m_handler == nullptr) {
             return;
--- a/packages/gateway/src/exchange.h
+++ b/packages/gateway/src/exchange.h
@@ -35,6 +35,9 @@
     void callEnded(AttemptOutcome outcome, const std::string &reason) override;
 
 private:
+    /// By then a failed store call has been retried, or requests have ended.
+    static constexpr Duration defaultRetryAfter = std::chrono::milliseconds(500);
+
     /// Checks the request and charges it to its customer's rate limit.
     /// @return whether the request may be placed; if not, it has been refused
     bool admit();
--- /dev/null
+++ b/packages/gateway/src/gatewayfixture.h
@@ -0,0 +1,394 @@
+#pragma once
+
+#include "gatewaycallers.h"
+#include "gatewaytesting.h"
+
+#include <doctest/doctest.h>
+
+#include <boost/asio/write.hpp>
+
+#include <atomic>
+#include <cctype>
+#include <cstdio>
+#include <mutex>
+#include <thread>
+
+// A gateway over loopback sockets whose callers and engines are scripted byte by byte, for tests of requests.
+
+namespace monsoonward
+{
+
+namespace asio = boost::asio;
+using asio::ip::tcp;
+using boost::system::error_code;
+
+inline const std::string loopback = "127.0.0.1";
+
+/// Reads one request or response with its headers, and its body if a Content-Length is given.
+/// @param unread bytes received after the message; kept for the next call
+/// @return the message, or empty if the connection was closed
+inline std::string readMessage(tcp::socket &socket, std::string &unread)
+{
+    error_code ec;
+    auto end = unread.find("\r\n\r\n");
+    while (end == std::string::npos) {
+        char buf[4096];
+        const auto n = socket.read_some(asio::buffer(buf), ec);
+        if (ec) {
+            return "";
+        }
+        unread.append(buf, n);
+        end = unread.find("\r\n\r\n");
+    }
+    const std::string key = "content-length: ";
+    auto lower = unread.substr(0, end);
+    std::transform(lower.begin(), lower.end(), lower.begin(), [](unsigned char it) { return std::tolower(it); });
+    const auto at = lower.find(key);
+    const auto length = at == std::string::npos ? 0 : std::stoul(lower.substr(at + key.size()));
+    while (unread.size() < end + 4 + length) {
+        char buf[4096];
+        const auto n = socket.read_some(asio::buffer(buf), ec);
+        if (ec) {
+            return "";
+        }
+        unread.append(buf, n);
+    }
+    auto message = unread.substr(0, end + 4 + length);
+    unread.erase(0, end + 4 + length);
+    return message;
+}
+
+/// @return the value of the header, or empty if it is missing
+inline std::string header(const std::string &message, const std::string &name)
+{
+    const auto at = message.find("\r\n" + name + ": ");
+    if (at == std::string::npos) {
+        return "";
+    }
+    const auto begin = at + name.size() + 4;
+    return message.substr(begin, message.find("\r\n", begin) - begin);
+}
+
+/// How a scripted engine responds to one request.
+struct ScriptedResponse
+{
+    std::string bytes; ///< sent to the gateway
+    bool closesConnection = false; ///< closes the connection after the bytes
+    bool hangs = false; ///< after the bytes, waits until the gateway closes the connection
+};
+
+/// An engine whose responses the test scripts. Each connection has its own thread.
+class ScriptedEngine
+{
+public:
+    using Responder = std::function<ScriptedResponse(const std::string &request)>;
+
+    explicit ScriptedEngine(Responder response)
+        : m_responder(std::move(response))
+        , m_acceptor(m_io, {asio::ip::make_address(loopback), 0})
+        , m_thread([this] { run(); })
+    {
+    }
+    ~ScriptedEngine()
+    {
+        m_stopping = true;
+        error_code ignored;
+        tcp::socket wakeUpSocket(m_io);
+        wakeUpSocket.connect(m_acceptor.local_endpoint(), ignored);
+        m_thread.join();
+        for (auto &it : m_sockets) {
+            it->shutdown(tcp::socket::shutdown_both, ignored); // the gateway holds idle connections open
+        }
+        for (auto &it : m_connections) {
+            it.join();
+        }
+    }
+    ScriptedEngine(const ScriptedEngine &) = delete;
+    ScriptedEngine &operator=(const ScriptedEngine &) = delete;
+
+    Address address() const
+    {
+        return {loopback, m_acceptor.local_endpoint().port()};
+    }
+    std::vector<std::string> requests() const
+    {
+        const std::lock_guard lock(m_mutex);
+        return m_requests;
+    }
+    std::atomic<unsigned> disconnectsWhileHanging {0};
+
+private:
+    void run()
+    {
+        while (true) {
+            tcp::socket socket(m_io);
+            m_acceptor.accept(socket);
+            if (m_stopping) {
+                return;
+            }
+            const auto shared = std::make_shared<tcp::socket>(std::move(socket));
+            m_sockets.push_back(shared);
+            m_connections.emplace_back([this, shared] {
+                serve(*shared);
+                error_code ignored; // the gateway may have closed the connection already
+                shared->shutdown(tcp::socket::shutdown_both, ignored);
+            });
+        }
+    }
+
+    void serve(tcp::socket &socket)
+    {
+        std::string unread;
+        while (true) {
+            const auto request = readMessage(socket, unread);
+            if (request.empty()) {
+                return;
+            }
+            {
+                const std::lock_guard lock(m_mutex);
+                m_requests.push_back(request);
+            }
+            const auto response = m_responder(request);
+            error_code ec;
+            asio::write(socket, asio::buffer(response.bytes), ec);
+            if (response.hangs) {
+                char byte = 0;
+                socket.read_some(asio::buffer(&byte, 1), ec);
+                disconnectsWhileHanging += ec ? 1 : 0;
+                return;
+            }
+            if (response.closesConnection || ec) {
+                return;
+            }
+        }
+    }
+
+    Responder m_responder;
+    asio::io_context m_io;
+    tcp::acceptor m_acceptor;
+    mutable std::mutex m_mutex;
+    std::vector<std::string> m_requests;
+    std::vector<std::shared_ptr<tcp::socket>> m_sockets;
+    std::vector<std::thread> m_connections;
+    std::atomic<bool> m_stopping {false};
+    std::thread m_thread;
+};
+
+inline std::string responseTo(const std::string &request, const std::string &body, const std::string &extra = "")
+{
+    return "HTTP/1.1 200 OK\r\nSeal: s\r\nRequest-Id: " + header(request, "Request-Id")
+        + "\r\nContent-Length: " + std::to_string(body.size()) + "\r\n" + extra + "\r\n" + body;
+}
+
+inline std::string chunk(const std::string &bytes)
+{
+    char size[20];
+    std::snprintf(size, sizeof size, "%zx\r\n", bytes.size());
+    return size + bytes + "\r\n";
+}
+
+inline std::string streamHeader(const std::string &request)
+{
+    return "HTTP/1.1 200 OK\r\nSeal: s\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\nRequest-Id: "
+        + header(request, "Request-Id") + "\r\n\r\n";
+}
+
+inline std::string event(unsigned id)
+{
+    return "id: " + std::to_string(id) + "\ndata: x\n\n";
+}
+
+inline GatewaySettings testSettings()
+{
+    GatewaySettings settings;
+    settings.host = HostName("g");
+    settings.callerListen = freeLoopbackAddress();
+    settings.maxMemoryMegabytes = 128;
+    settings.maxDescriptors = 1024;
+    settings.freshness = {std::chrono::minutes(1), std::chrono::minutes(1)};
+    settings.logLevel = "error";
+    settings.logKilobytesPerSecond = 100;
+    return settings;
+}
+
+/// A steady clock that the test can advance, as after a pause of the process.
+class JumpingClock : public Clock
+{
+public:
+    TimePoint now() const override
+    {
+        return m_clock.now() + Duration(m_offset.load());
+    }
+    void jump(Duration duration)
+    {
+        m_offset += duration.count();
+    }
+
+private:
+    SteadyClock m_clock;
+    std::atomic<Duration::rep> m_offset {0};
+};
+
+/// Places requests like the wrapped placer and calls a hook between the choice of an engine and the send.
+class HookedPlacer : public Placer
+{
+public:
+    HookedPlacer(std::unique_ptr<Placer> placer, const std::function<void()> &afterPlacement)
+        : m_placer(std::move(placer))
+        , m_afterPlacement(afterPlacement)
+    {
+    }
+    Placement place(const PlacementRequest &request, TimePoint now) override
+    {
+        return m_placer->place(request, now);
+    }
+    void requestSent(const EngineName &engine, TimePoint now) override
+    {
+        m_placer->requestSent(engine, now);
+        if (m_afterPlacement) {
+            m_afterPlacement();
+        }
+    }
+    void firstBytesReceived(const EngineRecord &engine, double load, Duration length, TimePoint now) override
+    {
+        m_placer->firstBytesReceived(engine, load, length, now);
+    }
+    void requestEnded(const EngineName &engine) override
+    {
+        m_placer->requestEnded(engine);
+    }
+    void forget(const EngineName &engine) override
+    {
+        m_placer->forget(engine);
+    }
+    void loadReported(TimePoint now) override
+    {
+        m_placer->loadReported(now);
+    }
+    const std::map<EngineName, std::uint32_t> &ownRequests() const override
+    {
+        return m_placer->ownRequests();
+    }
+
+private:
+    std::unique_ptr<Placer> m_placer;
+    const std::function<void()> &m_afterPlacement;
+};
+
+/// A gateway without a store, with one customer and one route for each kind of repeatability.
+class GatewayFixture
+{
+public:
+    ~GatewayFixture()
+    {
+        m_io.stop();
+        if (m_thread.joinable()) {
+            m_thread.join();
+        }
+    }
+
+    void addEngine(const std::string &name, const Address &address)
+    {
+        EngineRecord engine;
+        engine.name = EngineName(name);
+        engine.service = ServiceName("s");
+        engine.address = address;
+        engine.slots = 5;
+        m_core.engines.put(engine);
+    }
+
+    void start()
+    {
+        ServingConfiguration configuration;
+        configuration.revision = 1;
+        configuration.routes = {route("/once/", Repeatability::Once, false),
+                                route("/safe/", Repeatability::Repeatable, false),
+                                route("/stream/", Repeatability::Resumable, true)};
+        CustomerConfiguration customer;
+        customer.name = CustomerName("c");
+        customer.keys = {"k"};
+        configuration.customers = {customer};
+        configuration.limits.maxHeaderBytes = 2000;
+        configuration.limits.maxBodyBytes = 5000;
+        m_core.activeConfiguration =
+            std::make_shared<const ActiveConfiguration>(std::make_shared<const ServingConfiguration>(configuration), 1);
+        m_core.freshness.recordProof(m_clock.now());
+        m_core.placer = std::make_unique<HookedPlacer>(std::move(m_core.placer), afterPlacement);
+        REQUIRE(m_listener.listen());
+        m_listener.startAccepting();
+        m_thread = std::thread([this] { m_io.run(); });
+    }
+
+    /// Sends bytes on a new connection and reads until the gateway closes it.
+    std::string exchange(const std::string &bytes)
+    {
+        tcp::socket socket(m_callerIo);
+        connect(socket);
+        asio::write(socket, asio::buffer(bytes));
+        return readAll(socket);
+    }
+
+    void connect(tcp::socket &socket) const
+    {
+        const auto &address = m_core.settings.callerListen;
+        socket.connect({asio::ip::make_address(address.ip), address.port});
+    }
+
+    static std::string readAll(tcp::socket &socket)
+    {
+        std::string all;
+        error_code ec;
+        while (!ec) {
+            char buf[4096];
+            const auto n = socket.read_some(asio::buffer(buf), ec);
+            all.append(buf, n);
+        }
+        return all;
+    }
+
+    static std::string request(const std::string &path, const std::string &extra = "", const std::string &body = "")
+    {
+        return "POST " + path + " HTTP/1.1\r\nHost: h\r\nKey: k\r\nRequest-Id: id1\r\nTime-Left: 3000\r\n" + extra
+            + "Connection: close\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
+    }
+
+    std::function<void()> afterPlacement; ///< called between the choice of an engine and the send
+
+protected:
+    static Route route(const std::string &prefix, Repeatability repeatability, bool isStream)
+    {
+        Route it;
+        it.name = prefix;
+        it.host = "h";
+        it.prefix = prefix;
+        it.services = {{ServiceName("s"), 1}};
+        it.repeatability = repeatability;
+        it.isStream = isStream;
+        it.timeLimit = std::chrono::seconds(4);
+        it.maxAttempts = 2;
+        return it;
+    }
+
+    asio::io_context m_io {1};
+    asio::io_context m_callerIo;
+    JumpingClock m_clock;
+    TestAdapter m_adapter;
+    GatewayMetrics m_metrics;
+    StructuredLog m_log {LogLimits {"error", 1000, 1000}, HostName("g"), 1};
+    GatewayCore m_core {m_io, m_clock, testSettings(), m_adapter, m_log, m_metrics};
+    GatewayCallerService m_callers {m_core};
+    CallerListener m_listener {m_io, m_core.clock, m_callers, m_core.settings.callerListen, 100};
+    std::thread m_thread;
+};
+
+inline unsigned statusOf(const std::string &response)
+{
+    return response.size() < 12 ? 0 : static_cast<unsigned>(std::stoul(response.substr(9, 3)));
+}
+
+inline std::string bodyOf(const std::string &response)
+{
+    const auto end = response.find("\r\n\r\n");
+    return end == std::string::npos ? "" : response.substr(end + 4);
+}
+} // namespace monsoonward
