Log bytes that arrive on a connection that the gateway has ended

The hypotheses on requests without an answer differ in whether the gateway reads the request: event 6005 is written when input is dropped.

--- a/packages/callers/include/monsoonward/callers/callerservice.h
+++ b/packages/callers/include/monsoonward/callers/callerservice.h
@@ -66,6 +66,9 @@
     makeExchange(CallerRequest request, TimePoint arrivedAt, ResponseSink &sink) = 0;
     /// @return the response to a request that could not be read completely and therefore was not processed
     virtual CallerResponse errorResponse(unsigned status, const std::string &reason) = 0;
+    /// A caller sent bytes after the end of its connection, and they were dropped. Called once for a connection.
+    /// @param bytes received first; more may follow
+    virtual void inputDiscarded(std::size_t bytes) = 0;
 };
 
 } // namespace monsoonward
--- a/packages/callers/src/callerconnection.cpp
+++ b/packages/callers/src/callerconnection.cpp
@@ -362,7 +362,10 @@
 void CallerConnection::discardInput()
 {
     m_socket.async_read_some(asio::buffer(m_discardBuffer),
-                             [self = shared_from_this()](const error_code &ec, std::size_t /*n*/) {
+                             [self = shared_from_this()](const error_code &ec, std::size_t n) {
+                                 if (n > 0 && !std::exchange(self->m_hasReportedDiscard, true)) {
+                                     self->m_service.inputDiscarded(n);
+                                 }
                                  if (ec) {
                                      self->close();
                                  } else {
--- a/packages/callers/src/callerconnection.h
+++ b/packages/callers/src/callerconnection.h
@@ -88,6 +88,7 @@
     std::string m_writeBuffer; // the bytes being written
     std::string m_pendingBytes; // to be written after the response headers
     std::array<char, 1024> m_discardBuffer {};
+    bool m_hasReportedDiscard = false;
 };
 
 } // namespace monsoonward
--- a/packages/callers/src/callerlistener_test.cpp
+++ b/packages/callers/src/callerlistener_test.cpp
@@ -76,12 +76,17 @@
     {
         return {status, {}, reason};
     }
+    void inputDiscarded(std::size_t bytes) override
+    {
+        discardedBytes += bytes;
+    }
 
     bool stopping = false;
     std::size_t pieceBytes = 3;
     int maxPieces = 2;
     int pieces = 0;
     int disconnects = 0;
+    std::size_t discardedBytes = 0;
 };
 
 /// A listener whose event loop is run by the test.
--- a/packages/daemon/src/httplistener.cpp
+++ b/packages/daemon/src/httplistener.cpp
@@ -176,6 +176,11 @@
         return toCallerResponse(refusalBeforeSubmit(status, reason, "the request was not read to its end"));
     }
 
+    void inputDiscarded(std::size_t /*bytes*/) override
+    {
+        // Only follows a response that announced the end of the connection, as isStopping() is always false.
+    }
+
 private:
     HttpListenerOptions m_options;
     HttpRequestHandler &m_handler;
--- a/packages/gateway/src/gatewaycallers.cpp
+++ b/packages/gateway/src/gatewaycallers.cpp
@@ -41,6 +41,14 @@
     return response;
 }
 
+void GatewayCallerService::inputDiscarded(std::size_t bytes)
+{
+    m_core.log.write(Event::CallerInputDiscarded,
+                     Severity::Warning,
+                     "caller-input-discarded",
+                     {{"bytes", static_cast<std::int64_t>(bytes)}, {"stopping", m_core.isStopping}});
+}
+
 std::size_t maxCallerConnections(std::uint32_t maxDescriptors)
 {
     constexpr std::uint32_t reservedDescriptors =
--- a/packages/gateway/src/gatewaycallers.h
+++ b/packages/gateway/src/gatewaycallers.h
@@ -18,6 +18,7 @@
     std::shared_ptr<CallerExchange>
     makeExchange(CallerRequest request, TimePoint arrivedAt, ResponseSink &sink) override;
     CallerResponse errorResponse(unsigned status, const std::string &reason) override;
+    void inputDiscarded(std::size_t bytes) override;
 
 private:
     GatewayCore &m_core;
--- a/packages/values/include/monsoonward/values/eventlog.h
+++ b/packages/values/include/monsoonward/values/eventlog.h
@@ -63,6 +63,7 @@
     RequestNotServed = 6002,
     AttemptFailed = 6003,
     CallerRefused = 6004,
+    CallerInputDiscarded = 6005,
     EnginePaused = 6101,
     EngineListed = 6102,
     EngineGone = 6103,
