Close idle connections without reading what arrives later

Callers saw the end of their connection and no answer to a whole request, and could not tell whether it had run.

Cause: closeIfIdle() ended the sending side and went on reading, so that a request in transit was read and dropped. The connection is now closed at once: the kernel answers a later request with a reset, which says that it was not read, and callers may send it again.

--- a/packages/callers/src/callerconnection.cpp
+++ b/packages/callers/src/callerconnection.cpp
@@ -381,7 +381,7 @@
     }
     error_code ignored; // a broken connection has nothing to read either
     if (m_socket.available(ignored) == 0) {
-        linger();
+        close(); // a request in transit meets a reset, which tells the caller that it wasn't read
     }
 }
 
--- a/packages/callers/src/callerconnection.h
+++ b/packages/callers/src/callerconnection.h
@@ -29,7 +29,8 @@
     CallerConnection &operator=(const CallerConnection &) = delete;
 
     void start();
-    /// Closes the connection cleanly if no request is in progress.
+    /// Closes the connection if no request is in progress or has arrived. One that arrives later isn't read: its caller
+    /// sees a reset.
     void closeIfIdle();
     /// Closes the connection immediately, and tells the exchange in progress, if any.
     void close();
