Keep a connection open during a stop until it has been idle for a second

A caller that had just connected to a stopping gateway saw the end of the connection and no answer to its first request.

Cause: from 2.5 s after SIGTERM idle connections were closed every 50 ms, also those whose first request was in transit.

A test of the listener covers the same.

--- a/packages/callers/include/monsoonward/callers/callerlistener.h
+++ b/packages/callers/include/monsoonward/callers/callerlistener.h
@@ -37,8 +37,9 @@
     /// Accepts the connections that the kernel has already established, then stops listening. Open connections are not
     /// affected.
     void stopAccepting();
-    /// Closes the connections on which no request is in progress.
-    void closeIdleConnections();
+    /// Closes the connections on which no request has been in progress for @p minIdleTime. On others, such as those that
+    /// were just made, a request may be in transit.
+    void closeIdleConnections(Duration minIdleTime);
     /// Closes all connections immediately, also those with a request in progress.
     void closeAll();
     /// @return number of open connections
--- a/packages/callers/src/callerconnection.cpp
+++ b/packages/callers/src/callerconnection.cpp
@@ -70,7 +70,8 @@
         readHeader();
         return;
     }
-    startTimer(m_service.limits().idleTimeout, [this] { closeIfIdle(); });
+    m_idleSince = m_clock.now();
+    startTimer(m_service.limits().idleTimeout, [this] { closeIfIdle(Duration::zero()); });
     m_socket.async_wait(tcp::socket::wait_read, [self = shared_from_this()](const error_code &ec) {
         if (self->m_phase != Phase::Idle) {
             return;
@@ -374,9 +375,9 @@
                              });
 }
 
-void CallerConnection::closeIfIdle()
+void CallerConnection::closeIfIdle(Duration minIdleTime)
 {
-    if (m_phase != Phase::Idle) {
+    if (m_phase != Phase::Idle || m_clock.now() - m_idleSince < minIdleTime) {
         return;
     }
     error_code ignored; // a broken connection has nothing to read either
--- a/packages/callers/src/callerconnection.h
+++ b/packages/callers/src/callerconnection.h
@@ -31,7 +31,8 @@
     void start();
     /// Closes the connection if no request is in progress or has arrived. One that arrives later isn't read: its caller
     /// sees a reset.
-    void closeIfIdle();
+    /// @param minIdleTime a connection that became idle more recently stays open
+    void closeIfIdle(Duration minIdleTime);
     /// Closes the connection immediately, and tells the exchange in progress, if any.
     void close();
 
@@ -76,6 +77,7 @@
     boost::beast::flat_buffer m_buffer;
     std::optional<Parser> m_parser;
     Phase m_phase = Phase::Idle;
+    TimePoint m_idleSince;
     TimePoint m_arrivedAt;
     bool m_keepAlive = false; // the connection may serve another request
     unsigned m_httpVersion = 11; // 10 or 11, as in Beast
--- a/packages/callers/src/callerlistener.cpp
+++ b/packages/callers/src/callerlistener.cpp
@@ -93,11 +93,11 @@
     m_acceptor.close(ec);
 }
 
-void CallerListener::closeIdleConnections()
+void CallerListener::closeIdleConnections(Duration minIdleTime)
 {
     const auto connections = m_connections;
     for (const auto &it : connections) {
-        it->closeIfIdle();
+        it->closeIfIdle(minIdleTime);
     }
 }
 
--- a/packages/callers/src/callerlistener_test.cpp
+++ b/packages/callers/src/callerlistener_test.cpp
@@ -153,9 +153,9 @@
     {
         m_listener->stopAccepting();
     }
-    void closeIdleConnections()
+    void closeIdleConnections(Duration minIdleTime = Duration::zero())
     {
-        m_listener->closeIdleConnections();
+        m_listener->closeIdleConnections(minIdleTime);
     }
 
     static constexpr std::size_t maxConnections = 3;
@@ -300,3 +300,14 @@
     fixture.closeIdleConnections();
     CHECK(fixture.read(socket, "ok").find("HTTP/1.1 200") == 0);
 }
+
+// The first request of a connection was lost when the connection was closed as idle right after it was made.
+TEST_CASE("a connection that has just been made is not closed as idle")
+{
+    ListenerFixture fixture;
+    auto socket = fixture.connect();
+    CHECK(fixture.runUntil([&] { return fixture.connections() == 1; }));
+    fixture.closeIdleConnections(std::chrono::milliseconds(200));
+    boost::asio::write(socket, boost::asio::buffer(postHead + "Content-Length: 2\r\n\r\nok"));
+    CHECK(fixture.read(socket, "ok").find("HTTP/1.1 200") == 0);
+}
--- a/packages/gateway/src/gatewayprocess.cpp
+++ b/packages/gateway/src/gatewayprocess.cpp
@@ -29,6 +29,8 @@
 constexpr Duration minShutdownTime =
     std::chrono::seconds(3); // the load balancer needs two failed checks to stop sending connections
 constexpr Duration idleCloseDelay = std::chrono::milliseconds(2500); // by then callers send new requests elsewhere
+constexpr Duration minIdleTime =
+    std::chrono::seconds(1); // a caller that has just connected, or was just answered, may be sending a request
 constexpr Duration shutdownMargin = std::chrono::milliseconds(400); // part of the grace period, for a clean exit
 constexpr Duration shutdownTickInterval = std::chrono::milliseconds(50);
 constexpr Duration maxReadyProofAge =
@@ -475,7 +477,7 @@
     {
         const auto elapsed = m_clock.now() - m_stoppingSince;
         if (elapsed >= idleCloseDelay) {
-            m_callers.closeIdleConnections();
+            m_callers.closeIdleConnections(minIdleTime);
         }
         if (elapsed >= minShutdownTime && !m_isDeregistered) {
             m_isDeregistered = true;
