Close a connection after a response only if the response said so

A caller that sent its next request on a kept connection got no answer: the connection ended with the response before, whose headers had promised to keep it.

Cause: whether the connection is closed was decided twice, for the headers and after the last byte. A SIGTERM between the two, which is likely during a stream, made them differ. It is decided once now, together with the headers; a connection that was promised to be kept serves the next request or is closed when it has been idle.

--- a/packages/callers/src/callerconnection.cpp
+++ b/packages/callers/src/callerconnection.cpp
@@ -210,9 +210,12 @@
 
 // ---- responding
 
-bool CallerConnection::closesAfterResponse() const
+void CallerConnection::setConnectionHeader(http::fields &fields)
 {
-    return !m_keepAlive || m_service.isStopping();
+    m_keepAlive = m_keepAlive && !m_service.isStopping();
+    if (!m_keepAlive) {
+        fields.set(http::field::connection, "close");
+    }
 }
 
 void CallerConnection::respond(CallerResponse response)
@@ -225,9 +228,7 @@
     m_response->result(response.status);
     m_response->version(11);
     m_response->body() = std::move(response.body);
-    if (closesAfterResponse()) {
-        m_response->set(http::field::connection, "close");
-    }
+    setConnectionHeader(*m_response);
     m_response->content_length(m_response->body().size());
     if (m_isHead) {
         m_response->body().clear();
@@ -255,10 +256,7 @@
     } else {
         m_keepAlive = false; // HTTP/1.0 has no chunks: the response ends when the connection is closed
     }
-    if (closesAfterResponse()) {
-        m_keepAlive = false;
-        m_responseHead->set(http::field::connection, "close");
-    }
+    setConnectionHeader(*m_responseHead);
     m_headSerializer.emplace(*m_responseHead);
     m_isWriting = true;
     http::async_write_header(
@@ -339,7 +337,7 @@
     if (m_phase != Phase::Responding) {
         return;
     }
-    if (closesAfterResponse()) {
+    if (!m_keepAlive) {
         linger();
         return;
     }
--- a/packages/callers/src/callerconnection.h
+++ b/packages/callers/src/callerconnection.h
@@ -67,7 +67,9 @@
     void startTimer(Duration timeout, std::function<void()> onTimeout);
     void linger();
     void discardInput();
-    bool closesAfterResponse() const;
+    /// Decides whether the connection is closed after the response, and says so in its headers. Until then the caller
+    /// may send another request.
+    void setConnectionHeader(boost::beast::http::fields &fields);
 
     CallerService &m_service;
     const Clock &m_clock;
--- a/packages/callers/src/callerlistener_test.cpp
+++ b/packages/callers/src/callerlistener_test.cpp
@@ -311,3 +311,20 @@
     boost::asio::write(socket, boost::asio::buffer(postHead + "Content-Length: 2\r\n\r\nok"));
     CHECK(fixture.read(socket, "ok").find("HTTP/1.1 200") == 0);
 }
+
+// A stream that began before the shutdown was followed by the end of the connection, with the next request on it.
+TEST_CASE("a shutdown during a response leaves a connection open that the response has promised to keep")
+{
+    ListenerFixture fixture;
+    fixture.service.maxPieces = 1000000;
+    auto socket = fixture.connect();
+    boost::asio::write(socket, boost::asio::buffer(std::string("GET /stream HTTP/1.1\r\nHost: h\r\n\r\n")));
+    CHECK(fixture.read(socket, "aaa").find("Connection: close") == std::string::npos);
+    fixture.service.stopping = true;
+    fixture.service.maxPieces = fixture.service.pieces;
+    CHECK(fixture.read(socket, "0\r\n\r\n").find("(closed)") == std::string::npos);
+    boost::asio::write(socket, boost::asio::buffer(postHead + "Content-Length: 2\r\n\r\nok"));
+    const auto received = fixture.read(socket, "(never)");
+    CHECK(received.find("HTTP/1.1 200") == 0);
+    CHECK(received.find("Connection: close") != std::string::npos);
+}
