Apply a changed idle time to connections that are idle already

Callers got no answer on a kept connection that they used within the idle time in force.

Cause: the timer was set with the limit at the start of the idle time. When it ends, the current limit is checked now, and the timer runs on if that is longer.

--- a/packages/callers/src/callerconnection.cpp
+++ b/packages/callers/src/callerconnection.cpp
@@ -71,7 +71,7 @@
         return;
     }
     m_idleSince = m_clock.now();
-    startTimer(m_service.limits().idleTimeout, [this] { closeIfIdle(Duration::zero()); });
+    startIdleTimer();
     m_socket.async_wait(tcp::socket::wait_read, [self = shared_from_this()](const error_code &ec) {
         if (self->m_phase != Phase::Idle) {
             return;
@@ -84,6 +84,17 @@
     });
 }
 
+void CallerConnection::startIdleTimer()
+{
+    const auto left = m_service.limits().idleTimeout - (m_clock.now() - m_idleSince);
+    startTimer(left, [this] {
+        closeIfIdle(m_service.limits().idleTimeout);
+        if (m_phase == Phase::Idle) {
+            startIdleTimer(); // the limit has become longer meanwhile
+        }
+    });
+}
+
 void CallerConnection::readHeader()
 {
     const auto limits = m_service.limits();
--- a/packages/callers/src/callerconnection.h
+++ b/packages/callers/src/callerconnection.h
@@ -54,6 +54,7 @@
     };
 
     void awaitRequest();
+    void startIdleTimer();
     void readHeader();
     void onHeaderRead();
     void readBody();
--- a/packages/callers/src/callerlistener_test.cpp
+++ b/packages/callers/src/callerlistener_test.cpp
@@ -60,7 +60,7 @@
         limits.maxHeaderBytes = 2048;
         limits.maxBodyBytes = 1000;
         limits.headerTimeout = std::chrono::milliseconds(100);
-        limits.idleTimeout = std::chrono::milliseconds(300);
+        limits.idleTimeout = idleTimeout;
         return limits;
     }
     bool isStopping() const override
@@ -82,6 +82,7 @@
     }
 
     bool stopping = false;
+    Duration idleTimeout = std::chrono::milliseconds(300);
     std::size_t pieceBytes = 3;
     int maxPieces = 2;
     int pieces = 0;
@@ -328,3 +329,14 @@
     CHECK(received.find("HTTP/1.1 200") == 0);
     CHECK(received.find("Connection: close") != std::string::npos);
 }
+
+// A connection was closed after the idle time that was in force when it became idle.
+TEST_CASE("a longer idle time also applies to connections that are idle already")
+{
+    ListenerFixture fixture;
+    auto socket = fixture.connect();
+    CHECK(fixture.runUntil([&] { return fixture.connections() == 1; }));
+    fixture.service.idleTimeout = std::chrono::seconds(1);
+    CHECK_FALSE(fixture.runUntil([&] { return fixture.connections() == 0; }, std::chrono::milliseconds(600)));
+    CHECK(fixture.runUntil([&] { return fixture.connections() == 0; }, std::chrono::seconds(2)));
+}
