Answer the requests that outlast the grace period before the process ends

Their callers saw the end of the connection and nothing else, for requests that had been read and perhaps sent to an engine.

Cause: the end of the shutdown closed all connections. Each request in progress now gets its final response 0.4 s before the end of the grace period: 503 not-run if it was not sent, else 502 may-have-run; a stream that has started is aborted. 0.2 s are left for writing.

--- a/packages/callers/include/monsoonward/callers/callerlistener.h
+++ b/packages/callers/include/monsoonward/callers/callerlistener.h
@@ -37,9 +37,12 @@
     /// Accepts the connections that the kernel has already established, then stops listening. Open connections are not
     /// affected.
     void stopAccepting();
-    /// Closes the connections on which no request has been in progress for @p minIdleTime. On others, such as those that
-    /// were just made, a request may be in transit.
+    /// Closes the connections on which no request has been in progress for @p minIdleTime. On others, such as those
+    /// that were just made, a request may be in transit.
     void closeIdleConnections(Duration minIdleTime);
+    /// Lets each request in progress send its final response now.
+    /// @return number of requests that were in progress
+    std::size_t endRequests();
     /// Closes all connections immediately, also those with a request in progress.
     void closeAll();
     /// @return number of open connections
--- a/packages/callers/include/monsoonward/callers/callerservice.h
+++ b/packages/callers/include/monsoonward/callers/callerservice.h
@@ -47,6 +47,8 @@
     virtual void start() = 0;
     /// The last piece of the body was written to the socket; the next one may be sent.
     virtual void bytesSent() = 0;
+    /// The process is about to end: sends the final response now, or aborts a response that has started.
+    virtual void endNow() = 0;
     /// The connection was closed. The sink must not be used any more.
     virtual void callerDisconnected() = 0;
 };
--- a/packages/callers/src/callerconnection.cpp
+++ b/packages/callers/src/callerconnection.cpp
@@ -395,6 +395,15 @@
     }
 }
 
+bool CallerConnection::endRequest()
+{
+    const auto exchange = m_exchange; // its final response resets m_exchange
+    if (exchange) {
+        exchange->endNow();
+    }
+    return exchange != nullptr;
+}
+
 void CallerConnection::close()
 {
     m_phase = Phase::Closing;
--- a/packages/callers/src/callerconnection.h
+++ b/packages/callers/src/callerconnection.h
@@ -33,6 +33,9 @@
     /// sees a reset.
     /// @param minIdleTime a connection that became idle more recently stays open
     void closeIfIdle(Duration minIdleTime);
+    /// Lets the request in progress, if any, send its final response now.
+    /// @return whether there was one
+    bool endRequest();
     /// Closes the connection immediately, and tells the exchange in progress, if any.
     void close();
 
--- a/packages/callers/src/callerlistener.cpp
+++ b/packages/callers/src/callerlistener.cpp
@@ -101,6 +101,16 @@
     }
 }
 
+std::size_t CallerListener::endRequests()
+{
+    const auto connections = m_connections;
+    std::size_t n = 0;
+    for (const auto &it : connections) {
+        n += it->endRequest() ? 1 : 0;
+    }
+    return n;
+}
+
 void CallerListener::closeAll()
 {
     const auto connections = m_connections;
--- a/packages/callers/src/callerlistener_test.cpp
+++ b/packages/callers/src/callerlistener_test.cpp
@@ -44,6 +44,10 @@
                 std::exchange(sink, nullptr)->finishStream();
             }
         }
+        void endNow() override
+        {
+            std::exchange(sink, nullptr)->respond({503, {}, "ended"});
+        }
         void callerDisconnected() override
         {
             sink = nullptr;
@@ -154,6 +158,10 @@
     {
         m_listener->stopAccepting();
     }
+    std::size_t endRequests()
+    {
+        return m_listener->endRequests();
+    }
     void closeIdleConnections(Duration minIdleTime = Duration::zero())
     {
         m_listener->closeIdleConnections(minIdleTime);
@@ -340,3 +348,16 @@
     CHECK_FALSE(fixture.runUntil([&] { return fixture.connections() == 0; }, std::chrono::milliseconds(600)));
     CHECK(fixture.runUntil([&] { return fixture.connections() == 0; }, std::chrono::seconds(2)));
 }
+
+TEST_CASE("requests in progress that are ended are answered before their connections are closed")
+{
+    ListenerFixture fixture;
+    auto socket = fixture.connect();
+    boost::asio::write(socket, boost::asio::buffer(std::string("GET /silent HTTP/1.1\r\nHost: h\r\n\r\n")));
+    const auto idle = fixture.connect();
+    std::size_t ended = 0;
+    CHECK(fixture.runUntil([&] { return (ended += fixture.endRequests()) > 0; }));
+    CHECK(ended == 1);
+    CHECK(fixture.read(socket, "ended").find("HTTP/1.1 503") == 0);
+    CHECK(fixture.endRequests() == 0);
+}
--- a/packages/daemon/src/httplistener.cpp
+++ b/packages/daemon/src/httplistener.cpp
@@ -91,6 +91,16 @@
     {
     }
 
+    void endNow() override
+    {
+        if (const auto call = std::exchange(m_call, nullptr)) {
+            call->cancel();
+        }
+        if (auto *sink = std::exchange(m_sink, nullptr)) {
+            sink->abort();
+        }
+    }
+
     void callerDisconnected() override
     {
         m_sink = nullptr;
--- a/packages/gateway/src/exchange.h
+++ b/packages/gateway/src/exchange.h
@@ -24,6 +24,7 @@
 
     void start() override;
     void bytesSent() override;
+    void endNow() override;
     /// Cancels the request at the engine.
     void callerDisconnected() override;
 
@@ -38,6 +39,9 @@
     /// By then a failed store call has been retried, or requests have ended.
     static constexpr Duration defaultRetryAfter = std::chrono::milliseconds(500);
 
+    /// A new connection reaches another gateway.
+    static constexpr Duration stoppingRetryAfter = std::chrono::milliseconds(50);
+
     /// Checks the request and charges it to its customer's rate limit.
     /// @return whether the request may be placed; if not, it has been refused
     bool admit();
@@ -57,6 +61,9 @@
     void breakOff(const std::string &reason);
     void recordFirstBytes();
     void onDeadline();
+    /// Cancels the attempt in progress and sends the final response.
+    /// @param statusIfMayHaveRun of the response if an engine may have run the request
+    void giveUp(unsigned statusIfMayHaveRun, const std::string &reason, Duration retryAfter);
     Duration timeLeft() const;
 
     void refuse(unsigned status, const std::string &reason, Duration retryAfter, const std::string &detail);
--- a/packages/gateway/src/exchangeadmission.cpp
+++ b/packages/gateway/src/exchangeadmission.cpp
@@ -17,7 +17,6 @@
 namespace
 {
 
-constexpr Duration stoppingRetryAfter = std::chrono::milliseconds(50); // a new connection reaches another gateway
 constexpr Duration minRateLimitWait =
     std::chrono::milliseconds(100); // the response and the next request are in transit for that long anyway
 constexpr Duration defaultTimeLimit = std::chrono::seconds(30); // if neither caller nor route sets a limit
--- a/packages/gateway/src/exchangeresponse.cpp
+++ b/packages/gateway/src/exchangeresponse.cpp
@@ -127,24 +127,36 @@
     if (m_sink == nullptr) {
         return;
     }
+    const auto now = m_core.clock.now();
+    if (m_call && !m_responseStarted && now - m_sentAt > m_route->latencyObjective) {
+        m_core.health.recordFailure(m_call->engine().name, now);
+    }
+    giveUp(gatewayTimeout, "time-limit", Duration::zero());
+}
+
+void Exchange::endNow()
+{
+    if (m_sink != nullptr) {
+        giveUp(badGateway, "stopping", stoppingRetryAfter);
+    }
+}
+
+void Exchange::giveUp(unsigned statusIfMayHaveRun, const std::string &reason, Duration retryAfter)
+{
     const bool mayHaveRun = m_mayHaveRun || (m_call && m_call->isSent());
     if (m_call) {
         m_call->cancel();
-        const auto now = m_core.clock.now();
         m_core.placer->requestEnded(m_call->engine().name);
-        if (!m_responseStarted && now - m_sentAt > m_route->latencyObjective) {
-            m_core.health.recordFailure(m_call->engine().name, now);
-        }
         m_call.reset();
     }
     if (m_responseStarted) {
         std::exchange(m_sink, nullptr)->abort();
-        recordEnd(RequestOutcome::BrokenOff, "time-limit", "");
+        recordEnd(RequestOutcome::BrokenOff, reason, "");
     } else if (mayHaveRun) {
-        sendGatewayResponse(gatewayTimeout, "may-have-run", Duration::zero());
-        recordEnd(RequestOutcome::Failed, "time-limit", "");
+        sendGatewayResponse(statusIfMayHaveRun, "may-have-run", Duration::zero());
+        recordEnd(RequestOutcome::Failed, reason, "");
     } else {
-        refuse(unavailable, "time-limit", Duration::zero(), "");
+        refuse(unavailable, reason, retryAfter, "");
     }
 }
 
@@ -156,10 +168,7 @@
         m_core.placer->requestEnded(m_call->engine().name);
         m_call.reset();
     }
-    const bool isCutByShutdown = m_core.isStopping && m_core.clock.now() >= m_core.abortAt;
-    recordEnd(isCutByShutdown ? RequestOutcome::BrokenOff : RequestOutcome::Abandoned,
-              isCutByShutdown ? "stopping" : "caller-left",
-              "");
+    recordEnd(RequestOutcome::Abandoned, "caller-left", "");
 }
 
 void Exchange::refuse(unsigned status, const std::string &reason, Duration retryAfter, const std::string &detail)
--- a/packages/gateway/src/gatewayprocess.cpp
+++ b/packages/gateway/src/gatewayprocess.cpp
@@ -32,6 +32,7 @@
 constexpr Duration minIdleTime =
     std::chrono::seconds(1); // a caller that has just connected, or was just answered, may be sending a request
 constexpr Duration shutdownMargin = std::chrono::milliseconds(400); // part of the grace period, for a clean exit
+constexpr Duration finalWriteTime = std::chrono::milliseconds(200); // for the responses to requests that are ended
 constexpr Duration shutdownTickInterval = std::chrono::milliseconds(50);
 constexpr Duration maxReadyProofAge =
     std::chrono::milliseconds(4000); // with an older proof, other gateways should serve the callers
@@ -97,7 +98,7 @@
         m_log.write(Event::DaemonStopped,
                     m_exitCode == exitStopped ? Severity::Info : Severity::Warning,
                     "stopped",
-                    {{"cut_requests", static_cast<std::int64_t>(m_core.openRequests)}});
+                    {{"cut_requests", static_cast<std::int64_t>(m_endedRequests)}});
         releaseRequests();
         return m_exitCode;
     }
@@ -484,8 +485,12 @@
             m_callers.stopAccepting();
             m_members.deregister();
         }
-        const bool isDone = m_isDeregistered && m_core.openRequests == 0 && m_callers.connections() == 0;
-        if (isDone || m_clock.now() >= m_core.abortAt) {
+        const auto now = m_clock.now();
+        if (now >= m_core.abortAt) {
+            m_endedRequests += m_callers.endRequests();
+        }
+        const bool isDone = m_core.openRequests == 0 && m_callers.connections() == 0;
+        if ((isDone && m_isDeregistered) || now >= m_core.abortAt + finalWriteTime) {
             exitLoop();
             return true;
         }
@@ -494,7 +499,7 @@
 
     void exitLoop()
     {
-        m_exitCode = m_core.openRequests == 0 ? exitStopped : exitRequestsAborted;
+        m_exitCode = m_endedRequests == 0 ? exitStopped : exitRequestsAborted;
         m_io.stop();
     }
 
@@ -522,6 +527,7 @@
     TimePoint m_startedAt;
     TimePoint m_stoppingSince;
     bool m_isDeregistered = false;
+    std::size_t m_endedRequests = 0; // by the end of the shutdown
     int m_exitCode = exitStopped;
 };
 
--- a/packages/gateway/src/gatewayprocess_test.cpp
+++ b/packages/gateway/src/gatewayprocess_test.cpp
@@ -5,6 +5,7 @@
 
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/post.hpp>
+#include <boost/asio/read.hpp>
 #include <boost/asio/write.hpp>
 
 #include <unistd.h>
@@ -145,7 +146,7 @@
 
 } // namespace
 
-TEST_CASE("a gateway that is stopped with requests in progress cuts them in time and ends cleanly")
+TEST_CASE("a gateway that is stopped with requests in progress answers them in time and ends cleanly")
 {
     asio::io_context io;
     tcp::acceptor engine(io, {asio::ip::make_address(loopback), 0}); // accepts connections and never responds
@@ -165,6 +166,12 @@
     engine.accept(engineSide); // the request is in progress
     const auto stoppedAt = std::chrono::steady_clock::now();
     std::raise(SIGTERM);
+    std::string response;
+    boost::system::error_code ec;
+    asio::read(caller, asio::dynamic_buffer(response), ec);
+    CHECK(ec == asio::error::eof);
+    CHECK(response.find("HTTP/1.1 502") == 0);
+    CHECK(response.find("Monsoonward-Verdict: may-have-run") != std::string::npos);
     gateway.join();
     CHECK(exitCode == 4);
     CHECK(std::chrono::steady_clock::now() - stoppedAt < 1s);
