Let a second SIGTERM leave requests in progress

Callers got no answer when their gateway was stopped twice, as by a restart that overlaps a removal.

Cause: any second signal ended the event loop at once. A second SIGTERM is only logged now. A second SIGINT, from a terminal, answers the requests in progress and ends.

--- a/packages/gateway/src/gatewayprocess.cpp
+++ b/packages/gateway/src/gatewayprocess.cpp
@@ -432,10 +432,13 @@
             }
             if (signal == SIGHUP) {
                 reload();
-            } else if (m_core.isStopping) {
-                exitLoop();
-            } else {
+            } else if (!m_core.isStopping) {
                 beginShutdown();
+            } else if (signal == SIGINT) {
+                m_core.abortAt = m_clock.now();
+            } else {
+                // Overlapping plans may stop a process twice. The second one must not cut requests.
+                m_log.write(Event::DaemonStopping, Severity::Info, "stopping-already", {});
             }
             awaitSignal();
         });
