Don't go on accepting after a listener has stopped

A gateway that stops could spend its whole processor time in the event loop, and delay the answers in progress.

Cause: a connection that was accepted, but whose handler had not run yet when the listener was closed, made it accept again; each failure to accept on the closed socket led to the next. The same held for any failure, such as a lack of descriptors: those are retried after 50 ms now.

--- a/packages/callers/include/monsoonward/callers/callerlistener.h
+++ b/packages/callers/include/monsoonward/callers/callerlistener.h
@@ -50,6 +50,7 @@
 
 private:
     void accept();
+    void retryAccept();
     void addConnection(boost::asio::ip::tcp::socket socket);
 
     const Clock &m_clock;
--- a/packages/callers/src/callerlistener.cpp
+++ b/packages/callers/src/callerlistener.cpp
@@ -13,7 +13,8 @@
 namespace
 {
 
-constexpr Duration acceptRetryDelay = std::chrono::milliseconds(50); // while the connection limit is reached
+constexpr Duration acceptRetryDelay =
+    std::chrono::milliseconds(50); // while connections or descriptors are at their limit
 
 } // namespace
 
@@ -46,22 +47,31 @@
 void CallerListener::accept()
 {
     if (m_connections.size() >= m_maxConnections) {
-        m_acceptRetryTimer.expires_after(acceptRetryDelay);
-        m_acceptRetryTimer.async_wait([this](const error_code &ec) {
-            if (!ec) {
-                accept();
-            }
-        });
+        retryAccept();
         return;
     }
     m_acceptor.async_accept([this](const error_code &ec, tcp::socket socket) {
-        if (ec == boost::asio::error::operation_aborted) {
-            return;
-        }
         if (!ec) {
             addConnection(std::move(socket));
         }
-        accept();
+        if (!m_acceptor.is_open()) {
+            return; // stopped
+        }
+        if (!ec) {
+            accept();
+        } else if (ec != boost::asio::error::operation_aborted) {
+            retryAccept();
+        }
+    });
+}
+
+void CallerListener::retryAccept()
+{
+    m_acceptRetryTimer.expires_after(acceptRetryDelay);
+    m_acceptRetryTimer.async_wait([this](const error_code &ec) {
+        if (!ec) {
+            accept();
+        }
     });
 }
 
--- a/packages/callers/src/callerlistener_test.cpp
+++ b/packages/callers/src/callerlistener_test.cpp
@@ -150,6 +150,19 @@
         boost::asio::write(socket, boost::asio::buffer(requestText));
         return read(socket, expected);
     }
+    /// Runs one handler of the event loop, if one is ready.
+    void pollOne()
+    {
+        m_io.poll_one();
+        m_io.restart();
+    }
+    /// @return number of handlers that the event loop runs within @p duration
+    std::size_t handlersWithin(Duration duration)
+    {
+        const auto n = m_io.run_for(duration);
+        m_io.restart();
+        return n;
+    }
     std::size_t connections() const
     {
         return m_listener->connections();
@@ -361,3 +374,17 @@
     CHECK(fixture.read(socket, "ended").find("HTTP/1.1 503") == 0);
     CHECK(fixture.endRequests() == 0);
 }
+
+// A connection that was accepted, but not handled yet, when the listener stopped made it retry to accept without end.
+TEST_CASE("a listener that has stopped does not go on accepting")
+{
+    ListenerFixture fixture;
+    const auto first = fixture.connect();
+    const auto second = fixture.connect();
+    while (fixture.connections() == 0) {
+        fixture.pollOne();
+    }
+    fixture.stopAccepting(); // the second connection's handler is ready
+    CHECK(fixture.handlersWithin(std::chrono::milliseconds(50)) < 100);
+    CHECK(fixture.connections() == 2);
+}
