Tell a reset from the end of a response while the request is being written

A caller got a shortened response as complete, with a length of our own, when the engine's response had neither length nor chunks and its connection was reset before the whole request had been written.

Cause: the kernel reports the reset once. The write that waited for room took the error, and the read that followed saw an orderly end. A response that ends with its connection is complete now only if the write of the request hasn't failed.

The test of it (body of 24 MiB, reset 50 ms after the response) failed before with status 200 and passes with 502.

--- a/packages/gateway/src/enginecall.cpp
+++ b/packages/gateway/src/enginecall.cpp
@@ -77,6 +77,7 @@
         m_connection->socket, *m_serializer, [self = shared_from_this()](const error_code &ec, std::size_t /*n*/) {
             // A write error is not reported here: the reader fails too, or finds a response that the engine sent early.
             self->m_isWritten = !ec;
+            self->m_hasWriteFailed = bool(ec);
         });
     readHeader();
 }
@@ -210,6 +211,10 @@
         }
         return;
     }
+    if (m_parser->need_eof() && m_hasWriteFailed) {
+        finish(AttemptOutcome::Broken, "answer: connection lost"); // the write has taken the error of a reset
+        return;
+    }
     const bool isReusable = m_isWritten && m_parser->keep_alive() && m_connection->buffer.size() == 0;
     if (isReusable) {
         m_pool.release(m_engine, std::move(m_connection));
--- a/packages/gateway/src/enginecall.h
+++ b/packages/gateway/src/enginecall.h
@@ -89,6 +89,7 @@
     boost::asio::steady_timer m_connectTimer;
     bool m_isSent = false;
     bool m_isWritten = false; // the whole request was written
+    bool m_hasWriteFailed = false;
     bool m_isDiscarding = false; // stale, or a rejection whose body is not needed
     AttemptOutcome m_outcomeAfterBody = AttemptOutcome::Complete; // reported when the body has been read
     bool m_isStaleResponse = false; // the response belongs to another request
--- a/packages/gateway/src/gatewayfixture.h
+++ b/packages/gateway/src/gatewayfixture.h
@@ -26,8 +26,9 @@
 
 /// Reads one request or response with its headers, and its body if a Content-Length is given.
 /// @param unread bytes received after the message; kept for the next call
+/// @param hasBody false to return after the headers
 /// @return the message, or empty if the connection was closed
-inline std::string readMessage(tcp::socket &socket, std::string &unread)
+inline std::string readMessage(tcp::socket &socket, std::string &unread, bool hasBody = true)
 {
     error_code ec;
     auto end = unread.find("\r\n\r\n");
@@ -44,7 +45,7 @@
     auto lower = unread.substr(0, end);
     std::transform(lower.begin(), lower.end(), lower.begin(), [](unsigned char it) { return std::tolower(it); });
     const auto at = lower.find(key);
-    const auto length = at == std::string::npos ? 0 : std::stoul(lower.substr(at + key.size()));
+    const auto length = at == std::string::npos || !hasBody ? 0 : std::stoul(lower.substr(at + key.size()));
     while (unread.size() < end + 4 + length) {
         char buf[4096];
         const auto n = socket.read_some(asio::buffer(buf), ec);
@@ -75,6 +76,8 @@
     std::string bytes; ///< sent to the gateway
     bool closesConnection = false; ///< closes the connection after the bytes
     bool hangs = false; ///< after the bytes, waits until the gateway closes the connection
+    bool resets = false; ///< ends the connection with a reset after the bytes
+    std::string endless {}; ///< sent after the bytes again and again, until the gateway closes the connection
 };
 
 /// An engine whose responses the test scripts. Each connection has its own thread.
@@ -115,7 +118,11 @@
         const std::lock_guard lock(m_mutex);
         return m_requests;
     }
+    std::atomic<bool> ignoresBodies {false}; ///< responds to the headers of a request and reads no body
     std::atomic<unsigned> disconnectsWhileHanging {0};
+    std::atomic<unsigned> disconnectsWhileEndless {0}; ///< the gateway closed the connection during endless bytes
+    std::atomic<std::size_t> endlessBytes {0}; ///< written so far, at most maxEndlessBytes for one connection
+    static constexpr std::size_t maxEndlessBytes = std::size_t {64} * 1024 * 1024;
 
 private:
     void run()
@@ -140,7 +147,7 @@
     {
         std::string unread;
         while (true) {
-            const auto request = readMessage(socket, unread);
+            const auto request = readMessage(socket, unread, !ignoresBodies);
             if (request.empty()) {
                 return;
             }
@@ -157,12 +164,36 @@
                 disconnectsWhileHanging += ec ? 1 : 0;
                 return;
             }
+            if (response.resets) {
+                std::this_thread::sleep_for(std::chrono::milliseconds(50)); // until the gateway waits for more
+                socket.set_option(asio::socket_base::linger(true, 0), ec);
+                socket.close(ec);
+                return;
+            }
+            if (!response.endless.empty()) {
+                writeEndless(socket, response.endless);
+                return;
+            }
             if (response.closesConnection || ec) {
                 return;
             }
         }
     }
 
+    void writeEndless(tcp::socket &socket, const std::string &text)
+    {
+        constexpr std::size_t pieceBytes = 16384;
+        std::string piece;
+        while (piece.size() < pieceBytes) {
+            piece += text;
+        }
+        error_code ec;
+        for (std::size_t written = 0; !ec && written < maxEndlessBytes; written += piece.size()) {
+            endlessBytes += asio::write(socket, asio::buffer(piece), ec);
+        }
+        disconnectsWhileEndless += ec ? 1 : 0;
+    }
+
     Responder m_responder;
     asio::io_context m_io;
     tcp::acceptor m_acceptor;
@@ -297,6 +328,12 @@
         m_core.engines.put(engine);
     }
 
+    void allowRetries()
+    {
+        m_core.settings.retryBudget = {10, 1000, std::chrono::seconds(10)};
+        m_core.retryBudget = RetryBudgetShare(m_core.settings.retryBudget, m_clock.now() - std::chrono::hours(1));
+    }
+
     void start()
     {
         ServingConfiguration configuration;
@@ -309,7 +346,7 @@
         customer.keys = {"k"};
         configuration.customers = {customer};
         configuration.limits.maxHeaderBytes = 2000;
-        configuration.limits.maxBodyBytes = 5000;
+        configuration.limits.maxBodyBytes = m_maxBodyBytes;
         m_core.activeConfiguration =
             std::make_shared<const ActiveConfiguration>(std::make_shared<const ServingConfiguration>(configuration), 1);
         m_core.freshness.recordProof(m_clock.now());
@@ -369,6 +406,7 @@
         return it;
     }
 
+    std::size_t m_maxBodyBytes = 5000;
     asio::io_context m_io {1};
     asio::io_context m_callerIo;
     JumpingClock m_clock;
