Let a test's gateway take another port when its port was taken meanwhile

Tests of the gateway failed with "listen" on a busy machine: the port was free when it was looked for, and another process had taken it before the gateway listened on it.

--- a/packages/gateway/src/gatewayfixture.h
+++ b/packages/gateway/src/gatewayfixture.h
@@ -351,8 +351,14 @@
             std::make_shared<const ActiveConfiguration>(std::make_shared<const ServingConfiguration>(configuration), 1);
         m_core.freshness.recordProof(m_clock.now());
         m_core.placer = std::make_unique<HookedPlacer>(std::move(m_core.placer), afterPlacement);
-        REQUIRE(m_listener.listen());
-        m_listener.startAccepting();
+        bool isListening = bool(m_listener->listen());
+        for (unsigned n = 0; n < 20 && !isListening; ++n) { // another process may have taken the port meanwhile
+            m_core.settings.callerListen = freeLoopbackAddress();
+            m_listener.emplace(m_io, m_core.clock, m_callers, m_core.settings.callerListen, maxConnections);
+            isListening = bool(m_listener->listen());
+        }
+        REQUIRE(isListening);
+        m_listener->startAccepting();
         m_thread = std::thread([this] { m_io.run(); });
     }
 
@@ -406,6 +412,7 @@
         return it;
     }
 
+    static constexpr std::size_t maxConnections = 100;
     std::size_t m_maxBodyBytes = 5000;
     asio::io_context m_io {1};
     asio::io_context m_callerIo;
@@ -415,7 +422,8 @@
     StructuredLog m_log {LogLimits {"error", 1000, 1000}, HostName("g"), 1};
     GatewayCore m_core {m_io, m_clock, testSettings(), m_adapter, m_log, m_metrics};
     GatewayCallerService m_callers {m_core};
-    CallerListener m_listener {m_io, m_core.clock, m_callers, m_core.settings.callerListen, 100};
+    std::optional<CallerListener> m_listener {
+        std::in_place, m_io, m_core.clock, m_callers, m_core.settings.callerListen, maxConnections};
     std::thread m_thread;
 };
 
--- a/packages/gateway/src/path_test.cpp
+++ b/packages/gateway/src/path_test.cpp
@@ -87,7 +87,7 @@
     std::string unread;
     CHECK(statusOf(readMessage(socket, unread)) == 200);
     std::this_thread::sleep_for(20ms);
-    asio::post(m_io, [this] { m_listener.closeIdleConnections(0ms); });
+    asio::post(m_io, [this] { m_listener->closeIdleConnections(0ms); });
     std::this_thread::sleep_for(20ms);
     asio::write(socket, asio::buffer(keepAliveRequest)); // sent before the caller sees the close
     std::this_thread::sleep_for(20ms);
