Do not start a stream anew on another engine after data without an ID

A caller on a route with resumable streams got the events of a stream twice when its events had no IDs and its engine was lost: there was no ID to resume after, so the second engine sent the stream from the start.

Such a stream is broken off now. Comments and other events without data may still be repeated. The log line of a stream that ended inside an event had no reason; it states one now.

The test of the gateway failed before (two sends, events twice) and passes.

--- a/packages/dispatch/include/monsoonward/dispatch/eventsplitter.h
+++ b/packages/dispatch/include/monsoonward/dispatch/eventsplitter.h
@@ -23,6 +23,8 @@
     void restart();
     /// @return the ID of the last returned event that has one
     std::optional<std::uint64_t> lastId() const;
+    /// @return whether another engine can continue the stream without a repeat: data was returned only after an ID
+    bool canContinue() const;
     /// @return whether the bytes so far end with an incomplete event
     bool isInsideEvent() const;
     /// @return whether an event was too large, or the first new ID after a restart doesn't follow the last one
@@ -36,6 +38,7 @@
     std::string m_buffer;
     std::optional<std::uint64_t> m_lastId;
     std::uint64_t m_eventCount = 0;
+    bool m_hasUnnumberedData = false; // data was returned before the first ID
     bool m_isContinuing = false;
     bool m_isInvalid = false;
 };
--- a/packages/dispatch/src/eventsplitter.cpp
+++ b/packages/dispatch/src/eventsplitter.cpp
@@ -9,6 +9,13 @@
 {
 
 constexpr std::string_view idField = "id:";
+constexpr std::string_view dataField = "data";
+
+/// @return whether the event has a data field; others, such as comments, may be repeated
+bool hasData(std::string_view event)
+{
+    return event.substr(0, dataField.size()) == dataField || event.find("\ndata") != std::string_view::npos;
+}
 
 /// @return the value of the event's id field, if it is a number
 std::optional<std::uint64_t> idOf(std::string_view event)
@@ -80,6 +87,7 @@
         m_lastId = id;
         m_isContinuing = false;
     }
+    m_hasUnnumberedData = m_hasUnnumberedData || (!m_lastId && hasData(event));
     ++m_eventCount;
     return true;
 }
@@ -95,6 +103,11 @@
     return m_lastId;
 }
 
+bool EventSplitter::canContinue() const
+{
+    return m_lastId || !m_hasUnnumberedData;
+}
+
 bool EventSplitter::isInsideEvent() const
 {
     return !m_buffer.empty();
--- a/packages/dispatch/src/eventsplitter_test.cpp
+++ b/packages/dispatch/src/eventsplitter_test.cpp
@@ -47,3 +47,17 @@
     splitter.push(std::string(EventSplitter::maxEventBytes + 1, 'x'));
     CHECK(splitter.isInvalid());
 }
+
+// Another engine began such a stream anew, and the caller got its data twice.
+TEST_CASE("a stream can be continued unless data without an ID was returned before the first ID")
+{
+    EventSplitter splitter;
+    CHECK(splitter.canContinue());
+    splitter.push(": comment\n\nretry: 5\n\n");
+    CHECK(splitter.canContinue());
+    splitter.push("event: x\r\ndata: a\r\n\r\n");
+    CHECK_FALSE(splitter.canContinue());
+    EventSplitter numbered;
+    numbered.push("id: 1\ndata: a\n\ndata: b\n\n");
+    CHECK(numbered.canContinue());
+}
--- a/packages/gateway/src/engineframing_test.cpp
+++ b/packages/gateway/src/engineframing_test.cpp
@@ -225,3 +225,21 @@
         }
     }
 }
+
+// A stream without IDs was started anew on another engine, and the caller got its events twice.
+TEST_CASE_FIXTURE(GatewayFixture, "a stream whose events have no IDs is not resumed, since it would repeat them")
+{
+    const auto respond = [](const std::string &request) {
+        return ScriptedResponse {streamHeader(request) + chunk("data: a\n\ndata: b"), true};
+    };
+    ScriptedEngine first(respond);
+    ScriptedEngine second(respond);
+    addEngine("a", first.address());
+    addEngine("b", second.address());
+    allowRetries();
+    start();
+    const auto response = exchange(request("/stream/"));
+    CHECK(withoutChunks(response) == "data: a\n\n");
+    CHECK(response.find(lastChunk) == std::string::npos);
+    CHECK(first.requests().size() + second.requests().size() == 1);
+}
--- a/packages/gateway/src/exchange.cpp
+++ b/packages/gateway/src/exchange.cpp
@@ -213,9 +213,11 @@
     const auto engine = m_call->engine().name;
     m_call.reset();
     auto finalOutcome = outcome;
+    auto finalReason = reason;
     if (outcome == AttemptOutcome::Complete && m_isStreaming
         && (m_eventSplitter.isInvalid() || m_eventSplitter.isInsideEvent())) {
         finalOutcome = AttemptOutcome::Broken;
+        finalReason = "the stream ended inside an event";
     }
     const auto now = m_core.clock.now();
     m_core.placer->requestEnded(engine);
@@ -229,16 +231,16 @@
         m_core.log.write(Event::EnginePaused,
                          Severity::Warning,
                          "engine-paused",
-                         {{"engine", std::string_view(engine.text())}, {"reason", std::string_view(reason)}});
+                         {{"engine", std::string_view(engine.text())}, {"reason", std::string_view(finalReason)}});
     }
-    m_lastFailure = std::string(textOf(finalOutcome)) + " " + reason;
+    m_lastFailure = std::string(textOf(finalOutcome)) + " " + finalReason;
     m_core.log.write(Event::AttemptFailed,
                      Severity::Info,
                      "attempt-failed",
                      {{"request", requestId()},
                       {"engine", std::string_view(engine.text())},
                       {"end", textOf(finalOutcome)},
-                      {"reason", std::string_view(reason)},
+                      {"reason", std::string_view(finalReason)},
                       {"attempt", static_cast<std::int64_t>(m_attempts)},
                       {"after_ms", milliseconds(now - m_sentAt)}});
     const auto state = attemptStateAfter(finalOutcome);
@@ -254,6 +256,10 @@
 
 bool Exchange::retry(const AttemptState &state)
 {
+    if (m_responseStarted && !m_eventSplitter.canContinue()) {
+        m_lastFailure += ", no event ID to resume after";
+        return false;
+    }
     const auto now = m_core.clock.now();
     const bool hasEngine = m_core.placer->place(placementRequest(), now).outcome == PlacementOutcome::Placed;
     if (!hasEngine) {
