Take blank lines at the end of a stream for its end

A caller got a broken-off stream, and its engine a failure, when the engine ended a whole stream with one blank line more than its events need.

Cause: the line was taken for the beginning of an event. Only other characters begin one now.

The gateway's test of it failed before and passes; a test of the splitter covers the same.

--- a/packages/dispatch/include/monsoonward/dispatch/eventsplitter.h
+++ b/packages/dispatch/include/monsoonward/dispatch/eventsplitter.h
@@ -25,7 +25,7 @@
     std::optional<std::uint64_t> lastId() const;
     /// @return whether another engine can continue the stream without a repeat: data was returned only after an ID
     bool canContinue() const;
-    /// @return whether the bytes so far end with an incomplete event
+    /// @return whether the bytes so far end with an incomplete event; blank lines alone are none
     bool isInsideEvent() const;
     /// @return whether an event was too large, or the first new ID after a restart doesn't follow the last one
     bool isInvalid() const;
--- a/packages/dispatch/src/eventsplitter.cpp
+++ b/packages/dispatch/src/eventsplitter.cpp
@@ -110,7 +110,7 @@
 
 bool EventSplitter::isInsideEvent() const
 {
-    return !m_buffer.empty();
+    return m_buffer.find_first_not_of("\r\n") != std::string::npos;
 }
 
 bool EventSplitter::isInvalid() const
--- a/packages/dispatch/src/eventsplitter_test.cpp
+++ b/packages/dispatch/src/eventsplitter_test.cpp
@@ -61,3 +61,15 @@
     numbered.push("id: 1\ndata: a\n\ndata: b\n\n");
     CHECK(numbered.canContinue());
 }
+
+// A blank line more than the events need was taken for the beginning of an event.
+TEST_CASE("blank lines after an event are not the beginning of another one")
+{
+    for (const std::string rest : {"\n", "\r\n", "\r"}) {
+        EventSplitter splitter;
+        splitter.push("data: a\n\n" + rest);
+        CHECK_FALSE(splitter.isInsideEvent());
+        splitter.push("d");
+        CHECK(splitter.isInsideEvent());
+    }
+}
--- a/packages/gateway/src/engineframing_test.cpp
+++ b/packages/gateway/src/engineframing_test.cpp
@@ -243,3 +243,16 @@
     CHECK(response.find(lastChunk) == std::string::npos);
     CHECK(first.requests().size() + second.requests().size() == 1);
 }
+
+// A blank line more than the events need was taken for the beginning of an event, and the stream for broken off.
+TEST_CASE_FIXTURE(GatewayFixture, "a stream that ends with additional blank lines is complete")
+{
+    ScriptedEngine engine([](const std::string &request) {
+        return ScriptedResponse {streamHeader(request) + chunk(event(1) + "\n") + "0\r\n\r\n"};
+    });
+    addEngine("a", engine.address());
+    start();
+    const auto response = exchange(request("/stream/"));
+    CHECK(response.find(event(1)) != std::string::npos);
+    CHECK(endsWith(response, lastChunk));
+}
