Give up an engine that sends bytes without end that are no answer

Callers waited for their whole time limit, and the gateway's memory grew, when an engine sent without end: interim responses, a chunk's size or extension, trailers, chunks of one byte with long extensions, responses to another request, or the body of a rejection or of a response to another request.

Cause: the read buffer of a connection to an engine had no limit, and what was read to be discarded wasn't counted. The buffer holds 64 KiB now; a call discards 256 KiB at most and takes 64 KiB and 16 bytes for each byte of body between the chunks. A rejection whose status and marker were read is one also if its body is invalid, too long or not complete after 200 ms, so that the request may be sent to another engine; in all other cases the engine may have run it. The connection is closed, and the log line of the attempt states the reason.

--- a/packages/gateway/src/enginecall.cpp
+++ b/packages/gateway/src/enginecall.cpp
@@ -18,6 +18,11 @@
 constexpr Duration connectTimeout = std::chrono::milliseconds(350); // allows many round trips between regions
 constexpr std::uint32_t maxHeaderBytes = 32U * 1024U;
 constexpr std::uint64_t maxBodyBytes = std::uint64_t {1} << 40U; // 1 TiB: bodies are streamed, not buffered
+constexpr std::uint64_t maxDiscardedBytes =
+    std::uint64_t {256} * 1024; // of one call: interim responses, responses to other requests, bodies of rejections
+constexpr std::uint64_t maxFramingBytes = std::uint64_t {64} * 1024; // apart from maxFramingBytesPerBodyByte
+constexpr std::uint64_t maxFramingBytesPerBodyByte = 16; // allows chunks of one byte
+constexpr Duration maxRejectionTime = std::chrono::milliseconds(200); // for the body, which nobody needs
 
 } // namespace
 
@@ -31,7 +36,7 @@
     , m_engine(engine)
     , m_request(std::move(request))
     , m_handler(&handler)
-    , m_connectTimer(pool.io())
+    , m_timer(pool.io())
 {
 }
 
@@ -43,8 +48,8 @@
         return;
     }
     m_connection = std::make_unique<EngineConnection>(m_pool.io());
-    m_connectTimer.expires_after(connectTimeout);
-    m_connectTimer.async_wait([self = shared_from_this()](const error_code &ec) {
+    m_timer.expires_after(connectTimeout);
+    m_timer.async_wait([self = shared_from_this()](const error_code &ec) {
         if (!ec && !self->m_isSent) {
             self->finish(AttemptOutcome::NotSent, "connect: timed out");
         }
@@ -55,7 +60,7 @@
         if (self->m_handler == nullptr) {
             return;
         }
-        self->m_connectTimer.cancel();
+        self->m_timer.cancel();
         if (ec) {
             self->finish(AttemptOutcome::NotSent, "connect: " + ec.message());
             return;
@@ -91,14 +96,14 @@
     http::async_read_header(m_connection->socket,
                             m_connection->buffer,
                             *m_parser,
-                            [self = shared_from_this()](const error_code &ec, std::size_t /*n*/) {
+                            [self = shared_from_this()](const error_code &ec, std::size_t n) {
                                 if (self->m_handler == nullptr) {
                                     return;
                                 }
                                 if (ec) {
                                     self->finish(AttemptOutcome::Broken, "answer: " + ec.message());
                                 } else {
-                                    self->onHeaderRead();
+                                    self->onHeaderRead(n);
                                 }
                             });
 }
@@ -128,12 +133,44 @@
     }
 }
 
-void EngineCall::onHeaderRead()
+bool EngineCall::discard(std::size_t bytes)
+{
+    m_discardedBytes += bytes;
+    if (m_discardedBytes > maxDiscardedBytes) {
+        finishInvalid("more than " + std::to_string(maxDiscardedBytes) + " bytes to discard");
+        return false;
+    }
+    return true;
+}
+
+void EngineCall::finishInvalid(const std::string &reason)
+{
+    if (m_isDiscarding && !m_isStaleResponse) {
+        finish(AttemptOutcome::Rejected,
+               "status " + std::to_string(m_parser->get().result_int()) + ", body: " + reason);
+    } else {
+        finish(AttemptOutcome::Broken, "answer: " + reason);
+    }
+}
+
+void EngineCall::limitRejectionTime()
+{
+    m_timer.expires_after(maxRejectionTime);
+    m_timer.async_wait([self = shared_from_this()](const error_code &ec) {
+        if (!ec && self->m_handler != nullptr) {
+            self->finishInvalid("not complete in time");
+        }
+    });
+}
+
+void EngineCall::onHeaderRead(std::size_t bytes)
 {
     const auto &message = m_parser->get();
     const auto status = message.result_int();
     if (status < httpstatus::firstSuccess) {
-        readHeader(); // a 1xx response
+        if (discard(bytes)) {
+            readHeader(); // a 1xx response
+        }
         return;
     }
     m_connection->keepAliveTimeout = keepAliveTimeoutOf(message);
@@ -146,7 +183,13 @@
     m_outcomeAfterBody = AttemptOutcome::Rejected;
     m_isDiscarding =
         m_isStaleResponse || status == httpstatus::misdirectedRequest || message.count(m_dialect.notExecuted) != 0;
-    if (!m_isDiscarding) {
+    if (m_isStaleResponse) {
+        if (!discard(bytes)) {
+            return;
+        }
+    } else if (m_isDiscarding) {
+        limitRejectionTime();
+    } else {
         const bool isSuccess = status < httpstatus::firstRedirect;
         if (isSuccess && (message.count(m_dialect.engineMarker) == 0 || message.count(m_dialect.requestId) == 0)) {
             finish(AttemptOutcome::Broken, "a success without the engine's marks");
@@ -180,21 +223,33 @@
     http::async_read_some(m_connection->socket,
                           m_connection->buffer,
                           *m_parser,
-                          [self = shared_from_this()](const error_code &ec, std::size_t /*n*/) {
+                          [self = shared_from_this()](const error_code &ec, std::size_t n) {
                               if (self->m_handler != nullptr) {
-                                  self->onBodyRead(ec);
+                                  self->onBodyRead(ec, n);
                               }
                           });
 }
 
-void EngineCall::onBodyRead(const error_code &ec)
+void EngineCall::onBodyRead(const error_code &ec, std::size_t bytes)
 {
     if (ec && ec != http::error::need_buffer) {
-        finish(AttemptOutcome::Broken, "answer: " + ec.message());
+        finishInvalid(ec.message());
+        return;
+    }
+    if (m_isDiscarding) {
+        if (discard(bytes)) {
+            readBody();
+        }
         return;
     }
     const auto size = m_bodyBuffer.size() - m_parser->get().body().size;
-    if (size == 0 || m_isDiscarding) {
+    m_bodyBytes += size;
+    m_framingBytes += bytes - size;
+    if (m_framingBytes > maxFramingBytes + maxFramingBytesPerBodyByte * m_bodyBytes) {
+        finishInvalid("too many bytes between the chunks");
+        return;
+    }
+    if (size == 0) {
         readBody();
         return;
     }
@@ -234,7 +289,7 @@
 void EngineCall::cancel()
 {
     m_handler = nullptr;
-    m_connectTimer.cancel();
+    m_timer.cancel();
     if (m_connection) {
         error_code ignored; // the engine may have closed the connection already
         m_connection->socket.close(ignored);
--- a/packages/gateway/src/enginecall.h
+++ b/packages/gateway/src/enginecall.h
@@ -68,9 +68,15 @@
 
     void send();
     void readHeader();
-    void onHeaderRead();
+    void onHeaderRead(std::size_t bytes);
     void readBody();
-    void onBodyRead(const boost::system::error_code &ec);
+    void onBodyRead(const boost::system::error_code &ec, std::size_t bytes);
+    /// Counts bytes that are no part of the response.
+    /// @return whether more may be read; if not, the call has ended
+    bool discard(std::size_t bytes);
+    /// Ends the call because the rest of the response is invalid or too long.
+    void finishInvalid(const std::string &reason);
+    void limitRejectionTime();
     void onResponseComplete();
     void notifyOfHeaders();
     void finish(AttemptOutcome outcome, const std::string &reason);
@@ -86,12 +92,15 @@
     std::optional<boost::beast::http::request_serializer<boost::beast::http::string_body>> m_serializer;
     std::optional<Parser> m_parser;
     std::array<char, 8192> m_bodyBuffer {};
-    boost::asio::steady_timer m_connectTimer;
+    boost::asio::steady_timer m_timer; // while connecting, and while the body of a rejection is read
     bool m_isSent = false;
     bool m_isWritten = false; // the whole request was written
     bool m_hasWriteFailed = false;
     bool m_isDiscarding = false; // stale, or a rejection whose body is not needed
     AttemptOutcome m_outcomeAfterBody = AttemptOutcome::Complete; // reported when the body has been read
+    std::uint64_t m_discardedBytes = 0;
+    std::uint64_t m_bodyBytes = 0;
+    std::uint64_t m_framingBytes = 0; // of the body: chunk sizes, extensions and trailers
     bool m_isStaleResponse = false; // the response belongs to another request
 };
 
--- a/packages/gateway/src/enginepool.h
+++ b/packages/gateway/src/enginepool.h
@@ -19,12 +19,15 @@
 /// @brief One connection to an engine.
 struct EngineConnection
 {
+    /// Also limits a line between two chunks, and what follows the last chunk.
+    static constexpr std::size_t maxBufferBytes = std::size_t {64} * 1024;
+
     explicit EngineConnection(boost::asio::io_context &io)
         : socket(io)
     {
     }
     boost::asio::ip::tcp::socket socket;
-    boost::beast::flat_buffer buffer;
+    boost::beast::flat_buffer buffer {maxBufferBytes};
     bool isReused = false;
     Duration keepAliveTimeout {}; ///< how long the engine keeps the connection open while idle; zero if it did not say
 };
