Limit the body of a failure in place of the rest of a stream

A caller waited for its whole time limit when the engine that should resume a stream sent a failure whose body had no end: the body wasn't needed, and was therefore read without a limit. It now has the limit of other responses, 8 MiB.

The test of it failed before and passes.

--- a/packages/gateway/src/engineendless_test.cpp
+++ b/packages/gateway/src/engineendless_test.cpp
@@ -217,3 +217,33 @@
         CHECK(std::chrono::steady_clock::now() - startedAt < 1s);
     }
 }
+
+// The body of a failure in place of the rest of a stream was read until the time limit.
+TEST_CASE_FIXTURE(GatewayFixture, "an endless failure of the engine that should resume a stream is given up")
+{
+    std::atomic<unsigned> calls {0};
+    const auto respond = [&](const std::string &it) {
+        ScriptedResponse response;
+        if (calls++ == 0) {
+            response.bytes = streamHeader(it) + chunk(event(1));
+            response.closesConnection = true;
+            return response;
+        }
+        response.bytes = head(it, "500 Failed", "");
+        response.endless = "x";
+        return response;
+    };
+    ScriptedEngine first(respond);
+    ScriptedEngine second(respond);
+    addEngine("a", first.address());
+    addEngine("b", second.address());
+    allowRetries();
+    start();
+    const auto startedAt = std::chrono::steady_clock::now();
+    const auto response = exchange(request("/stream/"));
+    CHECK(std::chrono::steady_clock::now() - startedAt < 1s);
+    CHECK(response.find(event(1)) != std::string::npos);
+    CHECK(response.find("\r\n0\r\n") == std::string::npos);
+    CHECK(first.endlessBytes + second.endlessBytes < maxBytesRead);
+    CHECK(first.disconnectsWhileEndless + second.disconnectsWhileEndless == 1);
+}
--- a/packages/gateway/src/exchange.cpp
+++ b/packages/gateway/src/exchange.cpp
@@ -269,10 +269,10 @@
         m_lastFailure += ", retry budget spent";
         return false;
     }
+    m_responseBody.clear();
     if (m_responseStarted) {
         m_eventSplitter.restart();
     } else {
-        m_responseBody.clear();
         m_isStreaming = false;
         m_eventSplitter = EventSplitter();
     }
--- a/packages/gateway/src/exchange.h
+++ b/packages/gateway/src/exchange.h
@@ -87,7 +87,7 @@
     bool m_isStreaming = false; // the response is an event stream, forwarded event by event
     bool m_responseStarted = false; // the caller was sent the response headers
     EventSplitter m_eventSplitter;
-    std::string m_responseBody; // body of a response that is forwarded as a whole
+    std::string m_responseBody; // of a response that is no stream
     TimePoint m_firstBytesAt;
     TimePoint m_lastEventAt;
     Duration m_maxEventGap {}; // longest time between two forwarded events
--- a/packages/gateway/src/exchangeresponse.cpp
+++ b/packages/gateway/src/exchangeresponse.cpp
@@ -16,7 +16,7 @@
 {
 
 constexpr std::size_t maxBufferedBodyBytes =
-    std::size_t {8} * 1024 * 1024; // body size of a response that is forwarded as a whole
+    std::size_t {8} * 1024 * 1024; // body size of a response that is no stream
 
 } // namespace
 
@@ -49,9 +49,7 @@
 void Exchange::bodyReceived(std::string_view bytes)
 {
     if (!m_isStreaming) {
-        if (!m_responseStarted) {
-            m_responseBody.append(bytes);
-        }
+        m_responseBody.append(bytes);
         if (m_responseBody.size() > maxBufferedBodyBytes) {
             breakOff("the response is larger than " + std::to_string(maxBufferedBodyBytes) + " bytes");
             return;
@@ -61,7 +59,7 @@
     }
     auto events = m_eventSplitter.push(bytes);
     if (m_eventSplitter.isInvalid()) {
-        breakOff("event too large, or event IDs not consecutive");
+        breakOff("event too large, event IDs not consecutive, or too many repeated events");
         return;
     }
     if (events.empty()) {
