Limit the events that an engine repeats instead of resuming a stream

A caller waited for its whole time limit when the engine that should resume a stream repeated old events without end: they were dropped without a limit.

The test of it failed before and passes.

--- a/packages/dispatch/include/monsoonward/dispatch/eventsplitter.h
+++ b/packages/dispatch/include/monsoonward/dispatch/eventsplitter.h
@@ -27,7 +27,8 @@
     bool canContinue() const;
     /// @return whether the bytes so far end with an incomplete event; blank lines alone are none
     bool isInsideEvent() const;
-    /// @return whether an event was too large, or the first new ID after a restart doesn't follow the last one
+    /// @return whether an event was too large, the first new ID after a restart doesn't follow the last one, or much
+    /// more was repeated since then than had been returned
     bool isInvalid() const;
     /// @return number of returned events
     std::uint64_t eventCount() const;
@@ -38,6 +39,8 @@
     std::string m_buffer;
     std::optional<std::uint64_t> m_lastId;
     std::uint64_t m_eventCount = 0;
+    std::uint64_t m_returnedBytes = 0;
+    std::uint64_t m_droppedBytes = 0; // since the last restart
     bool m_hasUnnumberedData = false; // data was returned before the first ID
     bool m_isContinuing = false;
     bool m_isInvalid = false;
--- a/packages/dispatch/src/eventsplitter.cpp
+++ b/packages/dispatch/src/eventsplitter.cpp
@@ -63,11 +63,14 @@
         const auto event = buffered.substr(eventStart, end - eventStart);
         if (accept(event)) {
             complete.append(event);
+        } else {
+            m_droppedBytes += event.size();
         }
         eventStart = end;
     }
     m_buffer.erase(0, eventStart);
-    m_isInvalid = m_isInvalid || m_buffer.size() > maxEventBytes;
+    m_returnedBytes += complete.size();
+    m_isInvalid = m_isInvalid || m_buffer.size() > maxEventBytes || m_droppedBytes > m_returnedBytes + maxEventBytes;
     return complete;
 }
 
@@ -95,6 +98,7 @@
 void EventSplitter::restart()
 {
     m_buffer.clear();
+    m_droppedBytes = 0;
     m_isContinuing = true;
 }
 
--- a/packages/gateway/src/engineendless_test.cpp
+++ b/packages/gateway/src/engineendless_test.cpp
@@ -247,3 +247,27 @@
     CHECK(first.endlessBytes + second.endlessBytes < maxBytesRead);
     CHECK(first.disconnectsWhileEndless + second.disconnectsWhileEndless == 1);
 }
+
+// Events that the caller had already were dropped without limit.
+TEST_CASE_FIXTURE(GatewayFixture, "an engine that repeats old events without end instead of resuming is given up")
+{
+    std::atomic<unsigned> calls {0};
+    const auto respond = [&](const std::string &it) {
+        ScriptedResponse response;
+        response.bytes = streamHeader(it) + chunk(event(1) + event(2));
+        response.closesConnection = true;
+        response.endless = calls++ == 0 ? "" : chunk(event(1));
+        return response;
+    };
+    ScriptedEngine first(respond);
+    ScriptedEngine second(respond);
+    addEngine("a", first.address());
+    addEngine("b", second.address());
+    allowRetries();
+    start();
+    const auto startedAt = std::chrono::steady_clock::now();
+    const auto response = exchange(request("/stream/"));
+    CHECK(std::chrono::steady_clock::now() - startedAt < 1s);
+    CHECK(response.find("\r\n0\r\n") == std::string::npos);
+    CHECK(first.endlessBytes + second.endlessBytes < maxBytesRead);
+}
