--- a/packages/dispatch/src/eventsplitter.cpp
+++ b/packages/dispatch/src/eventsplitter.cpp
@@ -9,6 +9,13 @@
 {
 
 constexpr std::string_view idField = "id:";
+constexpr std::string_view dataField = "data";
+
+/// @return whether the event has a data field; others, such as comments, may be repeated
+bool hasData(std::string_view event)
+{
+    return event.substr(0, dataField.size()) == dataField || event.find("\ndata") != std::string_view::npos;
+}
 
 /// @return the value of the event's id field, if it is a number
 std::optional<std::uint64_t> idOf(std::string_view event)
@@ -56,11 +63,14 @@
         const auto event = buffered.substr(eventStart, end - eventStart);
         if (accept(event)) {
             complete.append(event);
+        } else {
+            m_droppedBytes += event.size();
         }
         eventStart = end;
     }
     m_buffer.erase(0, eventStart);
-    m_isInvalid = m_isInvalid || m_buffer.size() > maxEventBytes;
+    m_returnedBytes += complete.size();
+    m_isInvalid = m_isInvalid || m_buffer.size() > maxEventBytes || m_droppedBytes > m_returnedBytes + maxEventBytes;
     return complete;
 }
 
@@ -80,6 +90,7 @@
         m_lastId = id;
         m_isContinuing = false;
     }
+    m_hasUnnumberedData = m_hasUnnumberedData || (!m_lastId && hasData(event));
     ++m_eventCount;
     return true;
 }
@@ -87,6 +98,7 @@
 void EventSplitter::restart()
 {
     m_buffer.clear();
+    m_droppedBytes = 0;
     m_isContinuing = true;
 }
 
@@ -95,9 +107,14 @@
     return m_lastId;
 }
 
+bool EventSplitter::canContinue() const
+{
+    return m_lastId || !m_hasUnnumberedData;
+}
+
 bool EventSplitter::isInsideEvent() const
 {
-    return !m_buffer.empty();
+    return m_buffer.find_first_not_of("\r\n") != std::string::npos;
 }
 
 bool EventSplitter::isInvalid() const
--- a/packages/dispatch/src/eventsplitter_test.cpp
+++ b/packages/dispatch/src/eventsplitter_test.cpp
@@ -47,3 +47,29 @@
     splitter.push(std::string(EventSplitter::maxEventBytes + 1, 'x'));
     CHECK(splitter.isInvalid());
 }
+
+// Another engine began such a stream anew, and the caller got its data twice.
+TEST_CASE("a stream can be continued unless data without an ID was returned before the first ID")
+{
+    EventSplitter splitter;
+    CHECK(splitter.canContinue());
+    splitter.push(": comment\n\nretry: 5\n\n");
+    CHECK(splitter.canContinue());
+    splitter.push("event: x\r\ndata: a\r\n\r\n");
+    CHECK_FALSE(splitter.canContinue());
+    EventSplitter numbered;
+    numbered.push("id: 1\ndata: a\n\ndata: b\n\n");
+    CHECK(numbered.canContinue());
+}
+
+// A blank line more than the events need was taken for the beginning of an event.
+TEST_CASE("blank lines after an event are not the beginning of another one")
+{
+    for (const std::string rest : {"\n", "\r\n", "\r"}) {
+        EventSplitter splitter;
+        splitter.push("data: a\n\n" + rest);
+        CHECK_FALSE(splitter.isInsideEvent());
+        splitter.push("d");
+        CHECK(splitter.isInsideEvent());
+    }
+}
