Log which attempts lost their connection, and their prompt's parts

The hypotheses on engines that end one after the other differ in what the broken requests have in common, and the log named no parts. Event 6003 has connection_lost, and parts for such attempts. An EngineCall tells its handler that the engine ended the connection early, or refused a new one.

--- a/packages/gateway/include/monsoonward/gateway/httpdialect.h
+++ b/packages/gateway/include/monsoonward/gateway/httpdialect.h
@@ -20,6 +20,8 @@
     std::string engineMarker; ///< response header: present in every successful response of an engine
     std::string engineLeaving; ///< response header: "1" if the engine is leaving and wants no new requests
     std::string tokenCounts; ///< "prompt tokens,maximum output tokens" of a model request
+    /// Parts of a model request's prompt in order, as "ID:tokens,ID:tokens"; the last one belongs to the request alone.
+    std::string promptParts;
     std::string lastEventId; ///< ID of the last event received, to resume a stream after it
     std::vector<std::string> reservedHeaders; ///< removed from callers' requests
     std::string readyPath; ///< path of the readiness check
@@ -32,6 +34,7 @@
                        engineMarker,
                        engineLeaving,
                        tokenCounts,
+                       promptParts,
                        lastEventId,
                        reservedHeaders,
                        readyPath)
--- a/packages/gateway/src/enginecall.cpp
+++ b/packages/gateway/src/enginecall.cpp
@@ -61,6 +61,9 @@
             return;
         }
         self->m_timer.cancel();
+        if (ec == asio::error::connection_refused) {
+            self->m_handler->connectionRefused();
+        }
         if (ec) {
             self->finish(AttemptOutcome::NotSent, "connect: " + ec.message());
             return;
@@ -101,7 +104,7 @@
                                     return;
                                 }
                                 if (ec) {
-                                    self->finish(AttemptOutcome::Broken, "answer: " + ec.message());
+                                    self->onReadFailed(ec);
                                 } else {
                                     self->onHeaderRead(n);
                                 }
@@ -233,7 +236,7 @@
 void EngineCall::onBodyRead(const error_code &ec, std::size_t bytes)
 {
     if (ec && ec != http::error::need_buffer) {
-        finishInvalid(ec.message());
+        onReadFailed(ec);
         return;
     }
     if (m_isDiscarding) {
@@ -256,6 +259,16 @@
     m_handler->bodyReceived({m_bodyBuffer.data(), size});
 }
 
+void EngineCall::onReadFailed(const error_code &ec)
+{
+    const bool isLost = ec == http::error::end_of_stream || ec == http::error::partial_message || ec == asio::error::eof
+        || ec == asio::error::connection_reset;
+    if (isLost) {
+        m_handler->connectionLost();
+    }
+    finishInvalid(ec.message());
+}
+
 void EngineCall::onResponseComplete()
 {
     if (m_isStaleResponse) {
--- a/packages/gateway/src/enginecall.h
+++ b/packages/gateway/src/enginecall.h
@@ -28,6 +28,10 @@
     virtual void engineLeaving() = 0;
     /// The engine rejected a request and asked for no more during @p length.
     virtual void pauseRequested(Duration length) = 0;
+    /// The engine ended the connection before the response was complete: it may have crashed. callEnded() follows.
+    virtual void connectionLost() = 0;
+    /// The engine's host refused the connection: no engine listens there. callEnded() follows.
+    virtual void connectionRefused() = 0;
     /// The response headers have arrived; the body follows.
     virtual void responseStarted(const ResponseHead &head) = 0;
     /// Part of the body has arrived. No more is read until resume() is called.
@@ -77,6 +81,7 @@
     /// Ends the call because the rest of the response is invalid or too long.
     void finishInvalid(const std::string &reason);
     void limitRejectionTime();
+    void onReadFailed(const boost::system::error_code &ec);
     void onResponseComplete();
     void notifyOfHeaders();
     void finish(AttemptOutcome outcome, const std::string &reason);
--- a/packages/gateway/src/exchange.cpp
+++ b/packages/gateway/src/exchange.cpp
@@ -126,6 +126,7 @@
     m_triedEngines.push_back(engine.name);
     m_sentAt = now;
     m_loadAtPlacement = placement.load;
+    m_hasLostConnection = false;
     ++m_attempts;
     m_call = std::make_shared<EngineCall>(
         m_core.pool, m_core.adapter.dialect(), engine, makeEngineRequest(engine, timeLeft()), *this);
@@ -166,6 +167,15 @@
         {{"engine", std::string_view(engine.text())}, {"request", requestId()}, {"pause_ms", milliseconds(length)}});
 }
 
+void Exchange::connectionLost()
+{
+    m_hasLostConnection = true;
+}
+
+void Exchange::connectionRefused()
+{
+}
+
 std::shared_ptr<const Exchange::Request> Exchange::makeEngineRequest(const EngineRecord &engine, Duration timeout) const
 {
     const auto &dialect = m_core.adapter.dialect();
@@ -218,6 +228,7 @@
         && (m_eventSplitter.isInvalid() || m_eventSplitter.isInsideEvent())) {
         finalOutcome = AttemptOutcome::Broken;
         finalReason = "the stream ended inside an event";
+        m_hasLostConnection = true;
     }
     const auto now = m_core.clock.now();
     m_core.placer->requestEnded(engine);
@@ -242,6 +253,8 @@
                       {"end", textOf(finalOutcome)},
                       {"reason", std::string_view(finalReason)},
                       {"attempt", static_cast<std::int64_t>(m_attempts)},
+                      {"connection_lost", m_hasLostConnection},
+                      {"parts", m_hasLostConnection ? promptParts() : std::string_view()},
                       {"after_ms", milliseconds(now - m_sentAt)}});
     const auto state = attemptStateAfter(finalOutcome);
     m_mayHaveRun = m_mayHaveRun || finalOutcome == AttemptOutcome::Broken || finalOutcome == AttemptOutcome::Failed;
--- a/packages/gateway/src/exchange.h
+++ b/packages/gateway/src/exchange.h
@@ -31,6 +31,8 @@
     std::string reasonNotToSend() override;
     void engineLeaving() override;
     void pauseRequested(Duration length) override;
+    void connectionLost() override;
+    void connectionRefused() override;
     void responseStarted(const ResponseHead &head) override;
     void bodyReceived(std::string_view bytes) override;
     void callEnded(AttemptOutcome outcome, const std::string &reason) override;
@@ -70,6 +72,8 @@
     void sendGatewayResponse(unsigned status, const std::string &reason, Duration retryAfter);
     void recordEnd(RequestOutcome outcome, const std::string &reason, const std::string &detail);
     std::string requestId() const;
+    /// @return the parts of the prompt as the request states them
+    std::string_view promptParts() const;
 
     GatewayCore &m_core;
     Request m_request;
@@ -89,6 +93,7 @@
     std::vector<EngineName> m_triedEngines;
     std::uint32_t m_attempts = 0;
     bool m_mayHaveRun = false;
+    bool m_hasLostConnection = false; // the engine of the last attempt ended the connection early
     std::string m_lastFailure; // why the last attempt failed, for the log
     ResponseHead m_responseHead;
     bool m_isStreaming = false; // the response is an event stream, forwarded event by event
--- a/packages/gateway/src/exchangeresponse.cpp
+++ b/packages/gateway/src/exchangeresponse.cpp
@@ -203,6 +203,11 @@
     return std::string(viewOf(m_request[m_core.adapter.dialect().requestId]));
 }
 
+std::string_view Exchange::promptParts() const
+{
+    return viewOf(m_request[m_core.adapter.dialect().promptParts]);
+}
+
 void Exchange::recordEnd(RequestOutcome outcome, const std::string &reason, const std::string &detail)
 {
     m_timer.cancel();
--- a/packages/gateway/src/gatewaytesting.h
+++ b/packages/gateway/src/gatewaytesting.h
@@ -22,6 +22,7 @@
     dialect.engineMarker = "Seal";
     dialect.engineLeaving = "Leaving";
     dialect.tokenCounts = "Tokens";
+    dialect.promptParts = "Parts";
     dialect.lastEventId = "Last-Event-Id";
     dialect.reservedHeaders = {"Reserved"};
     dialect.readyPath = "/ready";
