Find the request traits that crash engines

CrashSuspects collects at which runs of engines each trait of a request was in progress when they ended, and merges what other gateways observed. The trait with the most crashes explains those of the others; a complete response clears its traits, and a run that answers again was not down. Traits with three crashes are refused for five minutes. The gateway doesn't use it yet.

--- /dev/null
+++ b/packages/dispatch/include/monsoonward/dispatch/crashsuspects.h
@@ -0,0 +1,166 @@
+#pragma once
+
+#include <monsoonward/values/values.h>
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <unordered_map>
+#include <vector>
+
+namespace monsoonward
+{
+
+/// Hash of something that several requests may have in common, such as a part of their prompts.
+using RequestTrait = std::uint64_t;
+/// Hash of an engine's name and incarnation: one run of its process.
+using EngineRun = std::uint64_t;
+
+/// @brief A request with the trait was in progress when a connection to the run ended.
+struct CrashObservation
+{
+    RequestTrait trait = 0;
+    EngineRun run = 0;
+    Duration age {};
+    bool isRefuted = false; ///< the run answered afterwards, so it hadn't crashed
+    bool isConfirmed = false; ///< the run refused a connection afterwards
+    bool isOfRefused = false; ///< the trait is refused or was: the observation is kept for longer
+    MONSOONWARD_FIELDS(trait, run, age, isRefuted, isConfirmed, isOfRefused)
+};
+
+/// @brief A request with the trait got a complete response.
+struct SoundObservation
+{
+    RequestTrait trait = 0;
+    Duration age {};
+    MONSOONWARD_FIELDS(trait, age)
+};
+
+/// @brief What a gateway tells the others about crashes.
+struct CrashReport
+{
+    std::vector<CrashObservation> crashes {};
+    std::vector<SoundObservation> sound {};
+    MONSOONWARD_FIELDS(crashes, sound)
+
+    bool isEmpty() const
+    {
+        return crashes.empty() && sound.empty();
+    }
+};
+
+/// @brief What the known crashes say about one trait.
+struct CrashVerdict
+{
+    bool isCulprit = false;
+    std::optional<TimePoint> newestCrashAt {}; ///< of those that count and that no culprit explains
+    std::size_t unexplained = 0; ///< crashes that no other trait explains, also those that don't count yet
+    MONSOONWARD_FIELDS(isCulprit, newestCrashAt, unexplained)
+};
+
+/// @brief Finds the traits of requests that crash each engine that begins to answer them, so that such requests are
+/// refused. A crash also breaks sound requests: a trait is refused if it was in progress at several crashes that no
+/// other trait explains, and none of its requests completed afterwards. Gateways that exchange reports reach the same
+/// result; observations may arrive in any order, late and repeatedly.
+class CrashSuspects
+{
+public:
+    /// A trait is refused after this number of crashes that no other trait explains.
+    static constexpr std::size_t crashesToRefuse = 3;
+    /// A refusal lasts for this time from the newest crash of the trait.
+    static constexpr Duration refusalTime = std::chrono::minutes(5);
+    /// For this time after a refusal, one more crash refuses the trait again.
+    static constexpr Duration relapseTime = std::chrono::hours(1);
+    /// Observations of traits that were never refused are kept for this time.
+    static constexpr Duration observationLifetime = std::chrono::seconds(60);
+    /// An observation counts at this age if it isn't confirmed earlier.
+    static constexpr Duration confirmationTimeout = std::chrono::milliseconds(300);
+    /// A run that answers within this time after an observation had not crashed; later it may have been started anew.
+    static constexpr Duration refutationWindow = std::chrono::milliseconds(1500);
+    static constexpr Duration reportInterval = std::chrono::seconds(1);
+    static constexpr std::size_t maxObservations = 4096;
+    static constexpr std::size_t maxReported = 64; ///< crashes in a report, and as many sound traits
+
+    /// @return whether nothing is known; the other functions need not be called then until a crash is observed
+    bool isEmpty() const;
+    /// A request with these traits was in progress when its connection to the run ended.
+    void crashObserved(const std::vector<RequestTrait> &traits, EngineRun run, TimePoint now);
+    /// The run began to answer a request that was sent to it at @p sentAt.
+    void engineAnswered(EngineRun run, TimePoint sentAt, TimePoint now);
+    /// A connection to the run was refused. Confirms the crashes of that run.
+    void engineRefusedConnection(EngineRun run, TimePoint now);
+    /// A request with these traits got a complete successful response.
+    void requestCompleted(const std::vector<RequestTrait> &traits, TimePoint now);
+    /// @return the time until the longest refusal among the traits ends; nothing if none is refused
+    std::optional<Duration> refusedFor(const std::vector<RequestTrait> &traits, TimePoint now) const;
+    /// @return whether a request that was broken off may be sent to another engine: false if one of the traits has two
+    /// or more crashes that no other trait explains, whether they count already or not
+    bool mayRetry(const std::vector<RequestTrait> &traits, TimePoint now) const;
+    /// @return traits that are refused since the last call
+    std::vector<RequestTrait> takeNewlyRefused(TimePoint now);
+    /// @return traits whose refusal ended early since the last call, because a request with them completed or because
+    /// their crashes are explained otherwise
+    std::vector<RequestTrait> takeNewlyCleared(TimePoint now);
+    /// @return a report for the other gateways when this one observed a change, and then once per reportInterval while
+    /// there is anything to tell
+    std::optional<CrashReport> reportIfDue(TimePoint now);
+    void addReport(const CrashReport &report, TimePoint now);
+    /// Drops what is out of date. Call it several times a second.
+    void expire(TimePoint now);
+    /// @return number of refused traits
+    std::size_t refusedCount(TimePoint now) const;
+
+private:
+    static constexpr Duration keptLifetime = refusalTime + relapseTime;
+    // Peers that missed a completion refuse the trait for at most refusalTime.
+    static constexpr Duration completionLifetime = refusalTime + observationLifetime;
+    static constexpr Duration soundTellTime = std::chrono::seconds(3); // so that a lost report doesn't matter
+
+    struct Observation
+    {
+        TimePoint time;
+        bool isConfirmed = false;
+        bool isRefuted = false;
+    };
+    struct Suspect
+    {
+        bool isLive(const Observation &observation) const;
+
+        std::map<EngineRun, Observation> crashes;
+        std::optional<TimePoint> completedAt;
+        TimePoint lastCrashAt; // also of dropped observations
+        TimePoint soundToldUntil;
+        bool isRefused = false;
+        bool isKept = false; // is refused or was, until relapseTime has passed
+    };
+    struct Attribution
+    {
+        bool isCurrent = false;
+        bool isSettled = false; // the suspects' states follow it
+        TimePoint validUntil;
+        std::map<RequestTrait, CrashVerdict> verdicts;
+    };
+    using Suspects = std::map<RequestTrait, Suspect>;
+
+    const Attribution &attribution(TimePoint now) const;
+    const CrashVerdict *verdictOn(RequestTrait trait, TimePoint now) const;
+    bool isRefusalOver(RequestTrait trait, TimePoint now) const;
+    void settle(TimePoint now);
+    void markChanged();
+    bool addCrash(const CrashObservation &crash, TimePoint now);
+    void addSound(const SoundObservation &sound, TimePoint now);
+    void spreadRefutations();
+    void expireObservations(RequestTrait trait, Suspect &suspect, TimePoint now);
+    void dropExcess();
+    CrashReport makeReport(TimePoint now) const;
+
+    Suspects m_suspects;
+    std::unordered_map<EngineRun, TimePoint> m_refutable; // newest observation by run, while it may be refuted
+    mutable Attribution m_attribution;
+    std::vector<RequestTrait> m_newlyRefused;
+    std::vector<RequestTrait> m_newlyCleared;
+    bool m_hasNews = false;
+    TimePoint m_lastReportAt;
+};
+
+} // namespace monsoonward
