Tell apart traits that were in progress at the same crashes

After a second, requests with at most half of such traits are served. One that completes clears its traits, one that crashes explains the crashes of the others.

--- a/packages/dispatch/include/monsoonward/dispatch/crashsuspects.h
+++ b/packages/dispatch/include/monsoonward/dispatch/crashsuspects.h
@@ -55,7 +55,9 @@
     bool isCulprit = false;
     std::optional<TimePoint> newestCrashAt {}; ///< of those that count and that no culprit explains
     std::size_t unexplained = 0; ///< crashes that no other trait explains, also those that don't count yet
-    MONSOONWARD_FIELDS(isCulprit, newestCrashAt, unexplained)
+    std::size_t group = 0; ///< number of the group of culprits that can't be told apart
+    std::size_t groupSize = 0;
+    MONSOONWARD_FIELDS(isCulprit, newestCrashAt, unexplained, group, groupSize)
 };
 
 /// @brief Finds the traits of requests that crash each engine that begins to answer them, so that such requests are
@@ -73,6 +75,9 @@
     static constexpr Duration relapseTime = std::chrono::hours(1);
     /// Observations of traits that were never refused are kept for this time.
     static constexpr Duration observationLifetime = std::chrono::seconds(60);
+    /// Traits that can't be told apart are all refused for this time from their newest crash. Then requests with at
+    /// most half of them are served: the result of one shows which traits are sound.
+    static constexpr Duration testDelay = std::chrono::seconds(1);
     /// An observation counts at this age if it isn't confirmed earlier.
     static constexpr Duration confirmationTimeout = std::chrono::milliseconds(300);
     /// A run that answers within this time after an observation had not crashed; later it may have been started anew.
@@ -91,7 +96,8 @@
     void engineRefusedConnection(EngineRun run, TimePoint now);
     /// A request with these traits got a complete successful response.
     void requestCompleted(const std::vector<RequestTrait> &traits, TimePoint now);
-    /// @return the time until the longest refusal among the traits ends; nothing if none is refused
+    /// @return the time until the longest refusal among the traits ends; nothing if a request with these traits isn't
+    /// refused
     std::optional<Duration> refusedFor(const std::vector<RequestTrait> &traits, TimePoint now) const;
     /// @return whether a request that was broken off may be sent to another engine: false if one of the traits has two
     /// or more crashes that no other trait explains, whether they count already or not
@@ -107,7 +113,7 @@
     void addReport(const CrashReport &report, TimePoint now);
     /// Drops what is out of date. Call it several times a second.
     void expire(TimePoint now);
-    /// @return number of refused traits
+    /// @return number of refused traits, including those that can't be told apart
     std::size_t refusedCount(TimePoint now) const;
 
 private:
--- a/packages/dispatch/src/crashattribution.cpp
+++ b/packages/dispatch/src/crashattribution.cpp
@@ -53,12 +53,13 @@
 std::map<RequestTrait, CrashVerdict> attributeCrashes(CrashesByTrait crashes, TimePoint now)
 {
     std::map<RequestTrait, CrashVerdict> verdicts;
-    for (;;) {
+    for (std::size_t group = 0;; ++group) {
         const auto runs = runsOfNextCulprit(crashes, now);
         if (runs.empty()) {
             break;
         }
         std::set<EngineRun> explained;
+        std::vector<RequestTrait> culprits;
         for (auto it = crashes.begin(); it != crashes.end();) {
             if (it->second.size() < runs.size() || countingRuns(it->second) != runs) {
                 ++it;
@@ -66,12 +67,17 @@
             }
             auto verdict = unexplainedCrashes(it->second);
             verdict.isCulprit = true;
+            verdict.group = group;
             verdicts[it->first] = verdict;
+            culprits.push_back(it->first);
             for (const auto &[run, crash] : it->second) {
                 explained.insert(run);
             }
             it = crashes.erase(it);
         }
+        for (const auto trait : culprits) {
+            verdicts[trait].groupSize = culprits.size();
+        }
         for (auto &[trait, ownCrashes] : crashes) {
             for (const auto run : explained) {
                 ownCrashes.erase(run);
--- a/packages/dispatch/src/crashsuspects.cpp
+++ b/packages/dispatch/src/crashsuspects.cpp
@@ -3,6 +3,7 @@
 #include "crashattribution.h"
 
 #include <algorithm>
+#include <set>
 #include <utility>
 
 namespace monsoonward
@@ -89,11 +90,26 @@
 
 std::optional<Duration> CrashSuspects::refusedFor(const std::vector<RequestTrait> &traits, TimePoint now) const
 {
-    std::optional<Duration> longest;
+    struct Group
+    {
+        std::set<RequestTrait> traits;
+        std::size_t size = 0;
+        TimePoint newestCrashAt;
+    };
+    std::map<std::size_t, Group> groups;
     for (const auto trait : traits) {
         const auto *verdict = verdictOn(trait, now);
         if (verdict != nullptr && verdict->isCulprit) {
-            const Duration left = *verdict->newestCrashAt + refusalTime - now;
+            auto &group = groups[verdict->group];
+            group.traits.insert(trait);
+            group.size = verdict->groupSize;
+            group.newestCrashAt = std::max(group.newestCrashAt, *verdict->newestCrashAt);
+        }
+    }
+    std::optional<Duration> longest;
+    for (const auto &[number, group] : groups) {
+        if (now - group.newestCrashAt < testDelay || group.traits.size() * 2 > group.size) {
+            const Duration left = group.newestCrashAt + refusalTime - now;
             longest = std::max(left, longest.value_or(left));
         }
     }
--- a/packages/dispatch/src/crashsuspects_test.cpp
+++ b/packages/dispatch/src/crashsuspects_test.cpp
@@ -262,6 +262,45 @@
     CHECK_FALSE(it.isRefused(2));
 }
 
+// Guards against refusing a prompt part that all requests share for five minutes when no other request ran meanwhile.
+TEST_CASE("requests with at most half of the traits that can't be told apart are served after a second")
+{
+    Gateways it;
+    it.crashThrice({bad, common, other});
+    const auto isRefused = [&](const Traits &traits) { return it[0].refusedFor(traits, it.now()).has_value(); };
+    it.advance(999ms);
+    CHECK(isRefused({common}));
+    it.advance(1ms);
+    CHECK_FALSE(isRefused({common, common, 7}));
+    CHECK(isRefused({common, other}));
+    CHECK(isRefused({bad, common, other}));
+    CHECK(it[0].refusedCount(it.now()) == 3);
+    CHECK_FALSE(it[0].mayRetry({common}, it.now()));
+
+    SUBCASE("a completion shows that the trait is sound")
+    {
+        it[0].requestCompleted({common}, it.now());
+        CHECK_FALSE(isRefused({common}));
+        CHECK(isRefused({common, bad, other}));
+        CHECK_FALSE(isRefused({common, other}));
+        it[0].requestCompleted({common, other}, it.now());
+        CHECK(isRefused({bad}));
+        CHECK(it[0].refusedCount(it.now()) == 1);
+    }
+    SUBCASE("a crash shows that the others are")
+    {
+        it.crash({bad, 7}, 4);
+        CHECK(isRefused({bad}));
+        CHECK_FALSE(isRefused({common, other}));
+        CHECK(it[0].refusedCount(it.now()) == 1);
+    }
+    SUBCASE("nothing more is known when a crash has all of them")
+    {
+        it.crash({bad, common, other}, 4);
+        CHECK(isRefused({common}));
+    }
+}
+
 TEST_CASE("a request is not retried after two unexplained crashes of a trait, confirmed or not")
 {
     Gateways it;
