Carry observations of crashes in load reports

A full load report may hold a CrashReport, as flat arrays of numbers with ages in milliseconds. It is left out while empty; reports of earlier versions decode without it. With the largest number of observations a report stays below 3 kB.

--- a/packages/dispatch/include/monsoonward/dispatch/fleetview.h
+++ b/packages/dispatch/include/monsoonward/dispatch/fleetview.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "monsoonward/dispatch/crashsuspects.h"
 #include "monsoonward/dispatch/storeknowledge.h"
 
 #include <cstdint>
@@ -26,6 +27,7 @@
     std::set<EngineName> leavingEngines {}; ///< engines whose own answers to this daemon said that they are leaving
     StoreKnowledge knowledge {}; ///< what this daemon has read from the store
     Duration uptime {}; ///< since the process started
+    CrashReport crashes {}; ///< what this daemon knows about crashes of engines, if it is due
     MONSOONWARD_FIELDS(host,
                        incarnation,
                        sequenceNumber,
@@ -36,7 +38,8 @@
                        shouldForward,
                        leavingEngines,
                        knowledge,
-                       uptime)
+                       uptime,
+                       crashes)
 };
 
 /// @brief What a new report changes compared with the daemon's previous one.
--- a/packages/gateway/src/reportcodec.cpp
+++ b/packages/gateway/src/reportcodec.cpp
@@ -2,6 +2,7 @@
 
 #include <nlohmann/json.hpp>
 
+#include <algorithm>
 #include <limits>
 
 namespace monsoonward
@@ -27,21 +28,88 @@
 constexpr const char *engineVersionField = "ve";
 constexpr const char *gatewayVersionField = "vg";
 constexpr const char *uptimeField = "u"; // milliseconds
+constexpr const char *crashesField = "x"; // crashNumbers for each: trait, run, age in milliseconds, flags
+constexpr const char *soundField = "o"; // soundNumbers for each: trait, age in milliseconds
+
+constexpr std::size_t crashNumbers = 4;
+constexpr std::size_t soundNumbers = 2;
+constexpr std::uint64_t refutedFlag = 1;
+constexpr std::uint64_t confirmedFlag = 2;
+constexpr std::uint64_t ofRefusedFlag = 4;
 
 constexpr auto maxMilliseconds =
     static_cast<std::uint64_t>(std::numeric_limits<std::int64_t>::max() / 1'000'000); // fits into Duration
 
+std::uint64_t milliseconds(Duration age)
+{
+    return static_cast<std::uint64_t>(
+        std::max<std::int64_t>(0, std::chrono::duration_cast<std::chrono::milliseconds>(age).count()));
+}
+
+std::vector<std::uint64_t> crashNumbersOf(const CrashReport &report)
+{
+    std::vector<std::uint64_t> numbers;
+    for (const auto &it : report.crashes) {
+        const auto flags = (it.isRefuted ? refutedFlag : 0) | (it.isConfirmed ? confirmedFlag : 0)
+            | (it.isOfRefused ? ofRefusedFlag : 0);
+        numbers.insert(numbers.end(), {it.trait, it.run, milliseconds(it.age), flags});
+    }
+    return numbers;
+}
+
+std::vector<std::uint64_t> soundNumbersOf(const CrashReport &report)
+{
+    std::vector<std::uint64_t> numbers;
+    for (const auto &it : report.sound) {
+        numbers.insert(numbers.end(), {it.trait, milliseconds(it.age)});
+    }
+    return numbers;
+}
+
+/// @return nothing if the numbers aren't whole observations or an age is out of range
+std::optional<CrashReport> crashReport(const std::vector<std::uint64_t> &crashes,
+                                       const std::vector<std::uint64_t> &sound)
+{
+    CrashReport report;
+    if (crashes.size() % crashNumbers != 0 || sound.size() % soundNumbers != 0) {
+        return std::nullopt;
+    }
+    for (auto it = crashes.begin(); it != crashes.end(); it += crashNumbers) {
+        if (it[2] > maxMilliseconds) {
+            return std::nullopt;
+        }
+        report.crashes.push_back({it[0],
+                                  it[1],
+                                  std::chrono::milliseconds(it[2]),
+                                  (it[3] & refutedFlag) != 0,
+                                  (it[3] & confirmedFlag) != 0,
+                                  (it[3] & ofRefusedFlag) != 0});
+    }
+    for (auto it = sound.begin(); it != sound.end(); it += soundNumbers) {
+        if (it[1] > maxMilliseconds) {
+            return std::nullopt;
+        }
+        report.sound.push_back({it[0], std::chrono::milliseconds(it[1])});
+    }
+    return report;
+}
+
 /// Builds a report from the events of a parser. Anything that a report can't hold ends the parsing, before nested data
 /// can exhaust the stack.
 class ReportReader : public Json::json_sax_t
 {
 public:
-    /// @return the report, or nothing if a required field is missing
+    /// @return the report, or nothing if a required field is missing or incomplete
     std::optional<LoadReport> result() &&
     {
         if (!m_hasHost || !m_hasIncarnation || !m_hasSequence || !m_hasRequests || m_hasDemand != m_hasSpent) {
             return std::nullopt;
         }
+        auto crashes = crashReport(m_crashes, m_sound);
+        if (!crashes) {
+            return std::nullopt;
+        }
+        m_report.crashes = std::move(*crashes);
         m_report.isLoadOnly = !m_hasDemand;
         if (!m_hasUptime && m_hasDemand) {
             m_report.uptime = Duration::max(); // an earlier version doesn't state it
@@ -109,10 +177,12 @@
     }
     bool start_array(std::size_t /*size*/) override
     {
-        return ++m_depth == 2 && m_field == leavingField;
+        m_isArray = ++m_depth == 2;
+        return m_isArray && (m_field == leavingField || m_field == crashesField || m_field == soundField);
     }
     bool end_array() override
     {
+        m_isArray = false;
         --m_depth;
         return true;
     }
@@ -145,11 +215,16 @@
         } else if (m_field == gatewayVersionField) {
             m_report.knowledge.gatewayVersion = value;
         }
-        return true; // a newer version may send further numbers
+        // A newer version may send further numbers.
+        return m_field != crashesField && m_field != soundField;
     }
 
     bool entry(std::uint64_t value)
     {
+        if (m_isArray) {
+            (m_field == crashesField ? m_crashes : m_sound).push_back(value);
+            return m_field != leavingField;
+        }
         if (m_field == requestsField) {
             m_report.requests[EngineName(m_entry)] = static_cast<std::uint32_t>(value);
             return value <= std::numeric_limits<std::uint32_t>::max();
@@ -163,7 +238,7 @@
 
     bool negativeNumber(std::int64_t value)
     {
-        return m_depth == 2 && spent(static_cast<double>(value)); // after refunds
+        return m_depth == 2 && !m_isArray && spent(static_cast<double>(value)); // after refunds
     }
 
     bool spent(double units)
@@ -175,7 +250,10 @@
     LoadReport m_report;
     std::string m_field;
     std::string m_entry;
+    std::vector<std::uint64_t> m_crashes;
+    std::vector<std::uint64_t> m_sound;
     unsigned m_depth = 0;
+    bool m_isArray = false;
     bool m_hasHost = false;
     bool m_hasIncarnation = false;
     bool m_hasSequence = false;
@@ -220,6 +298,12 @@
     for (const auto &it : report.leavingEngines) {
         json[leavingField].push_back(it.text());
     }
+    if (!report.crashes.crashes.empty()) {
+        json[crashesField] = crashNumbersOf(report.crashes);
+    }
+    if (!report.crashes.sound.empty()) {
+        json[soundField] = soundNumbersOf(report.crashes);
+    }
     if (report.shouldForward) {
         json[forwardField] = true;
     }
@@ -235,7 +319,7 @@
     if (auto report = std::move(reader).result()) {
         return *report;
     }
-    return Error {ErrorCode::Invalid, "a required field of the load report is missing"};
+    return Error {ErrorCode::Invalid, "a field of the load report is missing or incomplete"};
 }
 
 } // namespace monsoonward
--- a/packages/gateway/src/reportcodec_test.cpp
+++ b/packages/gateway/src/reportcodec_test.cpp
@@ -4,6 +4,8 @@
 
 #include <nlohmann/json.hpp>
 
+#include <limits>
+
 using namespace monsoonward;
 
 namespace
@@ -52,6 +54,54 @@
     CHECK(encodeReport(loadOnlyReport).size() < encodeReport(full).size());
 }
 
+TEST_CASE("observations of crashes survive encoding, decoding and forwarding")
+{
+    constexpr auto largest = std::numeric_limits<std::uint64_t>::max();
+    auto full = fullReport();
+    const auto sizeWithout = encodeReport(full).size();
+    full.crashes.crashes = {{largest, 1, std::chrono::milliseconds(0), true, false, false},
+                            {1, largest, std::chrono::milliseconds(250), false, true, false},
+                            {0, 2, std::chrono::hours(1), false, false, true},
+                            {3, 4, std::chrono::hours(2), true, true, true}};
+    CHECK(encodedAndDecoded(full) == full);
+    full.crashes.sound = {{largest, std::chrono::milliseconds(7)}, {5, std::chrono::minutes(6)}};
+    CHECK(encodedAndDecoded(full) == full);
+    full.shouldForward = true;
+    const auto forwarded = encodedAndDecoded(full);
+    CHECK(forwarded == full);
+    CHECK(encodedAndDecoded(forwarded) == full);
+    full.crashes.crashes.clear();
+    CHECK(encodedAndDecoded(full) == full);
+    full.crashes = {};
+    full.shouldForward = false;
+    CHECK(encodeReport(full).size() == sizeWithout);
+    CHECK(encodedAndDecoded(full).crashes.isEmpty());
+}
+
+TEST_CASE("ages of observations are sent as whole milliseconds, and not in load-only reports")
+{
+    auto report = fullReport();
+    report.crashes = {{{1, 2, std::chrono::microseconds(1999)}}, {{1, std::chrono::microseconds(-5000)}}};
+    const auto read = encodedAndDecoded(report);
+    CHECK(read.crashes == CrashReport {{{1, 2, std::chrono::milliseconds(1)}}, {{1, std::chrono::milliseconds(0)}}});
+    report.isLoadOnly = true;
+    CHECK(encodedAndDecoded(report).crashes.isEmpty());
+}
+
+TEST_CASE("a report with the largest number of observations of crashes stays below 3 kB")
+{
+    CrashReport crashes;
+    for (std::uint64_t n = 0; n < CrashSuspects::maxReported; ++n) {
+        const auto hash = std::numeric_limits<std::uint64_t>::max() - n;
+        crashes.crashes.push_back({hash, hash, std::chrono::minutes(5), false, true, true});
+        crashes.sound.push_back({hash, std::chrono::seconds(3)});
+    }
+    auto report = fullReport();
+    report.crashes = crashes;
+    CHECK(encodedAndDecoded(report) == report);
+    CHECK(encodeReport(report).size() < 3000);
+}
+
 TEST_CASE("truncated and foreign datagrams are rejected")
 {
     const auto bytes = encodeReport(fullReport());
@@ -74,6 +124,8 @@
         return json;
     };
     CHECK(isAccepted(with("later", 1)));
+    CHECK(isAccepted(with("x", {1, 2, 3, 4})));
+    CHECK(isAccepted(with("o", {1, 2})));
     for (const auto &it : {with("h", 1),
                            with("h", ""),
                            with("l", -1),
@@ -85,6 +137,20 @@
                            with("d", {{"c", 1}}),
                            with("v", {1}),
                            with("p", 1ULL << 62U),
+                           with("x", 1),
+                           with("x", {1, 2, 3}),
+                           with("x", {1, 2, 3, 4, 5}),
+                           with("x", {1, 2, -3, 4}),
+                           with("x", {1, 2, 3.5, 4}),
+                           with("x", {1, 2, 1ULL << 62U, 4}),
+                           with("x", {1, 2, 3, "4"}),
+                           with("x", {1, 2, 3, {4}}),
+                           with("x", {{"e", 1}}),
+                           with("x", nullptr),
+                           with("o", {1}),
+                           with("o", {1, -1}),
+                           with("o", {1, 1ULL << 62U}),
+                           with("o", {{"c", 1}}),
                            nlohmann::json::array()}) {
         CAPTURE(it.dump());
         CHECK_FALSE(isAccepted(it));
