Refuse requests whose traits crash engines, at all gateways

Callers saw engine after engine end under requests that had one prompt part in common, and sound requests break beside them.

Cause: nothing remembered what was in progress when an engine ended. Engines were judged, requests never; each gateway sent every further request with the part, and resent the broken ones.

A gateway now records the traits of a request that loses its connection (each part of the prompt but the last, and the request as a whole), shares the observations in its load reports, and refuses requests with a trait that explains three crashes. A request whose trait has two such crashes isn't sent again.

--- a/packages/gateway/src/exchange.cpp
+++ b/packages/gateway/src/exchange.cpp
@@ -3,6 +3,7 @@
 
 #include "headervalues.h"
 #include "httpstatus.h"
+#include "requesttraits.h"
 
 #include <algorithm>
 #include <xxhash.h>
@@ -86,6 +87,38 @@
     return request;
 }
 
+std::vector<RequestTrait> Exchange::traits() const
+{
+    return traitsOf(m_request, promptParts(), m_customer == nullptr ? std::string_view() : m_customer->name.text());
+}
+
+bool Exchange::refusedAsSuspect()
+{
+    auto &suspects = m_core.crashSuspects;
+    if (suspects.isEmpty()) {
+        return false;
+    }
+    const auto left = suspects.refusedFor(traits(), m_core.clock.now());
+    if (!left) {
+        return false;
+    }
+    const std::string reason = "crash-suspect";
+    if (m_mayHaveRun || m_responseStarted) {
+        finishWith(m_responseStarted ? NextStep::Abort : NextStep::Fail, reason);
+    } else {
+        refuse(unavailable, reason, *left, "parts " + std::string(promptParts()));
+    }
+    return true;
+}
+
+void Exchange::recordCrash(const EngineRecord &engine)
+{
+    // An engine that is leaving ends its connections as planned.
+    if (m_core.engines.mayReceive(engine.name)) {
+        m_core.crashSuspects.crashObserved(traits(), runOf(engine), m_core.clock.now());
+    }
+}
+
 void Exchange::attempt()
 {
     const auto now = m_core.clock.now();
@@ -99,6 +132,9 @@
         }
         return;
     }
+    if (refusedAsSuspect()) {
+        return;
+    }
     const auto placement = m_core.placer->place(placementRequest(), now);
     if (placement.outcome == PlacementOutcome::Placed) {
         send(placement);
@@ -174,6 +210,7 @@
 
 void Exchange::connectionRefused()
 {
+    m_core.crashSuspects.engineRefusedConnection(runOf(m_call->engine()), m_core.clock.now());
 }
 
 std::shared_ptr<const Exchange::Request> Exchange::makeEngineRequest(const EngineRecord &engine, Duration timeout) const
@@ -220,7 +257,8 @@
 void Exchange::callEnded(AttemptOutcome outcome, const std::string &reason)
 {
     const auto self = shared_from_this();
-    const auto engine = m_call->engine().name;
+    const auto engineRecord = m_call->engine();
+    const auto &engine = engineRecord.name;
     m_call.reset();
     auto finalOutcome = outcome;
     auto finalReason = reason;
@@ -235,6 +273,9 @@
     m_core.metrics.attemptEnded(m_service, std::string(textOf(finalOutcome)));
     if (finalOutcome == AttemptOutcome::Complete) {
         m_core.health.recordSuccess(engine);
+        if (m_responseHead.status < firstRedirect && !m_core.crashSuspects.isEmpty()) {
+            m_core.crashSuspects.requestCompleted(traits(), now);
+        }
         finishResponse();
         return;
     }
@@ -256,12 +297,17 @@
                       {"connection_lost", m_hasLostConnection},
                       {"parts", m_hasLostConnection ? promptParts() : std::string_view()},
                       {"after_ms", milliseconds(now - m_sentAt)}});
+    m_hasLostConnection = m_hasLostConnection && finalOutcome == AttemptOutcome::Broken;
+    if (m_hasLostConnection) {
+        recordCrash(engineRecord);
+    }
     const auto state = attemptStateAfter(finalOutcome);
     m_mayHaveRun = m_mayHaveRun || finalOutcome == AttemptOutcome::Broken || finalOutcome == AttemptOutcome::Failed;
     if (finalOutcome == AttemptOutcome::NotSent) {
         --m_attempts;
     }
-    if (nextStep(state) == NextStep::TryAnother && retry(state)) {
+    const bool mayRetry = !m_hasLostConnection || m_core.crashSuspects.mayRetry(traits(), now);
+    if (mayRetry && nextStep(state) == NextStep::TryAnother && retry(state)) {
         return;
     }
     finishWith(stepWithoutRetry(state), m_lastFailure);
--- a/packages/gateway/src/exchange.h
+++ b/packages/gateway/src/exchange.h
@@ -50,6 +50,10 @@
     bool findRoute();
     bool findCustomer();
     bool applyRateLimit();
+    /// @return whether the request is kept from engines because it has a trait that crashes them
+    bool refusedAsSuspect();
+    std::vector<RequestTrait> traits() const;
+    void recordCrash(const EngineRecord &engine);
     void attempt();
     void send(const Placement &placement);
     std::shared_ptr<const Request> makeEngineRequest(const EngineRecord &engine, Duration timeout) const;
--- a/packages/gateway/src/exchangeresponse.cpp
+++ b/packages/gateway/src/exchangeresponse.cpp
@@ -3,6 +3,7 @@
 
 #include "headervalues.h"
 #include "httpstatus.h"
+#include "requesttraits.h"
 
 #include <algorithm>
 
@@ -15,13 +16,15 @@
 namespace
 {
 
-constexpr std::size_t maxBufferedBodyBytes =
-    std::size_t {8} * 1024 * 1024; // body size of a response that is no stream
+constexpr std::size_t maxBufferedBodyBytes = std::size_t {8} * 1024 * 1024; // body size of a response that is no stream
 
 } // namespace
 
 void Exchange::responseStarted(const ResponseHead &head)
 {
+    if (!m_core.crashSuspects.isEmpty()) {
+        m_core.crashSuspects.engineAnswered(runOf(m_call->engine()), m_sentAt, m_core.clock.now());
+    }
     if (m_responseStarted) {
         // Another engine continues the stream. The caller already has the first engine's headers.
         if (head.status >= firstRedirect) {
--- a/packages/gateway/src/gatewaycore.h
+++ b/packages/gateway/src/gatewaycore.h
@@ -48,6 +48,7 @@
     RetryBudgetShare retryBudget;
     EngineDirectory engines;
     EngineHealth health;
+    CrashSuspects crashSuspects;
     FleetView fleet;
     std::unique_ptr<Placer> placer;
     EnginePool pool;
--- a/packages/gateway/src/gatewayfixture.h
+++ b/packages/gateway/src/gatewayfixture.h
@@ -398,7 +398,7 @@
     std::function<void()> afterPlacement; ///< called between the choice of an engine and the send
 
 protected:
-    static Route route(const std::string &prefix, Repeatability repeatability, bool isStream)
+    Route route(const std::string &prefix, Repeatability repeatability, bool isStream) const
     {
         Route it;
         it.name = prefix;
@@ -408,12 +408,13 @@
         it.repeatability = repeatability;
         it.isStream = isStream;
         it.timeLimit = std::chrono::seconds(4);
-        it.maxAttempts = 2;
+        it.maxAttempts = m_maxAttempts;
         return it;
     }
 
     static constexpr std::size_t maxConnections = 100;
     std::size_t m_maxBodyBytes = 5000;
+    std::uint32_t m_maxAttempts = 2;
     asio::io_context m_io {1};
     asio::io_context m_callerIo;
     JumpingClock m_clock;
--- a/packages/gateway/src/gatewaymetrics.cpp
+++ b/packages/gateway/src/gatewaymetrics.cpp
@@ -133,6 +133,11 @@
     m_impl->gauges.Add({{"name", "store_era"}}).Set(static_cast<double>(era));
 }
 
+void GatewayMetrics::setCrashSuspects(std::size_t refused)
+{
+    m_impl->gauges.Add({{"name", "crash_suspects"}}).Set(static_cast<double>(refused));
+}
+
 void GatewayMetrics::setEngines(std::size_t engineCount, std::size_t gatewayCount)
 {
     m_impl->gauges.Add({{"name", "engines"}}).Set(static_cast<double>(engineCount));
--- a/packages/gateway/src/gatewaymetrics.h
+++ b/packages/gateway/src/gatewaymetrics.h
@@ -33,6 +33,8 @@
     /// An answer of the store stated an era that is no number.
     void storeEraMalformed();
     void setStoreEra(std::uint64_t era);
+    /// @param refused number of traits whose requests are refused because they crash engines
+    void setCrashSuspects(std::size_t refused);
     void setEngines(std::size_t engineCount, std::size_t gatewayCount);
     void setConfiguration(Revision revision, Duration proofAge);
     void setOpenRequests(std::size_t requests, std::size_t connections);
--- a/packages/gateway/src/gatewayprocess.cpp
+++ b/packages/gateway/src/gatewayprocess.cpp
@@ -347,6 +347,7 @@
         m_metrics.setOpenRequests(m_core.openRequests, m_callers.connections());
         m_metrics.setLogRecordsDropped(m_log.dropped());
         m_metrics.setStoreEra(m_store.era());
+        m_metrics.setCrashSuspects(m_core.crashSuspects.refusedCount(now));
         if (!m_core.activeConfiguration) {
             return;
         }
@@ -368,6 +369,7 @@
                    {"caller_connections", m_callers.connections()},
                    {"gateways", m_core.fleet.size()},
                    {"store_era", m_store.era()},
+                   {"crash_suspects", m_core.crashSuspects.refusedCount(now)},
                    {"proof_rank", m_store.proofRank(now)},
                    {"tables_unavailable", m_unavailableTables},
                    {"engines", Json::object()}};
@@ -402,6 +404,24 @@
         m_io.poll();
     }
 
+    void expireCrashSuspects(TimePoint now)
+    {
+        auto &suspects = m_core.crashSuspects;
+        if (suspects.isEmpty()) {
+            return;
+        }
+        suspects.expire(now);
+        const auto write = [this](Event event, Severity severity, std::string_view what, RequestTrait trait) {
+            m_log.write(event, severity, what, {{"trait", std::to_string(trait)}});
+        };
+        for (const auto it : suspects.takeNewlyRefused(now)) {
+            write(Event::SuspectRecorded, Severity::Warning, "crash-suspect-refused", it);
+        }
+        for (const auto it : suspects.takeNewlyCleared(now)) {
+            write(Event::SuspectCleared, Severity::Info, "crash-suspect-cleared", it);
+        }
+    }
+
     // ---- timers and signals
 
     void tick()
@@ -411,6 +431,7 @@
             engineRemoved(it, "registration-did-not-return");
         }
         m_core.pool.expire(m_core.engines);
+        expireCrashSuspects(now);
         m_members.tick();
         m_store.pollIfDue(now);
         if (now - m_startedAt >= maxStartupDelay) {
--- a/packages/gateway/src/loadreports.cpp
+++ b/packages/gateway/src/loadreports.cpp
@@ -119,6 +119,7 @@
     for (const auto &[customer, units] : update->spent) {
         m_core.rateLimiter.recordRemoteSpending(customer, units);
     }
+    m_core.crashSuspects.addReport(report.value().crashes, now);
     m_onKnowledge(report.value().knowledge);
     if (update->wasSilent) {
         m_core.log.write(Event::GatewayHeard,
@@ -172,6 +173,7 @@
     report.leavingEngines = m_core.engines.selfReportedLeaving();
     report.knowledge = m_core.knowledge;
     report.uptime = now - m_startedAt;
+    report.crashes = m_core.crashSuspects.reportIfDue(now).value_or(CrashReport());
     sendTo(m_localPeers, report);
     if (m_remotePeers.size() <= maxDirectRemotePeers) {
         sendTo(m_remotePeers, report);
