Don't read requests that arrive after all connections were closed

A caller whose connection was accepted while the process ended had its request read, started and dropped: no answer, and no reset that tells that it has not run.

Cause: closeAll() closes the connections, but handlers that are ready run once more afterwards, and the accepting one among them served another connection. closeAll() now ends the listener, too. What arrives later meets a reset.

The new test failed before: one request was begun, and its caller saw neither answer nor reset.

--- a/packages/callers/include/monsoonward/callers/callerlistener.h
+++ b/packages/callers/include/monsoonward/callers/callerlistener.h
@@ -43,7 +43,8 @@
     /// Lets each request in progress send its final response now.
     /// @return number of requests that were in progress
     std::size_t endRequests();
-    /// Closes all connections immediately, also those with a request in progress.
+    /// Stops listening and closes all connections immediately, also those with a request in progress. Nothing is read
+    /// afterwards.
     void closeAll();
     /// @return number of open connections
     std::size_t connections() const;
@@ -61,6 +62,7 @@
     boost::asio::steady_timer m_acceptRetryTimer;
     std::set<std::shared_ptr<CallerConnection>> m_connections;
     bool m_isAccepting = false;
+    bool m_isClosed = false; // by closeAll()
 };
 
 } // namespace monsoonward
--- a/packages/callers/src/callerlistener.cpp
+++ b/packages/callers/src/callerlistener.cpp
@@ -51,6 +51,9 @@
         return;
     }
     m_acceptor.async_accept([this](const error_code &ec, tcp::socket socket) {
+        if (m_isClosed) {
+            return; // the socket is closed with its request unread
+        }
         if (!ec) {
             addConnection(std::move(socket));
         }
@@ -123,6 +126,10 @@
 
 void CallerListener::closeAll()
 {
+    m_isClosed = true;
+    m_acceptRetryTimer.cancel();
+    error_code ignored; // it may be closed already
+    m_acceptor.close(ignored);
     const auto connections = m_connections;
     for (const auto &it : connections) {
         it->close();
--- a/packages/callers/src/callerlistener_test.cpp
+++ b/packages/callers/src/callerlistener_test.cpp
@@ -6,6 +6,7 @@
 #include <doctest/doctest.h>
 
 #include <functional>
+#include <thread>
 
 using namespace monsoonward;
 using boost::asio::ip::tcp;
@@ -24,6 +25,7 @@
             , request(std::move(request))
             , sink(&sink)
         {
+            ++service.exchanges;
         }
         void start() override
         {
@@ -90,6 +92,7 @@
     std::size_t pieceBytes = 3;
     int maxPieces = 2;
     int pieces = 0;
+    int exchanges = 0;
     int disconnects = 0;
     std::size_t discardedBytes = 0;
 };
@@ -175,6 +178,10 @@
     {
         return m_listener->endRequests();
     }
+    void closeAll()
+    {
+        m_listener->closeAll();
+    }
     void closeIdleConnections(Duration minIdleTime = Duration::zero())
     {
         m_listener->closeIdleConnections(minIdleTime);
@@ -388,3 +395,18 @@
     CHECK(fixture.handlersWithin(std::chrono::milliseconds(50)) < 100);
     CHECK(fixture.connections() == 2);
 }
+
+// At the end of the process, a connection accepted after the others were closed had its request read and dropped.
+TEST_CASE("a request on a connection that is accepted after closeAll() is not read")
+{
+    ListenerFixture fixture;
+    auto socket = fixture.connect();
+    boost::asio::write(socket, boost::asio::buffer(std::string("GET /silent HTTP/1.1\r\nHost: h\r\n\r\n")));
+    fixture.closeAll();
+    fixture.handlersWithin(std::chrono::milliseconds(50));
+    CHECK(fixture.service.exchanges == 0);
+    char byte = 0;
+    boost::system::error_code ec;
+    socket.read_some(boost::asio::buffer(&byte, 1), ec);
+    CHECK(ec == boost::asio::error::connection_reset);
+}
