Ignore the timer of a connection that has been replaced

A request whose header or body was read while its time limit expired got 408, not-run, although it had been read and sent to an engine; its own answer was lost.

Cause: a timer that has expired can't be cancelled any more if the event loop was busy: its handler is queued behind the one that read the request, and ran in spite of it. Timers are numbered now, and only the newest one acts.

--- a/packages/callers/src/callerconnection.cpp
+++ b/packages/callers/src/callerconnection.cpp
@@ -53,12 +53,20 @@
 
 void CallerConnection::startTimer(Duration timeout, std::function<void()> onTimeout)
 {
+    stopTimer();
     m_timer.expires_after(timeout);
-    m_timer.async_wait([self = shared_from_this(), onTimeout = std::move(onTimeout)](const error_code &ec) {
-        if (!ec) {
-            onTimeout();
-        }
-    });
+    m_timer.async_wait(
+        [self = shared_from_this(), n = m_timerNumber, onTimeout = std::move(onTimeout)](const error_code &ec) {
+            if (!ec && n == self->m_timerNumber) {
+                onTimeout();
+            }
+        });
+}
+
+void CallerConnection::stopTimer()
+{
+    ++m_timerNumber; // the handler may be queued already, and is then not cancelled
+    m_timer.cancel();
 }
 
 // ---- reading
@@ -183,7 +191,7 @@
 void CallerConnection::onRequestRead()
 {
     m_phase = Phase::Responding;
-    m_timer.cancel();
+    stopTimer();
     m_exchange = m_service.makeExchange(m_parser->release(), m_arrivedAt, *this);
     m_parser.reset();
     watchForDisconnect();
@@ -407,7 +415,7 @@
 void CallerConnection::close()
 {
     m_phase = Phase::Closing;
-    m_timer.cancel();
+    stopTimer();
     error_code ignored; // the caller may have closed it already
     m_socket.close(ignored);
     if (const auto exchange = std::exchange(m_exchange, nullptr)) {
--- a/packages/callers/src/callerconnection.h
+++ b/packages/callers/src/callerconnection.h
@@ -69,6 +69,7 @@
     void onBytesWritten(const boost::system::error_code &ec);
     void onResponseWritten();
     void startTimer(Duration timeout, std::function<void()> onTimeout);
+    void stopTimer();
     void linger();
     void discardInput();
     /// Decides whether the connection is closed after the response, and says so in its headers. Until then the caller
@@ -80,6 +81,7 @@
     boost::asio::ip::tcp::socket m_socket;
     std::function<void(CallerConnection *)> m_onClosed;
     boost::asio::steady_timer m_timer;
+    std::uint64_t m_timerNumber = 0; // lets handlers of earlier timers be ignored
     boost::beast::flat_buffer m_buffer;
     std::optional<Parser> m_parser;
     Phase m_phase = Phase::Idle;
--- a/packages/callers/src/callerlistener_test.cpp
+++ b/packages/callers/src/callerlistener_test.cpp
@@ -410,3 +410,18 @@
     socket.read_some(boost::asio::buffer(&byte, 1), ec);
     CHECK(ec == boost::asio::error::connection_reset);
 }
+
+// A timer that expired while the event loop was busy answered a request, although it had been read meanwhile.
+TEST_CASE("a request whose header is read when its time limit expires gets its own answer")
+{
+    ListenerFixture fixture;
+    auto socket = fixture.connect();
+    boost::asio::write(socket, boost::asio::buffer(std::string("GET /silent HTTP/1.1\r\n")));
+    fixture.handlersWithin(std::chrono::milliseconds(50));
+    boost::asio::write(socket, boost::asio::buffer(std::string("Host: h\r\n\r\n")));
+    std::this_thread::sleep_for(std::chrono::milliseconds(200)); // the event loop is busy
+    fixture.handlersWithin(std::chrono::milliseconds(50));
+    CHECK(fixture.service.exchanges == 1);
+    CHECK(fixture.endRequests() == 1);
+    CHECK(fixture.read(socket, "ended").find("HTTP/1.1 503") == 0);
+}
