Refuse requests that are still being read when the grace period ends

A caller that was still sending its body at the end of the grace period lost its connection without an answer.

Cause: the end of the shutdown answered only requests that had been read to their end. Others now get 503, not-run.

--- a/packages/callers/include/monsoonward/callers/callerlistener.h
+++ b/packages/callers/include/monsoonward/callers/callerlistener.h
@@ -40,7 +40,7 @@
     /// Closes the connections on which no request has been in progress for @p minIdleTime. On others, such as those
     /// that were just made, a request may be in transit.
     void closeIdleConnections(Duration minIdleTime);
-    /// Lets each request in progress send its final response now.
+    /// Lets each request in progress send its final response now, and refuses those that are still being read.
     /// @return number of requests that were in progress
     std::size_t endRequests();
     /// Stops listening and closes all connections immediately, also those with a request in progress. Nothing is read
--- a/packages/callers/src/callerconnection.cpp
+++ b/packages/callers/src/callerconnection.cpp
@@ -27,6 +27,7 @@
 constexpr unsigned requestTimeout = 408;
 constexpr unsigned bodyTooLarge = 413;
 constexpr unsigned headerTooLarge = 431;
+constexpr unsigned unavailable = 503;
 constexpr std::string_view continueText = "HTTP/1.1 100 Continue\r\n\r\n";
 
 } // namespace
@@ -408,6 +409,8 @@
     const auto exchange = m_exchange; // its final response resets m_exchange
     if (exchange) {
         exchange->endNow();
+    } else if (m_phase == Phase::Reading) {
+        respondWithError(unavailable, "stopping");
     }
     return exchange != nullptr;
 }
--- a/packages/callers/src/callerconnection.h
+++ b/packages/callers/src/callerconnection.h
@@ -33,8 +33,8 @@
     /// sees a reset.
     /// @param minIdleTime a connection that became idle more recently stays open
     void closeIfIdle(Duration minIdleTime);
-    /// Lets the request in progress, if any, send its final response now.
-    /// @return whether there was one
+    /// Lets the request in progress, if any, send its final response now. One that is still being read is refused.
+    /// @return whether there was one in progress
     bool endRequest();
     /// Closes the connection immediately, and tells the exchange in progress, if any.
     void close();
--- a/packages/callers/src/callerlistener_test.cpp
+++ b/packages/callers/src/callerlistener_test.cpp
@@ -425,3 +425,15 @@
     CHECK(fixture.endRequests() == 1);
     CHECK(fixture.read(socket, "ended").find("HTTP/1.1 503") == 0);
 }
+
+// A request that was still being read at the end of the grace period was cut without an answer.
+TEST_CASE("a request that is being read when requests are ended is refused")
+{
+    ListenerFixture fixture;
+    auto socket = fixture.connect();
+    boost::asio::write(socket, boost::asio::buffer(postHead + "Content-Length: 5\r\n\r\nab"));
+    fixture.handlersWithin(std::chrono::milliseconds(50));
+    CHECK(fixture.endRequests() == 0);
+    CHECK(fixture.read(socket, "stopping").find("HTTP/1.1 503") == 0);
+    CHECK(fixture.service.exchanges == 0);
+}
