Answer the requests in progress when the daemon of an older role ends

A second signal, or the end of `daemon.shutdown-bound`, cut requests in progress: their callers got no byte of an answer.

Cause: HttpListener::stop() closed all connections. It now answers 502, may-have-run, and gives the answers 200 ms; requests that are still being read are refused. Without requests in progress it ends at once, as before.

--- a/packages/daemon/src/httplistener.cpp
+++ b/packages/daemon/src/httplistener.cpp
@@ -4,6 +4,7 @@
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/post.hpp>
+#include <boost/asio/steady_timer.hpp>
 
 #include <thread>
 
@@ -16,6 +17,8 @@
 namespace
 {
 
+constexpr Duration finalWriteTime = std::chrono::milliseconds(200); // for the responses to requests that are ended
+
 HttpRequest toHttpRequest(CallerRequest from)
 {
     HttpRequest request;
@@ -97,7 +100,11 @@
             call->cancel();
         }
         if (auto *sink = std::exchange(m_sink, nullptr)) {
-            sink->abort();
+            sink->respond(toCallerResponse(refusalReply({},
+                                                        {RefusalReason::TargetLost,
+                                                         Verdict::MayHaveRun,
+                                                         std::nullopt,
+                                                         "the daemon ended before the request did"})));
         }
     }
 
@@ -153,10 +160,18 @@
         if (!m_thread.joinable()) {
             return;
         }
-        asio::post(*m_io, [this] {
+        asio::steady_timer timer(*m_io, finalWriteTime);
+        asio::post(*m_io, [&] {
+            m_isStopping = true;
             m_listener.stopAccepting();
-            m_listener.closeAll();
-            m_io->stop();
+            if (m_listener.endRequests() == 0) {
+                closeAll();
+                return;
+            }
+            timer.async_wait([this](const boost::system::error_code &) {
+                m_listener.endRequests(); // those that have arrived meanwhile
+                closeAll();
+            });
         });
         m_thread.join();
         m_io->restart();
@@ -172,7 +187,7 @@
 
     bool isStopping() const override
     {
-        return false;
+        return m_isStopping;
     }
 
     std::shared_ptr<CallerExchange>
@@ -188,16 +203,23 @@
 
     void inputDiscarded(std::size_t /*bytes*/) override
     {
-        // Only follows a response that announced the end of the connection, as isStopping() is always false.
+        // Only follows a response that announced the end of the connection.
     }
 
 private:
+    void closeAll()
+    {
+        m_listener.closeAll();
+        m_io->stop();
+    }
+
     HttpListenerOptions m_options;
     HttpRequestHandler &m_handler;
     SteadyClock m_clock;
     std::shared_ptr<asio::io_context> m_io = std::make_shared<asio::io_context>(1);
     CallerListener m_listener;
     std::thread m_thread;
+    bool m_isStopping = false; // used on the event loop only
 };
 
 HttpListener::HttpListener(const HttpListenerOptions &options, HttpRequestHandler &handler)
--- a/packages/daemon/src/httplistener.h
+++ b/packages/daemon/src/httplistener.h
@@ -51,7 +51,7 @@
     /// Starts to listen and serve.
     /// @return Unavailable if it can't listen on the address
     Result<void> start();
-    /// Closes all connections and cancels the requests in progress.
+    /// Cancels the requests in progress, answers them, and closes all connections.
     void stop();
 
 private:
