Let a listener that is started again accept connections

A listener that was stopped and started again listened, but left its callers in the kernel's queue without an answer. No part of the daemon restarts one now; the interface allows it.

Cause: startAccepting() took the listener for one that accepts already, and the event loop stayed stopped.

The new test failed before: no request arrived within 5 s.

--- a/packages/callers/src/callerlistener.cpp
+++ b/packages/callers/src/callerlistener.cpp
@@ -33,6 +33,8 @@
 
 Result<void> CallerListener::listen()
 {
+    m_isAccepting = false;
+    m_isClosed = false;
     return listenOn(m_acceptor, m_listen);
 }
 
--- a/packages/daemon/src/httplistener.cpp
+++ b/packages/daemon/src/httplistener.cpp
@@ -146,6 +146,8 @@
 
     Result<void> start()
     {
+        m_isStopping = false;
+        m_io->restart();
         BOOST_OUTCOME_TRY(m_listener.listen());
         m_listener.startAccepting();
         m_thread = std::thread([this] {
--- a/packages/daemon/src/httplistener_test.cpp
+++ b/packages/daemon/src/httplistener_test.cpp
@@ -25,9 +25,10 @@
         m_received.set_value();
         return nullptr;
     }
-    void awaitRequest()
+    /// @return whether a request was received within @p limit
+    bool awaitRequest(std::chrono::milliseconds limit)
     {
-        m_received.get_future().wait();
+        return m_received.get_future().wait_for(limit) == std::future_status::ready;
     }
 
 private:
@@ -47,7 +48,7 @@
     tcp::socket caller(io);
     caller.connect({asio::ip::make_address(address.ip), address.port});
     asio::write(caller, asio::buffer(std::string("GET / HTTP/1.1\r\nHost: h\r\n\r\n")));
-    handler.awaitRequest();
+    REQUIRE(handler.awaitRequest(std::chrono::seconds(5)));
     listener.stop();
     std::string response;
     boost::system::error_code ec;
@@ -57,3 +58,20 @@
     CHECK(response.find("Monsoonward-Verdict: may-have-run") != std::string::npos);
     CHECK(response.find("Connection: close") != std::string::npos);
 }
+
+// A listener that was started again listened, but never accepted a connection.
+TEST_CASE("a listener that is started again accepts connections")
+{
+    SilentHandler handler;
+    const Address address {"127.0.0.1", freePort()};
+    HttpListener listener({address, 1000, 4}, handler);
+    REQUIRE(listener.start());
+    listener.stop();
+    REQUIRE(listener.start());
+    asio::io_context io;
+    tcp::socket caller(io);
+    caller.connect({asio::ip::make_address(address.ip), address.port});
+    asio::write(caller, asio::buffer(std::string("GET / HTTP/1.1\r\nHost: h\r\n\r\n")));
+    CHECK(handler.awaitRequest(std::chrono::seconds(5)));
+    listener.stop();
+}
