Limit what is read from the store beside a response's headers and body

The gateway's memory grew until the call timed out when the store's server sent a chunk's size or extension or trailers without end, and it read chunks of one byte with long extensions for as long.

Cause: the read buffer had no limit. It holds 64 KiB now, and all chunk extensions of a response 64 KiB together; the call fails with the reason, and the connection is closed.

The test goes through 9 kinds of endless bytes; it failed before and passes. Not counted: a chunk of a valid response may have any size within the limit of the body, which a test with 100000 chunks of one byte covers.

--- a/packages/gateway/src/httpchannel.cpp
+++ b/packages/gateway/src/httpchannel.cpp
@@ -14,6 +14,15 @@
 namespace http = boost::beast::http;
 using boost::system::error_code;
 
+namespace
+{
+
+constexpr std::size_t maxBufferBytes =
+    std::size_t {64} * 1024; // also limits a line between two chunks, and what follows the last chunk
+constexpr std::size_t maxExtensionBytes = std::size_t {64} * 1024; // of all chunks of a response
+
+} // namespace
+
 class HttpChannel::Impl : public std::enable_shared_from_this<HttpChannel::Impl>
 {
 public:
@@ -95,6 +104,8 @@
                           });
         m_parser.emplace();
         m_parser->body_limit(maxResponseBytes);
+        m_parser->on_chunk_header(m_onChunkHeader);
+        m_extensionBytes = 0;
         http::async_read(m_socket,
                          m_buffer,
                          *m_parser,
@@ -114,7 +125,7 @@
     {
         auto message = m_parser->release();
         if (!message.keep_alive()) {
-            closeSocket();
+            closeSocket(); // what follows a response can't be the response to the next request
         }
         auto body = std::move(message.body());
         end(ChannelResponse {message.result_int(), std::move(message.base()), std::move(body)});
@@ -146,7 +157,15 @@
     asio::ip::tcp::endpoint m_endpoint;
     asio::ip::tcp::socket m_socket;
     asio::steady_timer m_timer;
-    boost::beast::flat_buffer m_buffer;
+    boost::beast::flat_buffer m_buffer {maxBufferBytes};
+    std::size_t m_extensionBytes = 0;
+    std::function<void(std::uint64_t, boost::beast::string_view, error_code &)> m_onChunkHeader =
+        [this](std::uint64_t /*size*/, boost::beast::string_view extension, error_code &ec) {
+            m_extensionBytes += extension.size();
+            if (m_extensionBytes > maxExtensionBytes) {
+                ec = http::error::bad_chunk_extension;
+            }
+        };
     http::request<http::string_body> m_request;
     std::optional<http::response_parser<http::string_body>> m_parser;
     Callback m_done;
--- /dev/null
+++ b/packages/gateway/src/httpchannel_test.cpp
@@ -0,0 +1,86 @@
+// Tests the HTTP client for the store against a scripted server.
+#include "gatewayfixture.h"
+
+#include "monsoonward/gateway/httpchannel.h"
+
+using namespace monsoonward;
+using namespace std::chrono_literals;
+
+namespace
+{
+
+/// Makes one call.
+std::optional<Result<ChannelResponse>> callOnce(const Address &server)
+{
+    asio::io_context io;
+    HttpChannel channel(io, server);
+    std::optional<Result<ChannelResponse>> result;
+    channel.call("GET", "/x", "", 3s, [&](const Result<ChannelResponse> &it) { result = it; });
+    const auto end = std::chrono::steady_clock::now() + 5s;
+    while (!result && std::chrono::steady_clock::now() < end) {
+        io.run_for(5ms);
+        io.restart();
+    }
+    return result;
+}
+
+} // namespace
+
+TEST_CASE("a response of the store in chunks is read completely, also if each chunk is short")
+{
+    std::string body;
+    std::string chunks;
+    for (unsigned n = 0; n < 100000; ++n) {
+        body += 'x';
+        chunks += chunk("x");
+    }
+    ScriptedEngine store([&](const std::string &) {
+        return ScriptedResponse {"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n" + chunks + "0\r\n\r\n"};
+    });
+    const auto result = callOnce(store.address());
+    REQUIRE(result);
+    REQUIRE(*result);
+    CHECK(result->value().body == body);
+}
+
+// Such bytes were read until the call timed out, some of them into a buffer without limit.
+TEST_CASE("bytes without end from the store are given up")
+{
+    const std::string chunked = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
+    struct Case
+    {
+        std::string start;
+        std::string endless;
+    };
+    const std::vector<Case> cases {
+        {"", "x"},
+        {"HTTP/1.1 200 OK\r\n", "X: y\r\n"},
+        {"HTTP/1.1 200 OK\r\n\r\n", "x"},
+        {"", "HTTP/1.1 103 Early Hints\r\n\r\n"},
+        {chunked, "10\r\n0123456789abcdef\r\n"},
+        {chunked, "0"},
+        {chunked + "5;x=", "y"},
+        {chunked + "0\r\n", "X: y\r\n"},
+        {chunked, "1;x=" + std::string(4000, 'y') + "\r\nz\r\n"},
+    };
+    for (const auto &one : cases) {
+        CAPTURE(one.start);
+        CAPTURE(one.endless.substr(0, 30));
+        ScriptedEngine store([&](const std::string &) {
+            ScriptedResponse response;
+            response.bytes = one.start;
+            response.endless = one.endless;
+            return response;
+        });
+        const auto startedAt = std::chrono::steady_clock::now();
+        const auto result = callOnce(store.address());
+        CHECK(std::chrono::steady_clock::now() - startedAt < 1s);
+        REQUIRE(result);
+        CHECK((!*result || result->value().status != 200));
+        for (unsigned n = 0; n < 300 && store.disconnectsWhileEndless == 0; ++n) {
+            std::this_thread::sleep_for(10ms);
+        }
+        CHECK(store.disconnectsWhileEndless == 1);
+        CHECK(store.endlessBytes < std::size_t {48} * 1024 * 1024);
+    }
+}
