Close a connection to the store on which bytes follow a response

The gateway took bytes that came together with a response of the store and followed it for the response to its next call.

Cause: they stayed in the read buffer of the kept connection. It is closed now if the buffer isn't empty.

The test of it failed before ("extra" for "second") and passes.

--- a/packages/gateway/src/httpchannel.cpp
+++ b/packages/gateway/src/httpchannel.cpp
@@ -124,7 +124,7 @@
     void finish()
     {
         auto message = m_parser->release();
-        if (!message.keep_alive()) {
+        if (!message.keep_alive() || m_buffer.size() != 0) {
             closeSocket(); // what follows a response can't be the response to the next request
         }
         auto body = std::move(message.body());
--- a/packages/gateway/src/httpchannel_test.cpp
+++ b/packages/gateway/src/httpchannel_test.cpp
@@ -84,3 +84,27 @@
         CHECK(store.endlessBytes < std::size_t {48} * 1024 * 1024);
     }
 }
+
+// Bytes that followed a response were read as the response to the next call.
+TEST_CASE("what follows a response of the store is not taken for the next response")
+{
+    std::atomic<unsigned> calls {0};
+    ScriptedEngine store([&](const std::string &) {
+        const auto text = [](const std::string &body) {
+            return "HTTP/1.1 200 OK\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
+        };
+        return ScriptedResponse {calls++ == 0 ? text("first") + text("extra") : text("second")};
+    });
+    asio::io_context io;
+    HttpChannel channel(io, store.address());
+    for (const std::string expected : {"first", "second"}) {
+        std::optional<Result<ChannelResponse>> result;
+        channel.call("GET", "/x", "", 3s, [&](const Result<ChannelResponse> &it) { result = it; });
+        while (!result) {
+            io.run_for(5ms);
+            io.restart();
+        }
+        REQUIRE(*result);
+        CHECK(result->value().body == expected);
+    }
+}
