Limit what the status server reads beside a request's headers and body

The gateway's memory grew for up to 30 s when a client of the health or admin port sent a chunk's size or extension or trailers without end, or chunks of one byte with long extensions.

Cause: the read buffer had no limit. It holds 64 KiB now, and all chunk extensions of a request 64 KiB together; then the connection is closed.

--- a/packages/gateway/src/statusserver.cpp
+++ b/packages/gateway/src/statusserver.cpp
@@ -6,6 +6,8 @@
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/http.hpp>
 
+#include <optional>
+
 namespace monsoonward
 {
 
@@ -18,6 +20,9 @@
 
 constexpr Duration idleTimeout =
     std::chrono::seconds(30); // longer than the interval of health checks and metrics scrapes
+constexpr std::size_t maxBufferBytes =
+    std::size_t {64} * 1024; // also limits a line between two chunks, and what follows the last chunk
+constexpr std::size_t maxExtensionBytes = std::size_t {64} * 1024; // of all chunks of a request
 
 /// One connection. Its pending callbacks own it.
 class StatusConnection : public std::enable_shared_from_this<StatusConnection>
@@ -38,8 +43,10 @@
                 self->close();
             }
         });
-        m_request = {};
-        http::async_read(m_socket, m_buffer, m_request, [self = shared_from_this()](const error_code &ec, std::size_t) {
+        m_parser.emplace();
+        m_parser->on_chunk_header(m_onChunkHeader);
+        m_extensionBytes = 0;
+        http::async_read(m_socket, m_buffer, *m_parser, [self = shared_from_this()](const error_code &ec, std::size_t) {
             if (ec) {
                 self->close();
             } else {
@@ -51,16 +58,17 @@
 private:
     void respond()
     {
-        const auto reply = m_handler(std::string(m_request.target()));
+        const auto &request = m_parser->get();
+        const auto reply = m_handler(std::string(request.target()));
         m_response = {};
         m_response.result(reply.status);
         m_response.version(11);
         m_response.set(http::field::content_type, reply.contentType);
         m_response.body() = reply.body;
-        m_response.keep_alive(m_request.keep_alive());
+        m_response.keep_alive(request.keep_alive());
         m_response.prepare_payload();
         http::async_write(m_socket, m_response, [self = shared_from_this()](const error_code &ec, std::size_t) {
-            if (ec || !self->m_request.keep_alive()) {
+            if (ec || !self->m_parser->get().keep_alive()) {
                 self->close();
             } else {
                 self->read();
@@ -79,8 +87,16 @@
     tcp::socket m_socket;
     boost::asio::steady_timer m_timer;
     const StatusServer::Handler &m_handler;
-    boost::beast::flat_buffer m_buffer;
-    http::request<http::string_body> m_request;
+    boost::beast::flat_buffer m_buffer {maxBufferBytes};
+    std::size_t m_extensionBytes = 0;
+    std::function<void(std::uint64_t, boost::beast::string_view, error_code &)> m_onChunkHeader =
+        [this](std::uint64_t /*size*/, boost::beast::string_view extension, error_code &ec) {
+            m_extensionBytes += extension.size();
+            if (m_extensionBytes > maxExtensionBytes) {
+                ec = http::error::bad_chunk_extension;
+            }
+        };
+    std::optional<http::request_parser<http::string_body>> m_parser;
     http::response<http::string_body> m_response;
 };
 
