Limit what is read from a caller beside a request's headers and body

The gateway's memory grew for up to 10 s when a caller sent a chunk's size or extension or trailers without end, or chunks of one byte with long extensions.

Cause: the read buffer had no limit.

--- a/packages/callers/src/callerconnection.h
+++ b/packages/callers/src/callerconnection.h
@@ -78,6 +78,8 @@
     std::function<void(CallerConnection *)> m_onClosed;
     boost::asio::steady_timer m_timer;
     boost::beast::flat_buffer m_buffer;
+    std::size_t m_extensionBytes = 0; // chunk extensions of the request
+    std::function<void(std::uint64_t, boost::beast::string_view, boost::system::error_code &)> m_onChunkHeader;
     std::optional<Parser> m_parser;
     Phase m_phase = Phase::Idle;
     TimePoint m_idleSince;
--- a/packages/callers/src/callerlistener_test.cpp
+++ b/packages/callers/src/callerlistener_test.cpp
@@ -340,3 +340,71 @@
     CHECK_FALSE(fixture.runUntil([&] { return fixture.connections() == 0; }, std::chrono::milliseconds(600)));
     CHECK(fixture.runUntil([&] { return fixture.connections() == 0; }, std::chrono::seconds(2)));
 }
+
+// Bytes that are no part of the body were kept in a buffer without limit, until the time for the body was over.
+TEST_CASE("a request with chunk extensions or trailers without end is rejected, and the connection is closed")
+{
+    const auto chunked = postHead + "Transfer-Encoding: chunked\r\n\r\n";
+    struct Case
+    {
+        std::string start;
+        std::string endless;
+    };
+    const std::vector<Case> cases {
+        {chunked, "0"},
+        {chunked + "5;x=", "y"},
+        {chunked + "0\r\n", "X: y\r\n"},
+        {chunked, "1;x=" + std::string(30000, 'y') + "\r\nz\r\n"},
+    };
+    for (const auto &one : cases) {
+        CAPTURE(one.start);
+        ListenerFixture fixture;
+        auto socket = fixture.connect();
+        std::string piece = one.start;
+        std::string received;
+        std::size_t written = 0;
+        bool ended = false;
+        const auto startedAt = std::chrono::steady_clock::now();
+        fixture.runUntil(
+            [&] {
+                while (piece.size() < 16384) {
+                    piece += one.endless;
+                }
+                boost::system::error_code ec;
+                const auto n = socket.write_some(boost::asio::buffer(piece), ec);
+                written += n;
+                piece.erase(0, n);
+                char buf[4096];
+                const auto got = socket.read_some(boost::asio::buffer(buf), ec);
+                received.append(buf, got);
+                ended = ec && ec != boost::asio::error::would_block;
+                return ended || received.find("HTTP/1.1 4") != std::string::npos;
+            },
+            std::chrono::seconds(3));
+        CHECK(std::chrono::steady_clock::now() - startedAt < std::chrono::seconds(2));
+        CHECK(received.substr(0, 12) == "HTTP/1.1 400");
+        CHECK(written < std::size_t {32} * 1024 * 1024);
+        CHECK(fixture.runUntil([&] { return fixture.connections() == 0; }, std::chrono::seconds(3)));
+    }
+}
+
+TEST_CASE("bytes sent while a response is outstanding are not read without limit")
+{
+    ListenerFixture fixture;
+    auto socket = fixture.connect();
+    std::string piece = "GET /silent HTTP/1.1\r\nHost: h\r\n\r\n";
+    std::size_t written = 0;
+    fixture.runUntil(
+        [&] {
+            boost::system::error_code ec;
+            do {
+                piece.resize(std::max<std::size_t>(piece.size(), 16384), 'x');
+                const auto n = socket.write_some(boost::asio::buffer(piece), ec);
+                written += n;
+                piece.erase(0, n);
+            } while (!ec && written < std::size_t {64} * 1024 * 1024);
+            return false;
+        },
+        std::chrono::milliseconds(500));
+    CHECK(written < std::size_t {32} * 1024 * 1024);
+}
