--- a/packages/callers/include/monsoonward/callers/callerlistener.h
+++ b/packages/callers/include/monsoonward/callers/callerlistener.h
@@ -40,10 +40,11 @@
     /// Closes the connections on which no request has been in progress for @p minIdleTime. On others, such as those
     /// that were just made, a request may be in transit.
     void closeIdleConnections(Duration minIdleTime);
-    /// Lets each request in progress send its final response now.
+    /// Lets each request in progress send its final response now, and refuses those that are still being read.
     /// @return number of requests that were in progress
     std::size_t endRequests();
-    /// Closes all connections immediately, also those with a request in progress.
+    /// Stops listening and closes all connections immediately, also those with a request in progress. Nothing is read
+    /// afterwards.
     void closeAll();
     /// @return number of open connections
     std::size_t connections() const;
@@ -61,6 +62,7 @@
     boost::asio::steady_timer m_acceptRetryTimer;
     std::set<std::shared_ptr<CallerConnection>> m_connections;
     bool m_isAccepting = false;
+    bool m_isClosed = false; // by closeAll()
 };
 
 } // namespace monsoonward
--- a/packages/callers/src/callerconnection.cpp
+++ b/packages/callers/src/callerconnection.cpp
@@ -23,10 +23,14 @@
     std::chrono::seconds(10); // long, as a caller may pause while it reads a long response
 constexpr Duration finalWriteTimeout = std::chrono::seconds(
     30); // for the caller to read the rest of a complete response; it may be large and the link slow
+constexpr std::size_t maxLineBytes =
+    std::size_t {64} * 1024; // of a line between two chunks, and of what follows the last chunk
+constexpr std::size_t maxExtensionBytes = std::size_t {64} * 1024; // of all chunks of a request
 constexpr unsigned badRequest = 400;
 constexpr unsigned requestTimeout = 408;
 constexpr unsigned bodyTooLarge = 413;
 constexpr unsigned headerTooLarge = 431;
+constexpr unsigned unavailable = 503;
 constexpr std::string_view continueText = "HTTP/1.1 100 Continue\r\n\r\n";
 
 } // namespace
@@ -40,6 +44,12 @@
     , m_socket(std::move(socket))
     , m_onClosed(std::move(onClosed))
     , m_timer(m_socket.get_executor())
+    , m_onChunkHeader([this](std::uint64_t /*size*/, boost::beast::string_view extension, error_code &ec) {
+        m_extensionBytes += extension.size();
+        if (m_extensionBytes > maxExtensionBytes) {
+            ec = http::error::bad_chunk_extension;
+        }
+    })
 {
 }
 
@@ -53,12 +63,20 @@
 
 void CallerConnection::startTimer(Duration timeout, std::function<void()> onTimeout)
 {
+    stopTimer();
     m_timer.expires_after(timeout);
-    m_timer.async_wait([self = shared_from_this(), onTimeout = std::move(onTimeout)](const error_code &ec) {
-        if (!ec) {
-            onTimeout();
-        }
-    });
+    m_timer.async_wait(
+        [self = shared_from_this(), n = m_timerNumber, onTimeout = std::move(onTimeout)](const error_code &ec) {
+            if (!ec && n == self->m_timerNumber) {
+                onTimeout();
+            }
+        });
+}
+
+void CallerConnection::stopTimer()
+{
+    ++m_timerNumber; // the handler may be queued already, and is then not cancelled
+    m_timer.cancel();
 }
 
 // ---- reading
@@ -102,6 +120,9 @@
     m_parser.emplace();
     m_parser->header_limit(limits.maxHeaderBytes);
     m_parser->body_limit(limits.maxBodyBytes);
+    m_parser->on_chunk_header(m_onChunkHeader);
+    m_extensionBytes = 0;
+    m_buffer.max_size(std::max<std::size_t>(limits.maxHeaderBytes + maxLineBytes, m_buffer.size()));
     startTimer(limits.headerTimeout, [this] { respondWithError(requestTimeout, "header-time"); });
     http::async_read_header(
         m_socket, m_buffer, *m_parser, [self = shared_from_this()](const error_code &ec, std::size_t /*n*/) {
@@ -183,7 +204,7 @@
 void CallerConnection::onRequestRead()
 {
     m_phase = Phase::Responding;
-    m_timer.cancel();
+    stopTimer();
     m_exchange = m_service.makeExchange(m_parser->release(), m_arrivedAt, *this);
     m_parser.reset();
     watchForDisconnect();
@@ -400,6 +421,8 @@
     const auto exchange = m_exchange; // its final response resets m_exchange
     if (exchange) {
         exchange->endNow();
+    } else if (m_phase == Phase::Reading) {
+        respondWithError(unavailable, "stopping");
     }
     return exchange != nullptr;
 }
@@ -407,7 +430,7 @@
 void CallerConnection::close()
 {
     m_phase = Phase::Closing;
-    m_timer.cancel();
+    stopTimer();
     error_code ignored; // the caller may have closed it already
     m_socket.close(ignored);
     if (const auto exchange = std::exchange(m_exchange, nullptr)) {
--- a/packages/gateway/src/exchange.cpp
+++ b/packages/gateway/src/exchange.cpp
@@ -3,6 +3,7 @@
 
 #include "headervalues.h"
 #include "httpstatus.h"
+#include "requesttraits.h"
 
 #include <algorithm>
 #include <xxhash.h>
@@ -86,6 +87,38 @@
     return request;
 }
 
+std::vector<RequestTrait> Exchange::traits() const
+{
+    return traitsOf(m_request, promptParts(), m_customer == nullptr ? std::string_view() : m_customer->name.text());
+}
+
+bool Exchange::refusedAsSuspect()
+{
+    auto &suspects = m_core.crashSuspects;
+    if (suspects.isEmpty()) {
+        return false;
+    }
+    const auto left = suspects.refusedFor(traits(), m_core.clock.now());
+    if (!left) {
+        return false;
+    }
+    const std::string reason = "crash-suspect";
+    if (m_mayHaveRun || m_responseStarted) {
+        finishWith(m_responseStarted ? NextStep::Abort : NextStep::Fail, reason);
+    } else {
+        refuse(unavailable, reason, *left, "parts " + std::string(promptParts()));
+    }
+    return true;
+}
+
+void Exchange::recordCrash(const EngineRecord &engine)
+{
+    // An engine that is leaving ends its connections as planned.
+    if (m_core.engines.mayReceive(engine.name)) {
+        m_core.crashSuspects.crashObserved(traits(), runOf(engine), m_core.clock.now());
+    }
+}
+
 void Exchange::attempt()
 {
     const auto now = m_core.clock.now();
@@ -99,6 +132,9 @@
         }
         return;
     }
+    if (refusedAsSuspect()) {
+        return;
+    }
     const auto placement = m_core.placer->place(placementRequest(), now);
     if (placement.outcome == PlacementOutcome::Placed) {
         send(placement);
@@ -126,6 +162,7 @@
     m_triedEngines.push_back(engine.name);
     m_sentAt = now;
     m_loadAtPlacement = placement.load;
+    m_hasLostConnection = false;
     ++m_attempts;
     m_call = std::make_shared<EngineCall>(
         m_core.pool, m_core.adapter.dialect(), engine, makeEngineRequest(engine, timeLeft()), *this);
@@ -166,6 +203,16 @@
         {{"engine", std::string_view(engine.text())}, {"request", requestId()}, {"pause_ms", milliseconds(length)}});
 }
 
+void Exchange::connectionLost()
+{
+    m_hasLostConnection = true;
+}
+
+void Exchange::connectionRefused()
+{
+    m_core.crashSuspects.engineRefusedConnection(runOf(m_call->engine()), m_core.clock.now());
+}
+
 std::shared_ptr<const Exchange::Request> Exchange::makeEngineRequest(const EngineRecord &engine, Duration timeout) const
 {
     const auto &dialect = m_core.adapter.dialect();
@@ -210,18 +257,25 @@
 void Exchange::callEnded(AttemptOutcome outcome, const std::string &reason)
 {
     const auto self = shared_from_this();
-    const auto engine = m_call->engine().name;
+    const auto engineRecord = m_call->engine();
+    const auto &engine = engineRecord.name;
     m_call.reset();
     auto finalOutcome = outcome;
+    auto finalReason = reason;
     if (outcome == AttemptOutcome::Complete && m_isStreaming
         && (m_eventSplitter.isInvalid() || m_eventSplitter.isInsideEvent())) {
         finalOutcome = AttemptOutcome::Broken;
+        finalReason = "the stream ended inside an event";
+        m_hasLostConnection = true;
     }
     const auto now = m_core.clock.now();
     m_core.placer->requestEnded(engine);
     m_core.metrics.attemptEnded(m_service, std::string(textOf(finalOutcome)));
     if (finalOutcome == AttemptOutcome::Complete) {
         m_core.health.recordSuccess(engine);
+        if (m_responseHead.status < firstRedirect && !m_core.crashSuspects.isEmpty()) {
+            m_core.crashSuspects.requestCompleted(traits(), now);
+        }
         finishResponse();
         return;
     }
@@ -229,24 +283,31 @@
         m_core.log.write(Event::EnginePaused,
                          Severity::Warning,
                          "engine-paused",
-                         {{"engine", std::string_view(engine.text())}, {"reason", std::string_view(reason)}});
+                         {{"engine", std::string_view(engine.text())}, {"reason", std::string_view(finalReason)}});
     }
-    m_lastFailure = std::string(textOf(finalOutcome)) + " " + reason;
+    m_lastFailure = std::string(textOf(finalOutcome)) + " " + finalReason;
     m_core.log.write(Event::AttemptFailed,
                      Severity::Info,
                      "attempt-failed",
                      {{"request", requestId()},
                       {"engine", std::string_view(engine.text())},
                       {"end", textOf(finalOutcome)},
-                      {"reason", std::string_view(reason)},
+                      {"reason", std::string_view(finalReason)},
                       {"attempt", static_cast<std::int64_t>(m_attempts)},
+                      {"connection_lost", m_hasLostConnection},
+                      {"parts", m_hasLostConnection ? promptParts() : std::string_view()},
                       {"after_ms", milliseconds(now - m_sentAt)}});
+    m_hasLostConnection = m_hasLostConnection && finalOutcome == AttemptOutcome::Broken;
+    if (m_hasLostConnection) {
+        recordCrash(engineRecord);
+    }
     const auto state = attemptStateAfter(finalOutcome);
     m_mayHaveRun = m_mayHaveRun || finalOutcome == AttemptOutcome::Broken || finalOutcome == AttemptOutcome::Failed;
     if (finalOutcome == AttemptOutcome::NotSent) {
         --m_attempts;
     }
-    if (nextStep(state) == NextStep::TryAnother && retry(state)) {
+    const bool mayRetry = !m_hasLostConnection || m_core.crashSuspects.mayRetry(traits(), now);
+    if (mayRetry && nextStep(state) == NextStep::TryAnother && retry(state)) {
         return;
     }
     finishWith(stepWithoutRetry(state), m_lastFailure);
@@ -254,6 +315,10 @@
 
 bool Exchange::retry(const AttemptState &state)
 {
+    if (m_responseStarted && !m_eventSplitter.canContinue()) {
+        m_lastFailure += ", no event ID to resume after";
+        return false;
+    }
     const auto now = m_core.clock.now();
     const bool hasEngine = m_core.placer->place(placementRequest(), now).outcome == PlacementOutcome::Placed;
     if (!hasEngine) {
@@ -263,10 +328,10 @@
         m_lastFailure += ", retry budget spent";
         return false;
     }
+    m_responseBody.clear();
     if (m_responseStarted) {
         m_eventSplitter.restart();
     } else {
-        m_responseBody.clear();
         m_isStreaming = false;
         m_eventSplitter = EventSplitter();
     }
--- a/packages/gateway/src/exchange.h
+++ b/packages/gateway/src/exchange.h
@@ -31,6 +31,8 @@
     std::string reasonNotToSend() override;
     void engineLeaving() override;
     void pauseRequested(Duration length) override;
+    void connectionLost() override;
+    void connectionRefused() override;
     void responseStarted(const ResponseHead &head) override;
     void bodyReceived(std::string_view bytes) override;
     void callEnded(AttemptOutcome outcome, const std::string &reason) override;
@@ -48,6 +50,10 @@
     bool findRoute();
     bool findCustomer();
     bool applyRateLimit();
+    /// @return whether the request is kept from engines because it has a trait that crashes them
+    bool refusedAsSuspect();
+    std::vector<RequestTrait> traits() const;
+    void recordCrash(const EngineRecord &engine);
     void attempt();
     void send(const Placement &placement);
     std::shared_ptr<const Request> makeEngineRequest(const EngineRecord &engine, Duration timeout) const;
@@ -70,6 +76,8 @@
     void sendGatewayResponse(unsigned status, const std::string &reason, Duration retryAfter);
     void recordEnd(RequestOutcome outcome, const std::string &reason, const std::string &detail);
     std::string requestId() const;
+    /// @return the parts of the prompt as the request states them
+    std::string_view promptParts() const;
 
     GatewayCore &m_core;
     Request m_request;
@@ -89,12 +97,13 @@
     std::vector<EngineName> m_triedEngines;
     std::uint32_t m_attempts = 0;
     bool m_mayHaveRun = false;
+    bool m_hasLostConnection = false; // the engine of the last attempt ended the connection early
     std::string m_lastFailure; // why the last attempt failed, for the log
     ResponseHead m_responseHead;
     bool m_isStreaming = false; // the response is an event stream, forwarded event by event
     bool m_responseStarted = false; // the caller was sent the response headers
     EventSplitter m_eventSplitter;
-    std::string m_responseBody; // body of a response that is forwarded as a whole
+    std::string m_responseBody; // of a response that is no stream
     TimePoint m_firstBytesAt;
     TimePoint m_lastEventAt;
     Duration m_maxEventGap {}; // longest time between two forwarded events
--- a/packages/gateway/src/exchangeresponse.cpp
+++ b/packages/gateway/src/exchangeresponse.cpp
@@ -3,6 +3,7 @@
 
 #include "headervalues.h"
 #include "httpstatus.h"
+#include "requesttraits.h"
 
 #include <algorithm>
 
@@ -15,13 +16,15 @@
 namespace
 {
 
-constexpr std::size_t maxBufferedBodyBytes =
-    std::size_t {8} * 1024 * 1024; // body size of a response that is forwarded as a whole
+constexpr std::size_t maxBufferedBodyBytes = std::size_t {8} * 1024 * 1024; // body size of a response that is no stream
 
 } // namespace
 
 void Exchange::responseStarted(const ResponseHead &head)
 {
+    if (!m_core.crashSuspects.isEmpty()) {
+        m_core.crashSuspects.engineAnswered(runOf(m_call->engine()), m_sentAt, m_core.clock.now());
+    }
     if (m_responseStarted) {
         // Another engine continues the stream. The caller already has the first engine's headers.
         if (head.status >= firstRedirect) {
@@ -49,9 +52,7 @@
 void Exchange::bodyReceived(std::string_view bytes)
 {
     if (!m_isStreaming) {
-        if (!m_responseStarted) {
-            m_responseBody.append(bytes);
-        }
+        m_responseBody.append(bytes);
         if (m_responseBody.size() > maxBufferedBodyBytes) {
             breakOff("the response is larger than " + std::to_string(maxBufferedBodyBytes) + " bytes");
             return;
@@ -61,7 +62,7 @@
     }
     auto events = m_eventSplitter.push(bytes);
     if (m_eventSplitter.isInvalid()) {
-        breakOff("event too large, or event IDs not consecutive");
+        breakOff("event too large, event IDs not consecutive, or too many repeated events");
         return;
     }
     if (events.empty()) {
@@ -205,6 +206,11 @@
     return std::string(viewOf(m_request[m_core.adapter.dialect().requestId]));
 }
 
+std::string_view Exchange::promptParts() const
+{
+    return viewOf(m_request[m_core.adapter.dialect().promptParts]);
+}
+
 void Exchange::recordEnd(RequestOutcome outcome, const std::string &reason, const std::string &detail)
 {
     m_timer.cancel();
