Do not reuse a connection on which an engine has just sent bytes, and log such bytes

A request that must not be repeated could fail, though the engine never ran it, when it was sent on a kept connection on which the engine had sent bytes or its end a moment before: the event loop hadn't noticed it yet, and the bytes were read as the beginning of the response. Nothing in the log told of bytes that followed a response.

The pool looks at the socket now before it returns a connection. Bytes after a response are logged as engine-answer-broken, whether they came with it or later.

--- a/packages/gateway/src/enginecall.cpp
+++ b/packages/gateway/src/enginecall.cpp
@@ -270,6 +270,9 @@
         finish(AttemptOutcome::Broken, "answer: connection lost"); // the write has taken the error of a reset
         return;
     }
+    if (m_connection->buffer.size() != 0) {
+        m_pool.reportExtraBytes(m_engine.name);
+    }
     const bool isReusable = m_isWritten && m_parser->keep_alive() && m_connection->buffer.size() == 0;
     if (isReusable) {
         m_pool.release(m_engine, std::move(m_connection));
--- a/packages/gateway/src/enginepool.cpp
+++ b/packages/gateway/src/enginepool.cpp
@@ -32,7 +32,8 @@
     while (it != m_idle.end() && !it->second.empty()) {
         const auto idle = it->second.back();
         it->second.pop_back();
-        if (idle.address == engine.address && m_clock.now() < idle.expiresAt) {
+        if (idle.address == engine.address && m_clock.now() < idle.expiresAt
+            && isQuiet(engine.name, *idle.connection)) {
             auto connection = std::make_unique<EngineConnection>(std::move(*idle.connection));
             boost::system::error_code ignored; // the wait may just have completed
             connection->socket.cancel(ignored);
@@ -43,6 +44,24 @@
     return nullptr;
 }
 
+/// @return whether the engine has neither closed the connection nor sent anything on it
+bool EnginePool::isQuiet(const EngineName &engine, EngineConnection &connection) const
+{
+    char byte = 0;
+    const auto n = ::recv(connection.socket.native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+    if (n > 0) {
+        reportExtraBytes(engine);
+    }
+    return n < 0 && (errno == EAGAIN || errno == EWOULDBLOCK || errno == EINTR);
+}
+
+void EnginePool::reportExtraBytes(const EngineName &engine) const
+{
+    if (onExtraBytes) {
+        onExtraBytes(engine);
+    }
+}
+
 void EnginePool::release(const EngineRecord &engine, std::unique_ptr<EngineConnection> connection)
 {
     auto &idle = m_idle[engine.name];
@@ -70,8 +89,15 @@
         return;
     }
     auto &idle = it->second;
-    idle.erase(std::remove_if(idle.begin(), idle.end(), [&](const IdleConnection &one) { return one.id == id; }),
-               idle.end());
+    const auto found = std::find_if(idle.begin(), idle.end(), [&](const IdleConnection &one) { return one.id == id; });
+    if (found == idle.end()) {
+        return;
+    }
+    boost::system::error_code ignored; // a broken connection has nothing to read
+    if (found->connection->socket.available(ignored) > 0) {
+        reportExtraBytes(engine);
+    }
+    idle.erase(found);
 }
 
 void EnginePool::expire(const EngineDirectory &directory)
--- a/packages/gateway/src/enginepool.h
+++ b/packages/gateway/src/enginepool.h
@@ -9,6 +9,7 @@
 #include <boost/asio/steady_timer.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
 
+#include <functional>
 #include <map>
 #include <memory>
 #include <vector>
@@ -48,6 +49,11 @@
     void release(const EngineRecord &engine, std::unique_ptr<EngineConnection> connection);
     /// Closes connections that have been idle for too long, and those to engines that are not in @p directory.
     void expire(const EngineDirectory &directory);
+    /// Reports that bytes followed a response of the engine. The connection must not be used again.
+    void reportExtraBytes(const EngineName &engine) const;
+
+    /// Called by reportExtraBytes(), also for bytes on idle connections.
+    std::function<void(const EngineName &)> onExtraBytes;
 
 private:
     struct IdleConnection
@@ -59,6 +65,7 @@
     };
 
     void remove(const EngineName &engine, std::uint64_t id);
+    bool isQuiet(const EngineName &engine, EngineConnection &connection) const;
 
     boost::asio::io_context &m_io;
     const Clock &m_clock;
--- a/packages/gateway/src/gatewaycore.cpp
+++ b/packages/gateway/src/gatewaycore.cpp
@@ -22,6 +22,13 @@
     , placer(makeFirstBytesPlacer(settings.topology, engines, health, fleet))
     , pool(io, clock)
 {
+    pool.onExtraBytes = [this](const EngineName &engine) {
+        this->log.write(
+            Event::EngineAnswerBroken,
+            Severity::Warning,
+            "engine-answer-broken",
+            {{"engine", std::string_view(engine.text())}, {"reason", std::string_view("bytes after a response")}});
+    };
 }
 
 } // namespace monsoonward
