Refuse requests that arrive after a stopping gateway has ended its requests

Callers of a gateway with a grace period below 2.9 s, or after a second SIGINT, got 502, may-have-run, for requests that need not have been sent: late requests were only looked at from 2.5 s after the signal. They get 503, not-run, now.

The new test failed before (200 from an engine) and passes.

--- a/packages/gateway/src/exchangeadmission.cpp
+++ b/packages/gateway/src/exchangeadmission.cpp
@@ -59,7 +59,8 @@
             self->onDeadline();
         }
     });
-    if (m_core.isStopping && m_arrivedAt >= m_core.lateRequestsFrom && m_deadline > m_core.abortAt) {
+    const auto lateFrom = std::min(m_core.lateRequestsFrom, m_core.abortAt);
+    if (m_core.isStopping && m_arrivedAt >= lateFrom && m_deadline > m_core.abortAt) {
         refuse(unavailable, "stopping", stoppingRetryAfter, "");
         return false;
     }
--- a/packages/gateway/src/path_test.cpp
+++ b/packages/gateway/src/path_test.cpp
@@ -148,3 +148,16 @@
     shortRequest.replace(shortRequest.find("Time-Left: 3000"), 15, "Time-Left: 500");
     CHECK(statusOf(exchange(shortRequest)) == 200);
 }
+
+// In a grace period that ends before late requests are looked at, a request was sent to an engine and then cut.
+TEST_CASE_FIXTURE(GatewayFixture, "a gateway that has ended its requests takes no further ones")
+{
+    ScriptedEngine engine([](const std::string &it) { return ScriptedResponse {responseTo(it, "ok")}; });
+    addEngine("a", engine.address());
+    m_core.isStopping = true;
+    m_core.abortAt = m_clock.now();
+    m_core.lateRequestsFrom = m_clock.now() + 2s;
+    start();
+    CHECK(statusOf(exchange(request("/safe/"))) == 503);
+    CHECK(engine.requests().empty());
+}
