Let the status server pause when it can't accept a connection

A gateway without free descriptors spent its processor time on failing to accept on its health or admin port.

It tries again after 50 ms.

--- a/packages/gateway/src/statusserver.cpp
+++ b/packages/gateway/src/statusserver.cpp
@@ -18,6 +18,7 @@
 namespace
 {
 
+constexpr Duration acceptRetryDelay = std::chrono::milliseconds(50); // while no descriptor is free
 constexpr Duration idleTimeout =
     std::chrono::seconds(30); // longer than the interval of health checks and metrics scrapes
 constexpr std::size_t maxBufferBytes =
@@ -106,6 +107,7 @@
     : m_listen(listen)
     , m_handler(std::move(handler))
     , m_acceptor(io)
+    , m_acceptRetryTimer(io)
 {
 }
 
@@ -124,8 +126,15 @@
         }
         if (!ec) {
             std::make_shared<StatusConnection>(std::move(socket), m_handler)->read();
+            accept();
+            return;
         }
-        accept();
+        m_acceptRetryTimer.expires_after(acceptRetryDelay);
+        m_acceptRetryTimer.async_wait([this](const error_code &timerError) {
+            if (!timerError) {
+                accept();
+            }
+        });
     });
 }
 
--- a/packages/gateway/src/statusserver.h
+++ b/packages/gateway/src/statusserver.h
@@ -4,6 +4,7 @@
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/steady_timer.hpp>
 
 #include <functional>
 #include <string>
@@ -39,6 +40,7 @@
     Address m_listen;
     Handler m_handler;
     boost::asio::ip::tcp::acceptor m_acceptor;
+    boost::asio::steady_timer m_acceptRetryTimer;
 };
 
 } // namespace monsoonward
--- a/packages/gateway/src/statusserver_test.cpp
+++ b/packages/gateway/src/statusserver_test.cpp
@@ -1,6 +1,8 @@
 #include "gatewayfixture.h"
 #include "statusserver.h"
 
+#include <sys/resource.h>
+
 using namespace monsoonward;
 using namespace std::chrono_literals;
 
@@ -50,3 +52,26 @@
         thread.join();
     }
 }
+
+// Each failure to accept led to the next one at once, so that a lack of descriptors used up the processor.
+TEST_CASE("a status server that has no descriptor left tries again after a pause")
+{
+    asio::io_context io;
+    const auto address = freeLoopbackAddress();
+    StatusServer server(io, address, [](const std::string &) { return StatusReply {}; });
+    REQUIRE(server.start());
+    asio::io_context callerIo;
+    tcp::socket socket(callerIo);
+    socket.connect({asio::ip::make_address(address.ip), address.port});
+    rlimit limits {};
+    REQUIRE(getrlimit(RLIMIT_NOFILE, &limits) == 0);
+    const auto saved = limits;
+    limits.rlim_cur = 3; // the standard streams; descriptors that are open already stay so
+    REQUIRE(setrlimit(RLIMIT_NOFILE, &limits) == 0);
+    const auto n = io.run_for(50ms);
+    REQUIRE(setrlimit(RLIMIT_NOFILE, &saved) == 0);
+    CHECK(n < 10);
+    asio::write(socket, asio::buffer(std::string("GET / HTTP/1.1\r\nConnection: close\r\n\r\n")));
+    io.run_for(200ms);
+    CHECK(socket.available() > 0);
+}
