--- a/packages/callers/src/callerconnection.cpp
+++ b/packages/callers/src/callerconnection.cpp
@@ -25,7 +25,6 @@
     30); // for the caller to read the rest of a complete response; it may be large and the link slow
 constexpr std::size_t maxLineBytes =
     std::size_t {64} * 1024; // of a line between two chunks, and of what follows the last chunk
-constexpr std::size_t maxExtensionBytes = std::size_t {64} * 1024; // of all chunks of a request
 constexpr unsigned badRequest = 400;
 constexpr unsigned requestTimeout = 408;
 constexpr unsigned bodyTooLarge = 413;
@@ -44,12 +43,6 @@
     , m_socket(std::move(socket))
     , m_onClosed(std::move(onClosed))
     , m_timer(m_socket.get_executor())
-    , m_onChunkHeader([this](std::uint64_t /*size*/, boost::beast::string_view extension, error_code &ec) {
-        m_extensionBytes += extension.size();
-        if (m_extensionBytes > maxExtensionBytes) {
-            ec = http::error::bad_chunk_extension;
-        }
-    })
 {
 }
 
@@ -120,8 +113,7 @@
     m_parser.emplace();
     m_parser->header_limit(limits.maxHeaderBytes);
     m_parser->body_limit(limits.maxBodyBytes);
-    m_parser->on_chunk_header(m_onChunkHeader);
-    m_extensionBytes = 0;
+    m_chunkExtensionLimit.attachTo(*m_parser);
     m_buffer.max_size(std::max<std::size_t>(limits.maxHeaderBytes + maxLineBytes, m_buffer.size()));
     startTimer(limits.headerTimeout, [this] { respondWithError(requestTimeout, "header-time"); });
     http::async_read_header(
--- a/packages/callers/src/callerconnection.h
+++ b/packages/callers/src/callerconnection.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "monsoonward/callers/callerservice.h"
+#include "monsoonward/callers/chunkextensionlimit.h"
 
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/steady_timer.hpp>
@@ -83,8 +84,7 @@
     boost::asio::steady_timer m_timer;
     std::uint64_t m_timerNumber = 0; // lets handlers of earlier timers be ignored
     boost::beast::flat_buffer m_buffer;
-    std::size_t m_extensionBytes = 0; // chunk extensions of the request
-    std::function<void(std::uint64_t, boost::beast::string_view, boost::system::error_code &)> m_onChunkHeader;
+    ChunkExtensionLimit m_chunkExtensionLimit;
     std::optional<Parser> m_parser;
     Phase m_phase = Phase::Idle;
     TimePoint m_idleSince;
--- a/packages/gateway/src/httpchannel.cpp
+++ b/packages/gateway/src/httpchannel.cpp
@@ -19,7 +19,6 @@
 
 constexpr std::size_t maxBufferBytes =
     std::size_t {64} * 1024; // also limits a line between two chunks, and what follows the last chunk
-constexpr std::size_t maxExtensionBytes = std::size_t {64} * 1024; // of all chunks of a response
 
 } // namespace
 
@@ -104,8 +103,7 @@
                           });
         m_parser.emplace();
         m_parser->body_limit(maxResponseBytes);
-        m_parser->on_chunk_header(m_onChunkHeader);
-        m_extensionBytes = 0;
+        m_chunkExtensionLimit.attachTo(*m_parser);
         http::async_read(m_socket,
                          m_buffer,
                          *m_parser,
@@ -158,14 +156,7 @@
     asio::ip::tcp::socket m_socket;
     asio::steady_timer m_timer;
     boost::beast::flat_buffer m_buffer {maxBufferBytes};
-    std::size_t m_extensionBytes = 0;
-    std::function<void(std::uint64_t, boost::beast::string_view, error_code &)> m_onChunkHeader =
-        [this](std::uint64_t /*size*/, boost::beast::string_view extension, error_code &ec) {
-            m_extensionBytes += extension.size();
-            if (m_extensionBytes > maxExtensionBytes) {
-                ec = http::error::bad_chunk_extension;
-            }
-        };
+    ChunkExtensionLimit m_chunkExtensionLimit;
     http::request<http::string_body> m_request;
     std::optional<http::response_parser<http::string_body>> m_parser;
     Callback m_done;
--- a/packages/gateway/src/statusserver.cpp
+++ b/packages/gateway/src/statusserver.cpp
@@ -23,7 +23,6 @@
     std::chrono::seconds(30); // longer than the interval of health checks and metrics scrapes
 constexpr std::size_t maxBufferBytes =
     std::size_t {64} * 1024; // also limits a line between two chunks, and what follows the last chunk
-constexpr std::size_t maxExtensionBytes = std::size_t {64} * 1024; // of all chunks of a request
 
 /// One connection. Its pending callbacks own it.
 class StatusConnection : public std::enable_shared_from_this<StatusConnection>
@@ -45,8 +44,7 @@
             }
         });
         m_parser.emplace();
-        m_parser->on_chunk_header(m_onChunkHeader);
-        m_extensionBytes = 0;
+        m_chunkExtensionLimit.attachTo(*m_parser);
         http::async_read(m_socket, m_buffer, *m_parser, [self = shared_from_this()](const error_code &ec, std::size_t) {
             if (ec) {
                 self->close();
@@ -89,14 +87,7 @@
     boost::asio::steady_timer m_timer;
     const StatusServer::Handler &m_handler;
     boost::beast::flat_buffer m_buffer {maxBufferBytes};
-    std::size_t m_extensionBytes = 0;
-    std::function<void(std::uint64_t, boost::beast::string_view, error_code &)> m_onChunkHeader =
-        [this](std::uint64_t /*size*/, boost::beast::string_view extension, error_code &ec) {
-            m_extensionBytes += extension.size();
-            if (m_extensionBytes > maxExtensionBytes) {
-                ec = http::error::bad_chunk_extension;
-            }
-        };
+    ChunkExtensionLimit m_chunkExtensionLimit;
     std::optional<http::request_parser<http::string_body>> m_parser;
     http::response<http::string_body> m_response;
 };
