--- a/packages/gateway/src/exchange.h
+++ b/packages/gateway/src/exchange.h
@@ -50,7 +50,8 @@
     bool findRoute();
     bool findCustomer();
     bool applyRateLimit();
-    /// @return whether the request is kept from engines because it has a trait that crashes them
+    /// Ends the request if it has a trait that crashes engines.
+    /// @return whether it was ended
     bool refusedAsSuspect();
     std::vector<RequestTrait> traits() const;
     void recordCrash(const EngineRecord &engine);
