Log the limits that engines state in their responses

Engines state the requests a second that they take from all gateways together; no gateway read that, and the logs couldn't tell an unread limit from one that never arrived.

Change: the statement of each response is read, bounded, kept for each run of an engine, and logged when it changes (events 6107, 6108); a malformed one is ignored, counted and logged (6109). A response to another request, or of another engine, says nothing; a success without a limit lifts it. Nothing is decided by it yet.

--- a/packages/dispatch/include/monsoonward/dispatch/crashsuspects.h
+++ b/packages/dispatch/include/monsoonward/dispatch/crashsuspects.h
@@ -1,8 +1,7 @@
 #pragma once
 
-#include <monsoonward/values/values.h>
+#include "monsoonward/dispatch/enginerun.h"
 
-#include <cstdint>
 #include <map>
 #include <optional>
 #include <unordered_map>
@@ -13,8 +12,6 @@
 
 /// Hash of something that several requests may have in common, such as a part of their prompts.
 using RequestTrait = std::uint64_t;
-/// Hash of an engine's name and incarnation: one run of its process.
-using EngineRun = std::uint64_t;
 
 /// @brief A request with the trait was in progress when a connection to the run ended.
 struct CrashObservation
--- a/packages/dispatch/include/monsoonward/dispatch/dispatch.h
+++ b/packages/dispatch/include/monsoonward/dispatch/dispatch.h
@@ -8,6 +8,8 @@
 #include "monsoonward/dispatch/customertable.h"
 #include "monsoonward/dispatch/enginedirectory.h"
 #include "monsoonward/dispatch/enginehealth.h"
+#include "monsoonward/dispatch/enginelimits.h"
+#include "monsoonward/dispatch/enginerun.h"
 #include "monsoonward/dispatch/eventsplitter.h"
 #include "monsoonward/dispatch/firstbytesmodel.h"
 #include "monsoonward/dispatch/fleetview.h"
--- a/packages/gateway/include/monsoonward/gateway/httpdialect.h
+++ b/packages/gateway/include/monsoonward/gateway/httpdialect.h
@@ -19,6 +19,7 @@
     std::string notExecuted; ///< response header: the engine did not run the request
     std::string engineMarker; ///< response header: present in every successful response of an engine
     std::string engineLeaving; ///< response header: "1" if the engine is leaving and wants no new requests
+    std::string engineRateLimit; ///< response header: requests per second that the engine takes from all gateways
     std::string tokenCounts; ///< "prompt tokens,maximum output tokens" of a model request
     /// Parts of a model request's prompt in order, as "ID:tokens,ID:tokens"; the last one belongs to the request alone.
     std::string promptParts;
@@ -33,6 +34,7 @@
                        notExecuted,
                        engineMarker,
                        engineLeaving,
+                       engineRateLimit,
                        tokenCounts,
                        promptParts,
                        lastEventId,
--- a/packages/gateway/src/enginecall.cpp
+++ b/packages/gateway/src/enginecall.cpp
@@ -136,6 +136,18 @@
     }
 }
 
+void EngineCall::notifyOfRateLimit()
+{
+    const auto &message = m_parser->get();
+    const auto limit = rateLimitOf(message, m_dialect.engineRateLimit);
+    const bool isSuccess = message.result_int() < httpstatus::firstRedirect;
+    if (!limit) {
+        m_handler->rateLimitMalformed(limit.error().message);
+    } else if (limit.value() || isSuccess) {
+        m_handler->rateLimitStated(limit.value());
+    }
+}
+
 bool EngineCall::discard(std::size_t bytes)
 {
     m_discardedBytes += bytes;
@@ -183,6 +195,9 @@
         return;
     }
     m_isStaleResponse = isStaleResponse();
+    if (!m_isStaleResponse && status != httpstatus::misdirectedRequest) { // else it is old, or another engine's
+        notifyOfRateLimit();
+    }
     m_outcomeAfterBody = AttemptOutcome::Rejected;
     m_isDiscarding =
         m_isStaleResponse || status == httpstatus::misdirectedRequest || message.count(m_dialect.notExecuted) != 0;
--- a/packages/gateway/src/enginecall.h
+++ b/packages/gateway/src/enginecall.h
@@ -28,6 +28,11 @@
     virtual void engineLeaving() = 0;
     /// The engine rejected a request and asked for no more during @p length.
     virtual void pauseRequested(Duration length) = 0;
+    /// A response of the engine to this request stated how many requests per second it takes from all gateways. Nothing:
+    /// a success that states no limit.
+    virtual void rateLimitStated(std::optional<double> perSecond) = 0;
+    /// A response stated such a limit that can't be read.
+    virtual void rateLimitMalformed(const std::string &reason) = 0;
     /// The engine ended the connection before the response was complete: it may have crashed. callEnded() follows.
     virtual void connectionLost() = 0;
     /// The engine's host refused the connection: no engine listens there. callEnded() follows.
@@ -84,6 +89,7 @@
     void onReadFailed(const boost::system::error_code &ec);
     void onResponseComplete();
     void notifyOfHeaders();
+    void notifyOfRateLimit();
     void finish(AttemptOutcome outcome, const std::string &reason);
     bool isStaleResponse() const;
     bool isAttributable() const;
--- a/packages/gateway/src/exchange.cpp
+++ b/packages/gateway/src/exchange.cpp
@@ -203,6 +203,41 @@
         {{"engine", std::string_view(engine.text())}, {"request", requestId()}, {"pause_ms", milliseconds(length)}});
 }
 
+void Exchange::rateLimitStated(std::optional<double> perSecond)
+{
+    const auto &engine = m_call->engine();
+    if (!m_core.engineLimits.record(runOf(engine), perSecond, m_core.clock.now())) {
+        return;
+    }
+    if (perSecond) {
+        m_core.log.write(Event::EngineLimitStated,
+                         Severity::Info,
+                         "engine-limit-stated",
+                         {{"engine", std::string_view(engine.name.text())},
+                          {"request", requestId()},
+                          {"per_second", *perSecond}});
+    } else {
+        m_core.log.write(Event::EngineLimitLifted,
+                         Severity::Info,
+                         "engine-limit-lifted",
+                         {{"engine", std::string_view(engine.name.text())}, {"request", requestId()}});
+    }
+}
+
+void Exchange::rateLimitMalformed(const std::string &reason)
+{
+    const auto &engine = m_call->engine();
+    m_core.metrics.engineLimitMalformed();
+    if (m_core.engineLimits.recordMalformed(runOf(engine), m_core.clock.now())) {
+        m_core.log.write(Event::EngineLimitMalformed,
+                         Severity::Warning,
+                         "engine-limit-malformed",
+                         {{"engine", std::string_view(engine.name.text())},
+                          {"request", requestId()},
+                          {"reason", std::string_view(reason)}});
+    }
+}
+
 void Exchange::connectionLost()
 {
     m_hasLostConnection = true;
--- a/packages/gateway/src/exchange.h
+++ b/packages/gateway/src/exchange.h
@@ -31,6 +31,8 @@
     std::string reasonNotToSend() override;
     void engineLeaving() override;
     void pauseRequested(Duration length) override;
+    void rateLimitStated(std::optional<double> perSecond) override;
+    void rateLimitMalformed(const std::string &reason) override;
     void connectionLost() override;
     void connectionRefused() override;
     void responseStarted(const ResponseHead &head) override;
--- a/packages/gateway/src/gatewaycore.h
+++ b/packages/gateway/src/gatewaycore.h
@@ -48,6 +48,7 @@
     RetryBudgetShare retryBudget;
     EngineDirectory engines;
     EngineHealth health;
+    EngineLimits engineLimits;
     CrashSuspects crashSuspects;
     FleetView fleet;
     std::unique_ptr<Placer> placer;
--- a/packages/gateway/src/gatewaymetrics.cpp
+++ b/packages/gateway/src/gatewaymetrics.cpp
@@ -81,6 +81,11 @@
                                                                     prometheus::BuildCounter(),
                                                                     "monsoonward_gateway_store_era_malformed_total",
                                                                     "Answers of the store whose era is no number");
+    prometheus::Family<prometheus::Counter> &malformedLimits =
+        family(registry,
+               prometheus::BuildCounter(),
+               "monsoonward_gateway_engine_limit_malformed_total",
+               "Engines' responses whose rate limit can't be read");
     prometheus::Family<prometheus::Gauge> &gauges =
         family(registry, prometheus::BuildGauge(), "monsoonward_gateway_state", "Present values, by name");
     prometheus::Family<prometheus::Gauge> &retries = family(registry,
@@ -128,6 +133,11 @@
     m_impl->malformedEras.Add({}).Increment();
 }
 
+void GatewayMetrics::engineLimitMalformed()
+{
+    m_impl->malformedLimits.Add({}).Increment();
+}
+
 void GatewayMetrics::setStoreEra(std::uint64_t era)
 {
     m_impl->gauges.Add({{"name", "store_era"}}).Set(static_cast<double>(era));
--- a/packages/gateway/src/gatewaymetrics.h
+++ b/packages/gateway/src/gatewaymetrics.h
@@ -32,6 +32,7 @@
     void storeCallEnded(const std::string &table, bool succeeded);
     /// An answer of the store stated an era that is no number.
     void storeEraMalformed();
+    void engineLimitMalformed();
     void setStoreEra(std::uint64_t era);
     /// @param refused number of traits whose requests are refused because they crash engines
     void setCrashSuspects(std::size_t refused);
--- a/packages/gateway/src/gatewayprocess.cpp
+++ b/packages/gateway/src/gatewayprocess.cpp
@@ -431,6 +431,7 @@
             engineRemoved(it, "registration-did-not-return");
         }
         m_core.pool.expire(m_core.engines);
+        m_core.engineLimits.expire(now);
         expireCrashSuspects(now);
         m_members.tick();
         m_store.pollIfDue(now);
--- a/packages/gateway/src/gatewaytesting.h
+++ b/packages/gateway/src/gatewaytesting.h
@@ -21,6 +21,7 @@
     dialect.notExecuted = "Not-Run";
     dialect.engineMarker = "Seal";
     dialect.engineLeaving = "Leaving";
+    dialect.engineRateLimit = "Limit";
     dialect.tokenCounts = "Tokens";
     dialect.promptParts = "Parts";
     dialect.lastEventId = "Last-Event-Id";
--- a/packages/gateway/src/headervalues.cpp
+++ b/packages/gateway/src/headervalues.cpp
@@ -58,6 +58,28 @@
     return std::chrono::duration_cast<Duration>(std::min(std::chrono::duration<double>(seconds), limit));
 }
 
+Result<std::optional<double>> rateLimitOf(const http::fields &fields, const std::string &name)
+{
+    const auto [first, last] = fields.equal_range(name);
+    if (first == last) {
+        return std::optional<double>();
+    }
+    if (std::next(first) != last) {
+        return Error {ErrorCode::Invalid, "stated more than once"};
+    }
+    const auto text = viewOf(first->value());
+    double perSecond = 0;
+    const auto *const end = text.data() + text.size();
+    const auto [stop, ec] = std::from_chars(text.data(), end, perSecond, std::chars_format::fixed);
+    if (ec != std::errc() || stop != end || !std::isfinite(perSecond)) {
+        return Error {ErrorCode::Invalid, "no decimal number"};
+    }
+    if (std::signbit(perSecond) || perSecond > EngineLimits::maxPerSecond) {
+        return Error {ErrorCode::Invalid, "out of range"};
+    }
+    return std::optional<double>(perSecond);
+}
+
 std::string retryAfterText(Duration duration)
 {
     constexpr double hundredths = 100;
--- a/packages/gateway/src/requesttraits.cpp
+++ b/packages/gateway/src/requesttraits.cpp
@@ -38,9 +38,4 @@
     return traits;
 }
 
-EngineRun runOf(const EngineRecord &engine)
-{
-    return hashOf(engine.name.text(), engine.incarnation);
-}
-
 } // namespace monsoonward
--- a/packages/gateway/src/requesttraits.h
+++ b/packages/gateway/src/requesttraits.h
@@ -16,7 +16,4 @@
 std::vector<RequestTrait>
 traitsOf(const CallerRequest &request, std::string_view promptParts, std::string_view customer);
 
-/// @return the run of the engine's process
-EngineRun runOf(const EngineRecord &engine);
-
 } // namespace monsoonward
