Extract the token bucket from the rate limiter of customers

The limits that engines state need the same level that grows at a rate; without this there would be two.

--- a/packages/dispatch/include/monsoonward/dispatch/allotments.h
+++ b/packages/dispatch/include/monsoonward/dispatch/allotments.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "monsoonward/dispatch/servingconfiguration.h"
+#include "monsoonward/dispatch/tokenbucket.h"
 
 #include <map>
 
@@ -62,8 +63,12 @@
 private:
     struct Bucket
     {
-        double level = 0;
-        TimePoint refilledAt;
+        explicit Bucket(TimePoint now = TimePoint())
+            : tokens(now)
+            , demandUpdatedAt(now)
+        {
+        }
+        TokenBucket tokens;
         double spent = 0; // granted by this daemon
         double demand = 0; // units per second, exponentially averaged
         TimePoint demandUpdatedAt;
@@ -72,7 +77,6 @@
     double rateOf(const CustomerConfiguration &customer) const;
     double burstOf(const CustomerConfiguration &customer) const;
     double requiredLevel(const CustomerConfiguration &customer, double units, const RateLimitShare &share) const;
-    void refill(const CustomerConfiguration &customer, double reportingFraction, Bucket &bucket, TimePoint now) const;
     static double currentDemand(const Bucket &bucket, TimePoint now);
 
     RateLimitTolerance m_tolerance;
--- a/packages/dispatch/include/monsoonward/dispatch/dispatch.h
+++ b/packages/dispatch/include/monsoonward/dispatch/dispatch.h
@@ -19,3 +19,4 @@
 #include "monsoonward/dispatch/routetable.h"
 #include "monsoonward/dispatch/servingconfiguration.h"
 #include "monsoonward/dispatch/storeknowledge.h"
+#include "monsoonward/dispatch/tokenbucket.h"
--- /dev/null
+++ b/packages/dispatch/include/monsoonward/dispatch/tokenbucket.h
@@ -0,0 +1,32 @@
+#pragma once
+
+#include <monsoonward/values/values.h>
+
+namespace monsoonward
+{
+
+/// @brief A level that grows at a rate up to a size. Whoever uses it decides whether the level suffices; it may become
+/// negative.
+class TokenBucket
+{
+public:
+    /// An empty bucket that grows from @p now on.
+    explicit TokenBucket(TimePoint now = TimePoint());
+
+    /// Adds what has grown since the last call.
+    /// @param perSecond growth in tokens per second
+    /// @param size upper bound of the level
+    void refill(double perSecond, double size, TimePoint now);
+    void take(double tokens);
+    void giveBack(double tokens);
+    /// Lowers the level to @p size if it is higher.
+    void limitTo(double size);
+    /// @return the level after the last change
+    double level() const;
+
+private:
+    double m_level = 0;
+    TimePoint m_refilledAt;
+};
+
+} // namespace monsoonward
--- a/packages/dispatch/src/allotments.cpp
+++ b/packages/dispatch/src/allotments.cpp
@@ -49,31 +49,13 @@
 {
     std::map<CustomerName, Bucket> kept;
     for (const auto &it : configuration.customers) {
-        auto &bucket = kept[it.name];
         const auto old = m_buckets.find(it.name);
-        if (old != m_buckets.end()) {
-            bucket = old->second;
-            bucket.level = std::min(bucket.level, burstOf(it));
-        } else {
-            bucket.refilledAt = now;
-            bucket.demandUpdatedAt = now;
-        }
+        auto &bucket = kept.emplace(it.name, old == m_buckets.end() ? Bucket(now) : old->second).first->second;
+        bucket.tokens.limitTo(burstOf(it));
     }
     m_buckets = std::move(kept);
 }
 
-void RateLimiter::refill(const CustomerConfiguration &customer,
-                         double reportingFraction,
-                         Bucket &bucket,
-                         TimePoint now) const
-{
-    const Seconds passed = now - bucket.refilledAt;
-    const double size = burstOf(customer) * reportingFraction;
-    const double filled = bucket.level + passed.count() * rateOf(customer) * reportingFraction;
-    bucket.level = std::min(filled, size);
-    bucket.refilledAt = now;
-}
-
 double RateLimiter::currentDemand(const Bucket &bucket, TimePoint now)
 {
     return bucket.demand * std::exp(-Seconds(now - bucket.demandUpdatedAt).count() / demandDecayTime.count());
@@ -84,19 +66,14 @@
     if (customer.unitsPerSecond <= 0) {
         return true;
     }
-    const auto [it, isNew] = m_buckets.try_emplace(customer.name);
-    auto &bucket = it->second;
-    if (isNew) {
-        bucket.refilledAt = now;
-        bucket.demandUpdatedAt = now;
-    }
-    refill(customer, share.reportingFraction, bucket, now);
+    auto &bucket = m_buckets.try_emplace(customer.name, now).first->second;
+    bucket.tokens.refill(rateOf(customer) * share.reportingFraction, burstOf(customer) * share.reportingFraction, now);
     bucket.demand = currentDemand(bucket, now) + units / demandDecayTime.count();
     bucket.demandUpdatedAt = now;
-    if (bucket.level < requiredLevel(customer, units, share)) {
+    if (bucket.tokens.level() < requiredLevel(customer, units, share)) {
         return false;
     }
-    bucket.level -= units;
+    bucket.tokens.take(units);
     bucket.spent += units;
     return true;
 }
@@ -105,7 +82,7 @@
 {
     const auto it = m_buckets.find(customer);
     if (it != m_buckets.end()) {
-        it->second.level += units;
+        it->second.tokens.giveBack(units);
         it->second.spent -= units;
     }
 }
@@ -114,7 +91,7 @@
 {
     const auto it = m_buckets.find(customer);
     if (it != m_buckets.end()) {
-        it->second.level -= units;
+        it->second.tokens.take(units);
     }
 }
 
@@ -148,7 +125,7 @@
 double RateLimiter::level(const CustomerName &customer) const
 {
     const auto it = m_buckets.find(customer);
-    return it == m_buckets.end() ? 0 : it->second.level;
+    return it == m_buckets.end() ? 0 : it->second.tokens.level();
 }
 
 Duration RateLimiter::waitTime(const CustomerConfiguration &customer, double units, const RateLimitShare &share) const
