Divide the limits that engines state among all gateways

Callers' requests drove engines to three times the requests a second that these had stated to take from all gateways together.

Cause: nothing read the statement, so each gateway placed requests as before. The class of the fault: an engine says something about itself that all gateways together must follow.

Change: each gateway keeps the newest statement of each engine run, from its own responses and from the others' load reports. The limit is divided by reported demand; shares below one request a second are pooled and go to few gateways, so that many gateways with a token each don't exceed a low limit. A token bucket keeps each share, and the placement takes it as capacity: other engines get what a limited one can't take, the rest is refused at once, less urgent requests first, with a time to return that follows from the rates. Logged, counted, at /state and in monsoonctl explain.

Why it works: the shares are computed by all gateways from the same reports and add up to the limit, the parts of silent gateways left out, and the buckets together hold no more than the limit allows in a second.

--- a/apps/monsoonctl/explain.cpp
+++ b/apps/monsoonctl/explain.cpp
@@ -5,6 +5,7 @@
 #include <algorithm>
 #include <chrono>
 #include <istream>
+#include <map>
 #include <set>
 #include <sstream>
 #include <vector>
@@ -22,6 +23,9 @@
 constexpr int firstContextEvent = 4000; // from here on: configuration, store, engines, gateways; see docs/EVENTS.md
 constexpr int firstRequestEvent = 6001;
 constexpr int lastRequestEvent = 6003;
+constexpr int firstLimitEvent = 6107; // what an engine states holds until it states something else
+constexpr int lastLimitEvent = 6108;
+constexpr const char *limitedReason = "engines-limited";
 
 template<class T>
 T fieldOr(const Json &record, const char *name, T defaultValue)
@@ -61,6 +65,57 @@
     return out.str();
 }
 
+bool isLimitRecord(const Json &record)
+{
+    const auto event = record["event"].get<int>();
+    return event >= firstLimitEvent && event <= lastLimitEvent;
+}
+
+bool isEarlier(const Json &a, const Json &b)
+{
+    return a["time"].get<std::int64_t>() < b["time"].get<std::int64_t>();
+}
+
+/// @brief What the records of a request tell about which other records explain it.
+struct Involved
+{
+    explicit Involved(const std::vector<Json> &records)
+        : from(records.front()["time"].get<std::int64_t>())
+        , until(from)
+    {
+        for (const auto &it : records) {
+            const auto time = it["time"].get<std::int64_t>();
+            hosts.insert(it["host"].get<std::string>());
+            engines.insert(fieldOr<std::string>(it, "engine", ""));
+            from = std::min(from, time - fieldOr<std::int64_t>(it, "after_ms", 0));
+            until = std::max(until, time);
+            isRefusedForLimits = isRefusedForLimits || fieldOr<std::string>(it, "reason", "") == limitedReason;
+        }
+    }
+
+    bool explains(const Json &record) const
+    {
+        const auto time = record["time"].get<std::int64_t>();
+        const auto engine = fieldOr<std::string>(record, "engine", "");
+        return time >= from - contextMs && time <= until && hosts.count(record["host"].get<std::string>()) != 0
+            && (engine.empty() || engines.count(engine) != 0);
+    }
+
+    /// @return whether the record tells a limit that may have decided; the newest one for each engine holds
+    bool mayExplainLimit(const Json &record) const
+    {
+        return isLimitRecord(record) && record["time"].get<std::int64_t>() <= until
+            && hosts.count(record["host"].get<std::string>()) != 0
+            && (isRefusedForLimits || engines.count(fieldOr<std::string>(record, "engine", "")) != 0);
+    }
+
+    std::set<std::string> hosts;
+    std::set<std::string> engines;
+    std::int64_t from;
+    std::int64_t until;
+    bool isRefusedForLimits = false;
+};
+
 } // namespace
 
 struct Explanation::Data
@@ -103,28 +158,20 @@
         return {};
     }
     auto records = m_data->requestRecords;
-    std::set<std::string> hosts;
-    std::set<std::string> engines;
-    auto from = records.front()["time"].get<std::int64_t>();
-    auto until = from;
-    for (const auto &it : records) {
-        const auto time = it["time"].get<std::int64_t>();
-        hosts.insert(it["host"].get<std::string>());
-        engines.insert(fieldOr<std::string>(it, "engine", ""));
-        from = std::min(from, time - fieldOr<std::int64_t>(it, "after_ms", 0));
-        until = std::max(until, time);
-    }
+    const Involved involved(records);
+    std::map<std::pair<std::string, std::string>, Json> limits; // newest one by host and engine
     for (const auto &it : m_data->contextRecords) {
-        const auto time = it["time"].get<std::int64_t>();
-        const auto engine = fieldOr<std::string>(it, "engine", "");
-        if (time >= from - contextMs && time <= until && hosts.count(it["host"].get<std::string>()) != 0
-            && (engine.empty() || engines.count(engine) != 0)) {
+        if (involved.mayExplainLimit(it)) {
+            auto &newest = limits[{it["host"].get<std::string>(), fieldOr<std::string>(it, "engine", "")}];
+            newest = newest.is_null() || !isEarlier(it, newest) ? it : newest;
+        } else if (involved.explains(it)) {
             records.push_back(it);
         }
     }
-    std::stable_sort(records.begin(), records.end(), [](const Json &a, const Json &b) {
-        return a["time"].get<std::int64_t>() < b["time"].get<std::int64_t>();
-    });
+    for (const auto &it : limits) {
+        records.push_back(it.second);
+    }
+    std::stable_sort(records.begin(), records.end(), isEarlier);
     std::string text;
     for (const auto &it : records) {
         text += formatRecord(it) + "\n";
--- a/apps/monsoonctl/explain_test.cpp
+++ b/apps/monsoonctl/explain_test.cpp
@@ -40,6 +40,29 @@
     CHECK(explanation.malformedLines() == 1);
 }
 
+TEST_CASE("an explanation names the newest limits of the engines however old they are")
+{
+    const std::string log =
+        record(1000, "g1", 6107, "engine-limit-stated", R"(,"engine":"e1","per_second":9.5,"own_per_second":3.0)")
+        + record(2000, "g1", 6107, "engine-limit-stated", R"(,"engine":"e1","per_second":5.5,"own_per_second":2.0)")
+        + record(2000, "g2", 6107, "engine-limit-stated", R"(,"engine":"e1","per_second":5.5,"own_per_second":3.5)")
+        + record(3000, "g1", 6107, "engine-limit-stated", R"(,"engine":"e2","per_second":1.0,"own_per_second":0.0)")
+        + record(60000, "g1", 6001, "served", R"(,"request":"r1","engine":"e1")")
+        + record(60000, "g1", 6002, "refused", R"(,"request":"r2","reason":"engines-limited","engine":"")")
+        + record(61000, "g1", 6108, "engine-limit-lifted", R"(,"engine":"e2")");
+    const auto explain = [&](const char *request) {
+        std::istringstream in(log);
+        Explanation explanation(request);
+        explanation.read(in);
+        return explanation.text();
+    };
+    const std::string limit = "2000 g1 engine-limit-stated engine=e1 own_per_second=2.0 per_second=5.5\n";
+    CHECK(explain("r1") == limit + "60000 g1 served engine=e1\n");
+    CHECK(explain("r2")
+          == limit + "3000 g1 engine-limit-stated engine=e2 own_per_second=0.0 per_second=1.0\n"
+              + "60000 g1 refused reason=engines-limited\n");
+}
+
 TEST_CASE("a request that is not in the logs has no explanation")
 {
     std::istringstream log(record(1, "g", 6001, "served", R"(,"request":"other")"));
--- a/packages/dispatch/include/monsoonward/dispatch/enginedirectory.h
+++ b/packages/dispatch/include/monsoonward/dispatch/enginedirectory.h
@@ -74,6 +74,8 @@
     std::set<EngineName> selfReportedLeaving() const;
     /// @return engines of the service that may get new requests; valid until the next change
     std::vector<const EngineRecord *> ofService(const ServiceName &service) const;
+    /// @return all known engines; valid until the next change
+    std::vector<const EngineRecord *> all() const;
     std::size_t size() const;
 
 private:
--- a/packages/dispatch/include/monsoonward/dispatch/fleetview.h
+++ b/packages/dispatch/include/monsoonward/dispatch/fleetview.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "monsoonward/dispatch/crashsuspects.h"
+#include "monsoonward/dispatch/enginelimits.h"
 #include "monsoonward/dispatch/storeknowledge.h"
 
 #include <cstdint>
@@ -28,6 +29,8 @@
     StoreKnowledge knowledge {}; ///< what this daemon has read from the store
     Duration uptime {}; ///< since the process started
     CrashReport crashes {}; ///< what this daemon knows about crashes of engines, if it is due
+    std::vector<EngineLimitStatement> limits {}; ///< what engines have stated in responses to this daemon
+    std::map<ServiceName, double> serviceDemand {}; ///< callers' requests per second, while some engine states a limit
     MONSOONWARD_FIELDS(host,
                        incarnation,
                        sequenceNumber,
@@ -39,7 +42,9 @@
                        leavingEngines,
                        knowledge,
                        uptime,
-                       crashes)
+                       crashes,
+                       limits,
+                       serviceDemand)
 };
 
 /// @brief What a new report changes compared with the daemon's previous one.
@@ -99,6 +104,9 @@
     /// @return this daemon's fraction of what the reporting daemons may spend together: a small part is divided evenly,
     /// the rest in proportion to demand
     double ownFractionFor(const CustomerName &customer, double ownDemand, TimePoint now) const;
+    /// @return callers' requests per second for the service at each reporting member; nothing for one that doesn't
+    /// state its demand
+    std::map<HostName, std::optional<double>> serviceDemands(const ServiceName &service, TimePoint now) const;
     /// Drops the request counts of daemons that have become silent, and unregistered daemons that did. Call it several
     /// times a second.
     void expire(TimePoint now);
--- a/packages/dispatch/include/monsoonward/dispatch/placement.h
+++ b/packages/dispatch/include/monsoonward/dispatch/placement.h
@@ -2,28 +2,16 @@
 
 #include "monsoonward/dispatch/enginedirectory.h"
 #include "monsoonward/dispatch/enginehealth.h"
+#include "monsoonward/dispatch/enginelimiter.h"
 #include "monsoonward/dispatch/firstbytesmodel.h"
 #include "monsoonward/dispatch/fleetview.h"
+#include "monsoonward/dispatch/topology.h"
 
 #include <memory>
 
 namespace monsoonward
 {
 
-/// @brief How far a data centre is from this daemon.
-enum class Distance { SameDataCentre, SameRegion, OtherRegion };
-
-/// @brief This daemon's data centre and the region of each data centre.
-struct Topology
-{
-    DataCentreName ownDataCentre;
-    std::map<DataCentreName, RegionName> regions;
-    MONSOONWARD_FIELDS(ownDataCentre, regions)
-
-    /// @return OtherRegion if the region of either data centre is unknown
-    Distance distanceTo(const DataCentreName &dataCentre) const;
-};
-
 /// @brief The properties of a request that decide its placement.
 struct PlacementRequest
 {
@@ -44,6 +32,7 @@
     Placed, ///< an engine was chosen
     NoEngine, ///< the service has no engine that may be tried
     Full, ///< the engines are too loaded for a request of this tier
+    Limited, ///< the engines that may be tried take no more requests for now, as they state limits
 };
 
 /// @brief The engine for a request, or the time after which a refused caller should retry.
@@ -56,7 +45,8 @@
     Duration expected {}; ///< expected time to the first bytes of the answer
     Duration limit {}; ///< the request is admitted up to this expected time
     Duration retryAfter {}; ///< when refused
-    MONSOONWARD_FIELDS(outcome, engine, inProgress, load, expected, limit, retryAfter)
+    std::optional<EngineAllowance> allowance {}; ///< of the engine, if it states a limit on requests per second
+    MONSOONWARD_FIELDS(outcome, engine, inProgress, load, expected, limit, retryAfter, allowance)
 };
 
 /// @brief Chooses an engine for each request, or refuses it. The owner reports each request's progress to it.
@@ -78,6 +68,8 @@
     /// Must be called when ownRequests() is sent to the other daemons. What changes here afterwards is the estimate of
     /// what they have started since their last reports.
     virtual void loadReported(TimePoint now) = 0;
+    /// @return requests per second of each service that callers send to this daemon
+    virtual std::map<ServiceName, double> demand(TimePoint now) const = 0;
     /// @return requests in progress at each engine that this daemon sent
     virtual const std::map<EngineName, std::uint32_t> &ownRequests() const = 0;
 };
@@ -89,10 +81,14 @@
 /// A request is admitted if load delays it by no more than a fraction of its latency objective. The fraction is smaller
 /// the more of the service's requests are of more urgent tiers, so that a burst of less urgent requests leaves capacity
 /// for them. At low load every request is admitted; above the maximum load none is. Other requests are refused at once.
-/// @param directory, health, fleet must outlive the placer
+///
+/// An engine that states a limit gets no more requests than this daemon's share of it. The less urgent a request is,
+/// the more of the share it leaves to others.
+/// @param directory, health, fleet, limiter must outlive the placer
 std::unique_ptr<Placer> makeFirstBytesPlacer(const Topology &topology,
                                              const EngineDirectory &directory,
                                              const EngineHealth &health,
-                                             const FleetView &fleet);
+                                             const FleetView &fleet,
+                                             EngineLimiter &limiter);
 
 } // namespace monsoonward
--- a/packages/dispatch/src/enginedirectory.cpp
+++ b/packages/dispatch/src/enginedirectory.cpp
@@ -177,6 +177,15 @@
     return engines;
 }
 
+std::vector<const EngineRecord *> EngineDirectory::all() const
+{
+    std::vector<const EngineRecord *> engines;
+    for (const auto &it : m_engines) {
+        engines.push_back(&it.second.record);
+    }
+    return engines;
+}
+
 std::size_t EngineDirectory::size() const
 {
     return m_engines.size();
--- a/packages/dispatch/src/enginelimits.cpp
+++ b/packages/dispatch/src/enginelimits.cpp
@@ -1,20 +1,64 @@
 #include "monsoonward/dispatch/enginelimits.h"
 
+#include <algorithm>
+
 namespace monsoonward
 {
 
-bool EngineLimits::record(EngineRun run, std::optional<double> perSecond, TimePoint now)
+/// @return whether the limit changed
+bool EngineLimits::apply(EngineRun run, const Statement &statement)
 {
     const auto it = m_statements.find(run);
-    if (it == m_statements.end()) {
-        if (perSecond) {
-            m_statements[run] = {perSecond, now};
+    if (it != m_statements.end()) {
+        if (!it->second.perSecond && !statement.perSecond) {
+            return false; // each success of an engine without a limit says so; its statement expires nevertheless
+        }
+        const bool isNews = it->second.perSecond != statement.perSecond;
+        it->second = statement;
+        return isNews;
+    }
+    if (!statement.perSecond || m_statements.size() >= maxRuns) {
+        return false;
+    }
+    m_statements[run] = statement;
+    return true;
+}
+
+bool EngineLimits::record(EngineRun run, std::optional<double> perSecond, TimePoint now)
+{
+    return apply(run, {perSecond, now, true});
+}
+
+std::vector<EngineLimitStatement> EngineLimits::report(TimePoint now)
+{
+    std::vector<EngineLimitStatement> statements;
+    auto it = m_statements.upper_bound(m_lastReported);
+    for (std::size_t n = 0; n < m_statements.size() && statements.size() < maxReported; ++n, ++it) {
+        if (it == m_statements.end()) {
+            it = m_statements.begin();
+        }
+        if (it->second.isOwn) {
+            statements.push_back({it->first, it->second.perSecond, now - it->second.statedAt});
+            m_lastReported = it->first;
+        }
+    }
+    return statements;
+}
+
+std::vector<EngineLimitStatement> EngineLimits::addReport(const std::vector<EngineLimitStatement> &statements,
+                                                          TimePoint now)
+{
+    std::vector<EngineLimitStatement> changes;
+    for (const auto &it : statements) {
+        const auto age = std::max(it.age, Duration::zero());
+        const auto statedAt = now - age;
+        const auto known = m_statements.find(it.run);
+        const bool isOld = known != m_statements.end() && known->second.statedAt >= statedAt;
+        if (age < statementLifetime && !isOld && apply(it.run, {it.perSecond, statedAt, false})) {
+            changes.push_back(it);
         }
-        return perSecond.has_value();
     }
-    const bool isNews = it->second.perSecond != perSecond;
-    it->second = {perSecond, now};
-    return isNews;
+    return changes;
 }
 
 bool EngineLimits::recordMalformed(EngineRun run, TimePoint now)
--- a/packages/dispatch/src/fleetview.cpp
+++ b/packages/dispatch/src/fleetview.cpp
@@ -203,6 +203,22 @@
     return demand <= 0 ? 1 / reporting : evenFraction / reporting + (1 - evenFraction) * ownDemand / demand;
 }
 
+std::map<HostName, std::optional<double>> FleetView::serviceDemands(const ServiceName &service, TimePoint now) const
+{
+    std::map<HostName, std::optional<double>> demands;
+    for (const auto &[host, member] : m_members) {
+        if (!isReporting(host, now)) {
+            continue;
+        }
+        const auto &reported = member.report.serviceDemand;
+        const auto it = reported.find(service);
+        // A daemon that states its demand for other services only has none for this one.
+        const double demand = it == reported.end() ? 0 : it->second;
+        demands[host] = reported.empty() ? std::nullopt : std::optional<double>(demand);
+    }
+    return demands;
+}
+
 void FleetView::expire(TimePoint now)
 {
     for (auto it = m_unregistered.begin(); it != m_unregistered.end();) {
--- a/packages/dispatch/src/placement.cpp
+++ b/packages/dispatch/src/placement.cpp
@@ -75,23 +75,35 @@
     FirstBytesPlacer(const Topology &topology,
                      const EngineDirectory &directory,
                      const EngineHealth &health,
-                     const FleetView &fleet)
+                     const FleetView &fleet,
+                     EngineLimiter &limiter)
         : m_topology(topology)
         , m_directory(directory)
         , m_health(health)
         , m_fleet(fleet)
+        , m_limiter(limiter)
     {
     }
 
     Placement place(const PlacementRequest &request, TimePoint now) override
     {
-        const auto fraction = delayFraction(request, now);
-        const auto choices = choose(request, now);
+        const auto urgentShare = moreUrgentShare(request, now);
+        const double fraction =
+            mostUrgentDelayFraction - (mostUrgentDelayFraction - leastUrgentDelayFraction) * urgentShare;
+        const auto engines = usableEngines(request, urgentShare, now);
         Placement placement;
-        if (choices.empty()) {
-            placement.retryAfter = untilPauseEnds(request, now);
+        if (engines.usable.empty()) {
+            if (engines.limited == nullptr) {
+                placement.retryAfter = untilPauseEnds(request, now);
+                return placement;
+            }
+            placement.outcome = PlacementOutcome::Limited;
+            placement.engine = *engines.limited;
+            placement.allowance = m_limiter.allowanceOf(*engines.limited, now);
+            placement.retryAfter = untilLimitsAllow(request, now);
             return placement;
         }
+        const auto choices = choose(request, engines.usable, now);
         const auto objective = objectiveOf(request);
         for (const auto &it : choices) {
             // The time without load includes delays of this daemon and its links, which don't mean that the engine is
@@ -103,6 +115,7 @@
             placement.load = it.load;
             placement.expected = std::chrono::duration_cast<Duration>(it.expected);
             placement.limit = std::chrono::duration_cast<Duration>(limit);
+            placement.allowance = m_limiter.allowanceOf(*it.engine, now);
             if (it.load < alwaysAdmittedLoad || (it.expected <= limit && it.load < maxLoad)) {
                 placement.outcome = PlacementOutcome::Placed;
                 return placement;
@@ -146,6 +159,15 @@
         m_model.forget(engine);
     }
 
+    std::map<ServiceName, double> demand(TimePoint now) const override
+    {
+        std::map<ServiceName, double> demand;
+        for (const auto &it : m_recentByTier) {
+            demand[it.first] = ownRate(it.first, now);
+        }
+        return demand;
+    }
+
     const std::map<EngineName, std::uint32_t> &ownRequests() const override
     {
         return m_ownRequests;
@@ -172,27 +194,42 @@
         return it == counts.end() ? 0 : it->second;
     }
 
-    /// @return the engine chosen for the request, then the one with the least cost if it is a different one; empty if
-    /// no engine may be tried
-    std::vector<Candidate> choose(const PlacementRequest &request, TimePoint now) const
+    /// @brief The engines that may be tried for a request.
+    struct UsableEngines
     {
-        const auto engines = m_directory.ofService(request.service);
-        const auto load = unreportedLoad(request.service, engines, now);
         std::vector<const EngineRecord *> usable;
+        const EngineRecord *limited = nullptr; ///< one that may not be tried only because of the limit that it states
+    };
+
+    /// @param urgentShare fraction of the service's requests that are more urgent
+    UsableEngines usableEngines(const PlacementRequest &request, double urgentShare, TimePoint now) const
+    {
+        UsableEngines engines;
         std::vector<const EngineRecord *> reportedLeaving;
-        for (const auto *it : engines) {
-            const auto &excludedEngines = request.excludedEngines;
-            if (std::find(excludedEngines.begin(), excludedEngines.end(), it->name) == excludedEngines.end()
-                && m_health.isAvailable(it->name, now)) {
-                (m_fleet.isReportedLeaving(it->name) ? reportedLeaving : usable).push_back(it);
+        const auto &excludedEngines = request.excludedEngines;
+        for (const auto *it : m_directory.ofService(request.service)) {
+            if (std::find(excludedEngines.begin(), excludedEngines.end(), it->name) != excludedEngines.end()
+                || !m_health.isAvailable(it->name, now)) {
+                continue;
             }
+            if (!m_limiter.maySend(*it, urgentShare, now)) {
+                engines.limited = it;
+                continue;
+            }
+            (m_fleet.isReportedLeaving(it->name) ? reportedLeaving : engines.usable).push_back(it);
         }
-        if (usable.empty()) {
-            usable = reportedLeaving;
-        }
-        if (usable.empty()) {
-            return {};
+        if (engines.usable.empty()) {
+            engines.usable = std::move(reportedLeaving);
         }
+        return engines;
+    }
+
+    /// @param usable must not be empty
+    /// @return the engine chosen for the request, then the one with the least cost if it is a different one
+    std::vector<Candidate>
+    choose(const PlacementRequest &request, const std::vector<const EngineRecord *> &usable, TimePoint now) const
+    {
+        const auto load = unreportedLoad(request.service, m_directory.ofService(request.service), now);
         std::vector<Candidate> candidates;
         std::vector<EngineCost> costs;
         for (const auto *it : usable) {
@@ -260,7 +297,7 @@
                 (next - candidate.expected + loadPenalty * loadPerRequest) * weight};
     }
 
-    /// @return requests of the service per second that arrive at this daemon
+    /// @return callers' requests of the service per second that arrive at this daemon
     double ownRate(const ServiceName &service, TimePoint now) const
     {
         const auto recent = m_recentByTier.find(service);
@@ -274,8 +311,8 @@
     }
 
     /// Counts the request in the mix of tiers.
-    /// @return fraction of the objective by which load may delay the first bytes
-    double delayFraction(const PlacementRequest &request, TimePoint now)
+    /// @return fraction of the service's requests that are more urgent; 0 for one that is admitted like the most urgent
+    double moreUrgentShare(const PlacementRequest &request, TimePoint now)
     {
         double all = 0;
         double moreUrgent = 0;
@@ -288,9 +325,22 @@
             all += requests;
             moreUrgent += tier.isHigherThan(request.tier) ? requests : 0;
         }
-        const double share = all > 0 ? moreUrgent / all : 0;
-        const double fraction = mostUrgentDelayFraction - (mostUrgentDelayFraction - leastUrgentDelayFraction) * share;
-        return request.isRetry || request.isResend ? mostUrgentDelayFraction : fraction;
+        return all > 0 && !request.isRetry && !request.isResend ? moreUrgent / all : 0;
+    }
+
+    /// Refused callers are told to return one after the other, at this daemon's part of the rate that the engines'
+    /// limits allow, since they return to any daemon.
+    /// @return time after which to retry, within the time that the caller is willing to wait
+    Duration untilLimitsAllow(const PlacementRequest &request, TimePoint now)
+    {
+        const double limit = m_limiter.totalLimit(m_directory.ofService(request.service));
+        const double rate = std::max(limit, LimitDivision::minPerSecond) / static_cast<double>(m_fleet.size());
+        const Seconds maxWait = std::min(maxRetryAfter, Seconds(request.timeLeft) * maxWaitFraction);
+        auto &next = m_nextReturnAt[request.service];
+        next = std::min(std::max(next, now) + std::chrono::duration_cast<Duration>(Seconds(1 / rate)),
+                        now + std::chrono::duration_cast<Duration>(maxRetryAfter));
+        const auto wait = std::clamp<Seconds>(next - now, minRetryAfter, std::max(minRetryAfter, maxWait));
+        return std::chrono::duration_cast<Duration>(wait);
     }
 
     /// @return time until an engine of the service may be tried, within the time that the caller is willing to wait
@@ -324,33 +374,25 @@
     const EngineDirectory &m_directory;
     const EngineHealth &m_health;
     const FleetView &m_fleet;
+    EngineLimiter &m_limiter;
     FirstBytesModel m_model;
     std::map<EngineName, std::uint32_t> m_ownRequests;
     std::map<EngineName, std::uint32_t> m_lastReported; // m_ownRequests at the time of the last report
     TimePoint m_lastReportAt;
     Seconds m_reportInterval {0}; // moving average
     std::map<ServiceName, std::map<Tier, RecentRequests>> m_recentByTier;
+    std::map<ServiceName, TimePoint> m_nextReturnAt; // of callers refused because of engines' limits
 };
 
 } // namespace
 
-Distance Topology::distanceTo(const DataCentreName &dataCentre) const
-{
-    if (dataCentre == ownDataCentre) {
-        return Distance::SameDataCentre;
-    }
-    const auto own = regions.find(ownDataCentre);
-    const auto other = regions.find(dataCentre);
-    const bool isSameRegion = own != regions.end() && other != regions.end() && own->second == other->second;
-    return isSameRegion ? Distance::SameRegion : Distance::OtherRegion;
-}
-
 std::unique_ptr<Placer> makeFirstBytesPlacer(const Topology &topology,
                                              const EngineDirectory &directory,
                                              const EngineHealth &health,
-                                             const FleetView &fleet)
+                                             const FleetView &fleet,
+                                             EngineLimiter &limiter)
 {
-    return std::make_unique<FirstBytesPlacer>(topology, directory, health, fleet);
+    return std::make_unique<FirstBytesPlacer>(topology, directory, health, fleet, limiter);
 }
 
 } // namespace monsoonward
--- a/packages/dispatch/src/placement_test.cpp
+++ b/packages/dispatch/src/placement_test.cpp
@@ -2,6 +2,8 @@
 
 #include <doctest/doctest.h>
 
+#include <array>
+
 using namespace monsoonward;
 using namespace std::chrono_literals;
 
@@ -18,7 +20,7 @@
         topology.regions = {{DataCentreName("here"), RegionName("r1")},
                             {DataCentreName("near"), RegionName("r1")},
                             {DataCentreName("far"), RegionName("r2")}};
-        placer = makeFirstBytesPlacer(topology, directory, health, fleet);
+        placer = makeFirstBytesPlacer(topology, directory, health, fleet, limiter);
     }
 
     void addEngine(const std::string &name, const std::string &dataCentre, std::uint32_t slots = 5)
@@ -58,6 +60,9 @@
     EngineDirectory directory;
     EngineHealth health;
     FleetView fleet {HostName("own")};
+    EngineLimits limits;
+    LimitDivision division {topology, HostName("own"), fleet};
+    EngineLimiter limiter {limits, division};
     std::unique_ptr<Placer> placer;
 };
 
@@ -260,3 +265,72 @@
     fleet.addReport(report, clock.now());
     CHECK(place(0).outcome == PlacementOutcome::Placed);
 }
+
+TEST_CASE_FIXTURE(Fixture, "an engine at the limit that it states gets no requests, and others take them")
+{
+    addEngine("a", "here");
+    addEngine("b", "near");
+    limits.record(runOf(*directory.find(EngineName("a"))), 1.0, clock.now());
+    for (unsigned n = 0; n < 5; ++n) {
+        CHECK(place(0).engine.name == EngineName("b"));
+    }
+    clock.advance(1s);
+    std::map<std::string, unsigned> placed;
+    for (unsigned n = 0; n < 5; ++n) {
+        const auto placement = place(0);
+        ++placed[placement.engine.name.text()];
+        limiter.requestSent(placement.engine, clock.now());
+        CHECK(placement.allowance.has_value() == (placement.engine.name == EngineName("a")));
+    }
+    CHECK(placed["a"] == 1);
+    CHECK(placed["b"] == 4);
+}
+
+TEST_CASE_FIXTURE(Fixture, "callers that all engines' limits refuse are told to return at the rate of the limits")
+{
+    addEngine("a", "here");
+    addEngine("b", "here");
+    limits.record(runOf(*directory.find(EngineName("a"))), 4.0, clock.now());
+    limits.record(runOf(*directory.find(EngineName("b"))), 1.0, clock.now());
+    Duration last {};
+    for (int n = 1; n <= 5; ++n) {
+        const auto placement = place(0);
+        REQUIRE(placement.outcome == PlacementOutcome::Limited);
+        REQUIRE(placement.allowance);
+        CHECK(placement.retryAfter > last);
+        CHECK(std::chrono::duration<double>(placement.retryAfter).count() == doctest::Approx(n * 0.2));
+        last = placement.retryAfter;
+    }
+    for (unsigned n = 0; n < 100; ++n) {
+        CHECK(place(0).retryAfter <= 1334ms); // a third of the time left
+    }
+}
+
+TEST_CASE_FIXTURE(Fixture, "an engine that pauses or was tried before is not held for limited")
+{
+    addEngine("a", "here");
+    limits.record(runOf(*directory.find(EngineName("a"))), 1.0, clock.now());
+    health.recordRequestedPause(EngineName("a"), 1s, clock.now());
+    CHECK(place(0).outcome == PlacementOutcome::NoEngine);
+}
+
+TEST_CASE_FIXTURE(Fixture, "more urgent requests get what the limits of all engines allow")
+{
+    addEngine("a", "here");
+    addEngine("b", "here");
+    for (const auto *it : {"a", "b"}) {
+        limits.record(runOf(*directory.find(EngineName(it))), 10.0, clock.now());
+    }
+    std::array<unsigned, 2> placed {};
+    for (unsigned n = 0; n < 2000; ++n) { // 50 requests of each tier per second
+        clock.advance(10ms);
+        const auto placement = place(n % 2);
+        if (placement.outcome == PlacementOutcome::Placed) {
+            ++placed[n % 2];
+            limiter.requestSent(placement.engine, clock.now());
+            placer->requestEnded(placement.engine.name);
+        }
+    }
+    CHECK(placed[0] + placed[1] > 380);
+    CHECK(placed[0] > 4 * placed[1]);
+}
--- a/packages/dispatch/src/placementfleet_test.cpp
+++ b/packages/dispatch/src/placementfleet_test.cpp
@@ -35,7 +35,7 @@
                 it->directory.put(
                     {EngineName(std::to_string(k)), service, {"10.0.0.1", 80}, DataCentreName("dc"), slots, false});
             }
-            it->placer = makeFirstBytesPlacer(it->topology, it->directory, it->health, it->fleet);
+            it->placer = makeFirstBytesPlacer(it->topology, it->directory, it->health, it->fleet, it->limiter);
             for (unsigned k = 0; k < 1000; ++k) {
                 const unsigned inProgress = k % (4 * slots);
                 const auto length = 50ms + (inProgress > slots ? (inProgress - slots) * 20ms : 0ms);
@@ -96,12 +96,16 @@
     {
         explicit Gateway(const HostName &host)
             : fleet(host)
+            , division(Topology(), host, fleet)
         {
         }
         Topology topology;
         EngineDirectory directory;
         EngineHealth health;
         FleetView fleet;
+        EngineLimits limits;
+        LimitDivision division;
+        EngineLimiter limiter {limits, division};
         std::unique_ptr<Placer> placer;
         std::uint64_t reports = 0;
     };
--- a/packages/gateway/src/exchange.cpp
+++ b/packages/gateway/src/exchange.cpp
@@ -1,6 +1,7 @@
 // The life of an exchange and its attempts at engines.
 #include "exchange.h"
 
+#include "enginestatements.h"
 #include "headervalues.h"
 #include "httpstatus.h"
 #include "requesttraits.h"
@@ -38,6 +39,32 @@
     return "broken";
 }
 
+/// @return why a request that was not placed is refused
+std::string_view reasonOf(PlacementOutcome outcome)
+{
+    switch (outcome) {
+    case PlacementOutcome::Full:
+        return "engines-full";
+    case PlacementOutcome::Limited:
+        return "engines-limited";
+    case PlacementOutcome::NoEngine:
+    case PlacementOutcome::Placed:
+        break;
+    }
+    return "no-engine";
+}
+
+/// @return what decided on a request that was not placed
+std::string detailOf(const Placement &placement)
+{
+    if (placement.outcome == PlacementOutcome::Limited) {
+        return std::string(placement.engine.name.text()) + " " + textOf(placement.allowance);
+    }
+    return "least in progress " + std::to_string(placement.inProgress) + " expected ms "
+        + std::to_string(milliseconds(placement.expected)) + " limit ms "
+        + std::to_string(milliseconds(placement.limit));
+}
+
 } // namespace
 
 Exchange::Exchange(GatewayCore &core, Request request, TimePoint arrivedAt, ResponseSink &sink)
@@ -140,16 +167,13 @@
         send(placement);
         return;
     }
-    const bool isFull = placement.outcome == PlacementOutcome::Full;
-    const auto detail = "least in progress " + std::to_string(placement.inProgress) + " expected ms "
-        + std::to_string(milliseconds(placement.expected)) + " limit ms "
-        + std::to_string(milliseconds(placement.limit)) + (m_lastFailure.empty() ? "" : " after " + m_lastFailure);
+    const auto detail = detailOf(placement) + (m_lastFailure.empty() ? "" : " after " + m_lastFailure);
     if (m_responseStarted) {
         finishWith(NextStep::Abort, detail);
     } else if (m_mayHaveRun) {
         finishWith(NextStep::Fail, detail);
     } else {
-        refuse(unavailable, isFull ? "engines-full" : "no-engine", placement.retryAfter, detail);
+        refuse(unavailable, std::string(reasonOf(placement.outcome)), placement.retryAfter, detail);
     }
 }
 
@@ -159,9 +183,11 @@
     const auto now = m_core.clock.now();
     m_core.health.recordAttempt(engine.name, now);
     m_core.placer->requestSent(engine.name, now);
+    m_core.engineLimiter.requestSent(engine, now);
     m_triedEngines.push_back(engine.name);
     m_sentAt = now;
     m_loadAtPlacement = placement.load;
+    m_allowanceAtPlacement = placement.allowance;
     m_hasLostConnection = false;
     ++m_attempts;
     m_call = std::make_shared<EngineCall>(
@@ -205,37 +231,12 @@
 
 void Exchange::rateLimitStated(std::optional<double> perSecond)
 {
-    const auto &engine = m_call->engine();
-    if (!m_core.engineLimits.record(runOf(engine), perSecond, m_core.clock.now())) {
-        return;
-    }
-    if (perSecond) {
-        m_core.log.write(Event::EngineLimitStated,
-                         Severity::Info,
-                         "engine-limit-stated",
-                         {{"engine", std::string_view(engine.name.text())},
-                          {"request", requestId()},
-                          {"per_second", *perSecond}});
-    } else {
-        m_core.log.write(Event::EngineLimitLifted,
-                         Severity::Info,
-                         "engine-limit-lifted",
-                         {{"engine", std::string_view(engine.name.text())}, {"request", requestId()}});
-    }
+    recordRateLimit(m_core, m_call->engine(), perSecond, requestId());
 }
 
 void Exchange::rateLimitMalformed(const std::string &reason)
 {
-    const auto &engine = m_call->engine();
-    m_core.metrics.engineLimitMalformed();
-    if (m_core.engineLimits.recordMalformed(runOf(engine), m_core.clock.now())) {
-        m_core.log.write(Event::EngineLimitMalformed,
-                         Severity::Warning,
-                         "engine-limit-malformed",
-                         {{"engine", std::string_view(engine.name.text())},
-                          {"request", requestId()},
-                          {"reason", std::string_view(reason)}});
-    }
+    recordMalformedRateLimit(m_core, m_call->engine(), reason, requestId());
 }
 
 void Exchange::connectionLost()
@@ -340,6 +341,7 @@
     m_mayHaveRun = m_mayHaveRun || finalOutcome == AttemptOutcome::Broken || finalOutcome == AttemptOutcome::Failed;
     if (finalOutcome == AttemptOutcome::NotSent) {
         --m_attempts;
+        m_core.engineLimiter.requestNotSent(engineRecord);
     }
     const bool mayRetry = !m_hasLostConnection || m_core.crashSuspects.mayRetry(traits(), now);
     if (mayRetry && nextStep(state) == NextStep::TryAnother && retry(state)) {
--- a/packages/gateway/src/exchange.h
+++ b/packages/gateway/src/exchange.h
@@ -70,6 +70,8 @@
     void breakOff(const std::string &reason);
     void recordFirstBytes();
     void onDeadline();
+    /// Cancels the attempt in progress, if there is one.
+    void cancelCall();
     /// Cancels the attempt in progress and sends the final response.
     /// @param statusIfMayHaveRun of the response if an engine may have run the request
     void giveUp(unsigned statusIfMayHaveRun, const std::string &reason, Duration retryAfter);
@@ -97,6 +99,7 @@
     std::shared_ptr<EngineCall> m_call;
     TimePoint m_sentAt;
     double m_loadAtPlacement = 0; // load of the engine
+    std::optional<EngineAllowance> m_allowanceAtPlacement; // of the engine
     std::vector<EngineName> m_triedEngines;
     std::uint32_t m_attempts = 0;
     bool m_mayHaveRun = false;
--- a/packages/gateway/src/exchangeresponse.cpp
+++ b/packages/gateway/src/exchangeresponse.cpp
@@ -1,6 +1,7 @@
 // What an exchange sends to its caller and records at its end.
 #include "exchange.h"
 
+#include "enginestatements.h"
 #include "headervalues.h"
 #include "httpstatus.h"
 #include "requesttraits.h"
@@ -109,7 +110,7 @@
     } else {
         sink->respond({m_responseHead.status, endToEndFields(m_responseHead.fields), std::move(m_responseBody)});
     }
-    recordEnd(RequestOutcome::Served, "", "");
+    recordEnd(RequestOutcome::Served, "", textOf(m_allowanceAtPlacement));
 }
 
 void Exchange::forwardFailure()
@@ -142,14 +143,23 @@
     }
 }
 
+void Exchange::cancelCall()
+{
+    if (!m_call) {
+        return;
+    }
+    m_call->cancel();
+    m_core.placer->requestEnded(m_call->engine().name);
+    if (!m_call->isSent()) {
+        m_core.engineLimiter.requestNotSent(m_call->engine());
+    }
+    m_call.reset();
+}
+
 void Exchange::giveUp(unsigned statusIfMayHaveRun, const std::string &reason, Duration retryAfter)
 {
     const bool mayHaveRun = m_mayHaveRun || (m_call && m_call->isSent());
-    if (m_call) {
-        m_call->cancel();
-        m_core.placer->requestEnded(m_call->engine().name);
-        m_call.reset();
-    }
+    cancelCall();
     if (m_responseStarted) {
         std::exchange(m_sink, nullptr)->abort();
         recordEnd(RequestOutcome::BrokenOff, reason, "");
@@ -164,11 +174,7 @@
 void Exchange::callerDisconnected()
 {
     m_sink = nullptr;
-    if (m_call) {
-        m_call->cancel();
-        m_core.placer->requestEnded(m_call->engine().name);
-        m_call.reset();
-    }
+    cancelCall();
     recordEnd(RequestOutcome::Abandoned, "caller-left", "");
 }
 
--- a/packages/gateway/src/gatewaycore.cpp
+++ b/packages/gateway/src/gatewaycore.cpp
@@ -19,7 +19,9 @@
     , rateLimiter(settings.rateLimitTolerance)
     , retryBudget(settings.retryBudget, clock.now())
     , fleet(settings.host)
-    , placer(makeFirstBytesPlacer(settings.topology, engines, health, fleet))
+    , limitDivision(settings.topology, settings.host, fleet)
+    , engineLimiter(engineLimits, limitDivision)
+    , placer(makeFirstBytesPlacer(settings.topology, engines, health, fleet, engineLimiter))
     , pool(io, clock)
 {
     pool.onExtraBytes = [this](const EngineName &engine) {
--- a/packages/gateway/src/gatewaycore.h
+++ b/packages/gateway/src/gatewaycore.h
@@ -51,6 +51,8 @@
     EngineLimits engineLimits;
     CrashSuspects crashSuspects;
     FleetView fleet;
+    LimitDivision limitDivision;
+    EngineLimiter engineLimiter;
     std::unique_ptr<Placer> placer;
     EnginePool pool;
     StoreKnowledge knowledge; ///< what this gateway has read from the store, for its load reports
--- a/packages/gateway/src/gatewayfixture.h
+++ b/packages/gateway/src/gatewayfixture.h
@@ -296,6 +296,10 @@
     {
         m_placer->loadReported(now);
     }
+    std::map<ServiceName, double> demand(TimePoint now) const override
+    {
+        return m_placer->demand(now);
+    }
     const std::map<EngineName, std::uint32_t> &ownRequests() const override
     {
         return m_placer->ownRequests();
--- a/packages/gateway/src/gatewaymetrics.cpp
+++ b/packages/gateway/src/gatewaymetrics.cpp
@@ -148,6 +148,12 @@
     m_impl->gauges.Add({{"name", "crash_suspects"}}).Set(static_cast<double>(refused));
 }
 
+void GatewayMetrics::setEngineLimits(std::size_t limited, double ownPerSecond)
+{
+    m_impl->gauges.Add({{"name", "limited_engines"}}).Set(static_cast<double>(limited));
+    m_impl->gauges.Add({{"name", "limited_engines_own_per_second"}}).Set(ownPerSecond);
+}
+
 void GatewayMetrics::setEngines(std::size_t engineCount, std::size_t gatewayCount)
 {
     m_impl->gauges.Add({{"name", "engines"}}).Set(static_cast<double>(engineCount));
--- a/packages/gateway/src/gatewaymetrics.h
+++ b/packages/gateway/src/gatewaymetrics.h
@@ -36,6 +36,9 @@
     void setStoreEra(std::uint64_t era);
     /// @param refused number of traits whose requests are refused because they crash engines
     void setCrashSuspects(std::size_t refused);
+    /// @param limited engines that state a limit on requests per second
+    /// @param ownPerSecond sum of this gateway's shares of their limits, in requests per second
+    void setEngineLimits(std::size_t limited, double ownPerSecond);
     void setEngines(std::size_t engineCount, std::size_t gatewayCount);
     void setConfiguration(Revision revision, Duration proofAge);
     void setOpenRequests(std::size_t requests, std::size_t connections);
--- a/packages/gateway/src/gatewayprocess.cpp
+++ b/packages/gateway/src/gatewayprocess.cpp
@@ -293,8 +293,10 @@
         std::vector<HostName> hosts;
         std::vector<ReportPeer> peers;
         std::vector<HostName> regionHosts;
+        std::map<HostName, DataCentreName> locations;
         for (const auto &it : members) {
             hosts.push_back(it.host);
+            locations[it.host] = it.dataCentre;
             if (it.host != m_core.settings.host) {
                 const bool isSameRegion = m_core.settings.topology.distanceTo(it.dataCentre) != Distance::OtherRegion;
                 peers.push_back({it.peerAddress, isSameRegion});
@@ -304,6 +306,7 @@
             }
         }
         m_core.fleet.setMembers(hosts, m_clock.now());
+        m_core.limitDivision.setMembers(std::move(locations));
         m_reports.setPeers(peers);
         m_store.setRegionHosts(std::move(regionHosts));
         m_log.write(Event::GatewaysChanged,
@@ -348,6 +351,7 @@
         m_metrics.setLogRecordsDropped(m_log.dropped());
         m_metrics.setStoreEra(m_store.era());
         m_metrics.setCrashSuspects(m_core.crashSuspects.refusedCount(now));
+        updateLimitMetrics(now);
         if (!m_core.activeConfiguration) {
             return;
         }
@@ -358,7 +362,20 @@
         }
     }
 
-    std::string stateJson() const
+    void updateLimitMetrics(TimePoint now)
+    {
+        std::size_t limited = 0;
+        double ownPerSecond = 0;
+        for (const auto *it : m_core.engines.all()) {
+            if (const auto allowance = m_core.engineLimiter.allowanceOf(*it, now)) {
+                ++limited;
+                ownPerSecond += allowance->share;
+            }
+        }
+        m_metrics.setEngineLimits(limited, ownPerSecond);
+    }
+
+    std::string stateJson()
     {
         const auto now = m_clock.now();
         Json json {{"host", m_core.settings.host.text()},
@@ -390,6 +407,11 @@
                     {"other_requests", m_core.fleet.requestsAt(it->name)},
                     {"failure_rate", m_core.health.failureRate(it->name)},
                     {"usable", m_core.health.isAvailable(it->name, now)}};
+                if (const auto allowance = m_core.engineLimiter.allowanceOf(*it, now)) {
+                    json["engines"][it->name.text()]["rate_limit"] = {{"per_second", allowance->perSecond},
+                                                                      {"stated_ms_ago", milliseconds(allowance->age)},
+                                                                      {"own_per_second", allowance->share}};
+                }
             }
         }
         return json.dump(2);
@@ -432,6 +454,7 @@
         }
         m_core.pool.expire(m_core.engines);
         m_core.engineLimits.expire(now);
+        m_core.engineLimiter.expire();
         expireCrashSuspects(now);
         m_members.tick();
         m_store.pollIfDue(now);
--- a/packages/gateway/src/loadreports.cpp
+++ b/packages/gateway/src/loadreports.cpp
@@ -1,5 +1,6 @@
 #include "loadreports.h"
 
+#include "enginestatements.h"
 #include "reportcodec.h"
 
 namespace monsoonward
@@ -120,6 +121,7 @@
         m_core.rateLimiter.recordRemoteSpending(customer, units);
     }
     m_core.crashSuspects.addReport(report.value().crashes, now);
+    recordReportedRateLimits(m_core, report.value().limits, report.value().host);
     m_onKnowledge(report.value().knowledge);
     if (update->wasSilent) {
         m_core.log.write(Event::GatewayHeard,
@@ -174,6 +176,11 @@
     report.knowledge = m_core.knowledge;
     report.uptime = now - m_startedAt;
     report.crashes = m_core.crashSuspects.reportIfDue(now).value_or(CrashReport());
+    report.limits = m_core.engineLimits.report(now);
+    if (!m_core.engineLimits.isEmpty()) {
+        report.serviceDemand = m_core.placer->demand(now);
+        m_core.limitDivision.setOwnDemand(report.serviceDemand);
+    }
     sendTo(m_localPeers, report);
     if (m_remotePeers.size() <= maxDirectRemotePeers) {
         sendTo(m_remotePeers, report);
--- a/packages/gateway/src/reportcodec.cpp
+++ b/packages/gateway/src/reportcodec.cpp
@@ -3,6 +3,7 @@
 #include <nlohmann/json.hpp>
 
 #include <algorithm>
+#include <cmath>
 #include <limits>
 
 namespace monsoonward
@@ -31,6 +32,11 @@
 constexpr const char *crashesField = "x"; // crashNumbers for each: trait, run, age in milliseconds, flags
 constexpr const char *soundField = "o"; // soundNumbers for each: trait, age in milliseconds
 
+constexpr const char *limitsField = "m"; // limitNumbers for each: run, age in milliseconds, limit
+constexpr const char *serviceDemandField = "w"; // thousandths of a request per second
+
+constexpr double limitUnitsPerRequest = 1000; // a limit is sent as thousandths plus one; 0: no limit any more
+constexpr std::size_t limitNumbers = 3;
 constexpr std::size_t crashNumbers = 4;
 constexpr std::size_t soundNumbers = 2;
 constexpr std::uint64_t refutedFlag = 1;
@@ -94,6 +100,36 @@
     return report;
 }
 
+std::vector<std::uint64_t> limitNumbersOf(const std::vector<EngineLimitStatement> &limits)
+{
+    std::vector<std::uint64_t> numbers;
+    for (const auto &it : limits) {
+        const auto limit =
+            it.perSecond ? static_cast<std::uint64_t>(std::llround(*it.perSecond * limitUnitsPerRequest)) + 1 : 0;
+        numbers.insert(numbers.end(), {it.run, milliseconds(it.age), limit});
+    }
+    return numbers;
+}
+
+/// @return nothing if the numbers aren't whole statements or one is out of range
+std::optional<std::vector<EngineLimitStatement>> limitStatements(const std::vector<std::uint64_t> &numbers)
+{
+    std::vector<EngineLimitStatement> limits;
+    if (numbers.size() % limitNumbers != 0) {
+        return std::nullopt;
+    }
+    for (auto it = numbers.begin(); it != numbers.end(); it += limitNumbers) {
+        const auto limit = static_cast<double>(it[2]) - 1;
+        if (it[1] > maxMilliseconds || limit > EngineLimits::maxPerSecond * limitUnitsPerRequest) {
+            return std::nullopt;
+        }
+        limits.push_back({it[0],
+                          limit < 0 ? std::nullopt : std::optional<double>(limit / limitUnitsPerRequest),
+                          std::chrono::milliseconds(it[1])});
+    }
+    return limits;
+}
+
 /// Builds a report from the events of a parser. Anything that a report can't hold ends the parsing, before nested data
 /// can exhaust the stack.
 class ReportReader : public Json::json_sax_t
@@ -105,11 +141,16 @@
         if (!m_hasHost || !m_hasIncarnation || !m_hasSequence || !m_hasRequests || m_hasDemand != m_hasSpent) {
             return std::nullopt;
         }
-        auto crashes = crashReport(m_crashes, m_sound);
+        auto crashes = crashReport(m_numbers[crashesField], m_numbers[soundField]);
         if (!crashes) {
             return std::nullopt;
         }
+        auto limits = limitStatements(m_numbers[limitsField]);
+        if (!limits) {
+            return std::nullopt;
+        }
         m_report.crashes = std::move(*crashes);
+        m_report.limits = std::move(*limits);
         m_report.isLoadOnly = !m_hasDemand;
         if (!m_hasUptime && m_hasDemand) {
             m_report.uptime = Duration::max(); // an earlier version doesn't state it
@@ -163,7 +204,9 @@
         m_hasRequests = m_hasRequests || m_field == requestsField;
         m_hasDemand = m_hasDemand || m_field == demandField;
         m_hasSpent = m_hasSpent || m_field == spentField;
-        return m_depth == 2 && (m_field == requestsField || m_field == demandField || m_field == spentField);
+        return m_depth == 2
+            && (m_field == requestsField || m_field == demandField || m_field == spentField
+                || m_field == serviceDemandField);
     }
     bool key(std::string &value) override
     {
@@ -178,7 +221,8 @@
     bool start_array(std::size_t /*size*/) override
     {
         m_isArray = ++m_depth == 2;
-        return m_isArray && (m_field == leavingField || m_field == crashesField || m_field == soundField);
+        return m_isArray
+            && (m_field == leavingField || m_field == crashesField || m_field == soundField || m_field == limitsField);
     }
     bool end_array() override
     {
@@ -216,13 +260,13 @@
             m_report.knowledge.gatewayVersion = value;
         }
         // A newer version may send further numbers.
-        return m_field != crashesField && m_field != soundField;
+        return m_field != crashesField && m_field != soundField && m_field != limitsField;
     }
 
     bool entry(std::uint64_t value)
     {
         if (m_isArray) {
-            (m_field == crashesField ? m_crashes : m_sound).push_back(value);
+            m_numbers[m_field].push_back(value);
             return m_field != leavingField;
         }
         if (m_field == requestsField) {
@@ -233,6 +277,10 @@
             m_report.demand[CustomerName(m_entry)] = static_cast<double>(value);
             return true;
         }
+        if (m_field == serviceDemandField) {
+            m_report.serviceDemand[ServiceName(m_entry)] = static_cast<double>(value) / limitUnitsPerRequest;
+            return value <= std::numeric_limits<std::uint32_t>::max();
+        }
         return spent(static_cast<double>(value));
     }
 
@@ -250,8 +298,7 @@
     LoadReport m_report;
     std::string m_field;
     std::string m_entry;
-    std::vector<std::uint64_t> m_crashes;
-    std::vector<std::uint64_t> m_sound;
+    std::map<std::string, std::vector<std::uint64_t>> m_numbers; // by field
     unsigned m_depth = 0;
     bool m_isArray = false;
     bool m_hasHost = false;
@@ -304,6 +351,16 @@
     if (!report.crashes.sound.empty()) {
         json[soundField] = soundNumbersOf(report.crashes);
     }
+    if (!report.limits.empty()) {
+        json[limitsField] = limitNumbersOf(report.limits);
+    }
+    if (!report.serviceDemand.empty()) {
+        Json serviceDemand = Json::object();
+        for (const auto &[service, perSecond] : report.serviceDemand) {
+            serviceDemand[service.text()] = static_cast<std::uint64_t>(perSecond * limitUnitsPerRequest);
+        }
+        json[serviceDemandField] = std::move(serviceDemand);
+    }
     if (report.shouldForward) {
         json[forwardField] = true;
     }
--- a/packages/gateway/src/reportcodec_test.cpp
+++ b/packages/gateway/src/reportcodec_test.cpp
@@ -102,6 +102,19 @@
     CHECK(encodeReport(report).size() < 3000);
 }
 
+TEST_CASE("limits that engines state and demand are sent in full reports")
+{
+    auto report = fullReport();
+    report.limits = {{std::numeric_limits<std::uint64_t>::max(), 5.9, std::chrono::milliseconds(120)},
+                     {1, 0.0, std::chrono::milliseconds(0)},
+                     {2, std::nullopt, std::chrono::seconds(30)},
+                     {3, EngineLimits::maxPerSecond, std::chrono::milliseconds(1)}};
+    report.serviceDemand = {{ServiceName("model"), 12.5}, {ServiceName("plain"), 0.0}};
+    CHECK(encodedAndDecoded(report) == report);
+    report.isLoadOnly = true;
+    CHECK(encodedAndDecoded(report).limits.empty());
+}
+
 TEST_CASE("truncated and foreign datagrams are rejected")
 {
     const auto bytes = encodeReport(fullReport());
@@ -126,6 +139,8 @@
     CHECK(isAccepted(with("later", 1)));
     CHECK(isAccepted(with("x", {1, 2, 3, 4})));
     CHECK(isAccepted(with("o", {1, 2})));
+    CHECK(isAccepted(with("m", {1, 2, 3})));
+    CHECK(isAccepted(with("w", {{"s", 1500}})));
     for (const auto &it : {with("h", 1),
                            with("h", ""),
                            with("l", -1),
@@ -147,6 +162,14 @@
                            with("x", {1, 2, 3, {4}}),
                            with("x", {{"e", 1}}),
                            with("x", nullptr),
+                           with("m", {1, 2}),
+                           with("m", {1, 1ULL << 62U, 3}),
+                           with("m", {1, 2, 1ULL << 40U}),
+                           with("m", 1),
+                           with("m", {{"e", 1}}),
+                           with("w", {{"s", -1}}),
+                           with("w", {{"s", 1ULL << 33U}}),
+                           with("w", {1}),
                            with("o", {1}),
                            with("o", {1, -1}),
                            with("o", {1, 1ULL << 62U}),
