Give up bodies of short chunks without end at once

Callers of a request whose engine sends an endless body in short chunks waited until the time limit, and a call to the store took over a second, on slow machines.

Cause: each chunk from an engine cost a pass through the event loop, half a million of them until the limit of a whole body; from the store, a million chunks were parsed until its limit of 16 MiB.

Change: what has arrived from an engine is parsed before more is read; an error after bytes that were parsed is reported when these have been passed on.

--- a/packages/callers/src/callerconnection.cpp
+++ b/packages/callers/src/callerconnection.cpp
@@ -113,7 +113,7 @@
     m_parser.emplace();
     m_parser->header_limit(limits.maxHeaderBytes);
     m_parser->body_limit(limits.maxBodyBytes);
-    m_chunkExtensionLimit.attachTo(*m_parser);
+    m_chunkLimit.attachTo(*m_parser);
     m_buffer.max_size(std::max<std::size_t>(limits.maxHeaderBytes + maxLineBytes, m_buffer.size()));
     startTimer(limits.headerTimeout, [this] { respondWithError(requestTimeout, "header-time"); });
     http::async_read_header(
--- a/packages/callers/src/callerconnection.h
+++ b/packages/callers/src/callerconnection.h
@@ -1,7 +1,7 @@
 #pragma once
 
 #include "monsoonward/callers/callerservice.h"
-#include "monsoonward/callers/chunkextensionlimit.h"
+#include "monsoonward/callers/chunklimit.h"
 
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/steady_timer.hpp>
@@ -84,7 +84,7 @@
     boost::asio::steady_timer m_timer;
     std::uint64_t m_timerNumber = 0; // lets handlers of earlier timers be ignored
     boost::beast::flat_buffer m_buffer;
-    ChunkExtensionLimit m_chunkExtensionLimit;
+    ChunkLimit m_chunkLimit;
     std::optional<Parser> m_parser;
     Phase m_phase = Phase::Idle;
     TimePoint m_idleSince;
--- a/packages/gateway/src/enginecall.cpp
+++ b/packages/gateway/src/enginecall.cpp
@@ -231,6 +231,10 @@
 
 void EngineCall::readBody()
 {
+    if (m_parseError) {
+        onReadFailed(m_parseError);
+        return;
+    }
     if (m_parser->is_done()) {
         onResponseComplete();
         return;
@@ -248,12 +252,28 @@
                           });
 }
 
-void EngineCall::onBodyRead(const error_code &ec, std::size_t bytes)
+std::size_t EngineCall::parseReceived()
+{
+    std::size_t bytes = 0;
+    error_code ec;
+    while (!ec && !m_parser->is_done() && m_connection->buffer.size() != 0 && m_parser->get().body().size != 0) {
+        const auto n = m_parser->put(m_connection->buffer.data(), ec);
+        m_connection->buffer.consume(n);
+        bytes += n;
+    }
+    if (ec != http::error::need_buffer && ec != http::error::need_more) {
+        m_parseError = ec; // reported when the bytes before it have been passed on
+    }
+    return bytes;
+}
+
+void EngineCall::onBodyRead(const error_code &ec, std::size_t bytesRead)
 {
     if (ec && ec != http::error::need_buffer) {
         onReadFailed(ec);
         return;
     }
+    const auto bytes = bytesRead + parseReceived(); // without a pass through the event loop for each chunk
     if (m_isDiscarding) {
         if (discard(bytes)) {
             readBody();
--- a/packages/gateway/src/enginecall.h
+++ b/packages/gateway/src/enginecall.h
@@ -28,8 +28,8 @@
     virtual void engineLeaving() = 0;
     /// The engine rejected a request and asked for no more during @p length.
     virtual void pauseRequested(Duration length) = 0;
-    /// A response of the engine to this request stated how many requests per second it takes from all gateways. Nothing:
-    /// a success that states no limit.
+    /// A response of the engine to this request stated how many requests per second it takes from all gateways.
+    /// Nothing: a success that states no limit.
     virtual void rateLimitStated(std::optional<double> perSecond) = 0;
     /// A response stated such a limit that can't be read.
     virtual void rateLimitMalformed(const std::string &reason) = 0;
@@ -79,7 +79,10 @@
     void readHeader();
     void onHeaderRead(std::size_t bytes);
     void readBody();
-    void onBodyRead(const boost::system::error_code &ec, std::size_t bytes);
+    void onBodyRead(const boost::system::error_code &ec, std::size_t bytesRead);
+    /// Parses what has already arrived, as far as the buffer has room for the body.
+    /// @return number of bytes parsed
+    std::size_t parseReceived();
     /// Counts bytes that are no part of the response.
     /// @return whether more may be read; if not, the call has ended
     bool discard(std::size_t bytes);
@@ -109,6 +112,7 @@
     bool m_hasWriteFailed = false;
     bool m_isDiscarding = false; // stale, or a rejection whose body is not needed
     AttemptOutcome m_outcomeAfterBody = AttemptOutcome::Complete; // reported when the body has been read
+    boost::system::error_code m_parseError; // of bytes after those that were passed on
     std::uint64_t m_discardedBytes = 0;
     std::uint64_t m_bodyBytes = 0;
     std::uint64_t m_framingBytes = 0; // of the body: chunk sizes, extensions and trailers
--- a/packages/gateway/src/httpchannel.cpp
+++ b/packages/gateway/src/httpchannel.cpp
@@ -103,7 +103,7 @@
                           });
         m_parser.emplace();
         m_parser->body_limit(maxResponseBytes);
-        m_chunkExtensionLimit.attachTo(*m_parser);
+        m_chunkLimit.attachTo(*m_parser);
         http::async_read(m_socket,
                          m_buffer,
                          *m_parser,
@@ -156,7 +156,7 @@
     asio::ip::tcp::socket m_socket;
     asio::steady_timer m_timer;
     boost::beast::flat_buffer m_buffer {maxBufferBytes};
-    ChunkExtensionLimit m_chunkExtensionLimit;
+    ChunkLimit m_chunkLimit;
     http::request<http::string_body> m_request;
     std::optional<http::response_parser<http::string_body>> m_parser;
     Callback m_done;
--- a/packages/gateway/src/statusserver.cpp
+++ b/packages/gateway/src/statusserver.cpp
@@ -44,7 +44,7 @@
             }
         });
         m_parser.emplace();
-        m_chunkExtensionLimit.attachTo(*m_parser);
+        m_chunkLimit.attachTo(*m_parser);
         http::async_read(m_socket, m_buffer, *m_parser, [self = shared_from_this()](const error_code &ec, std::size_t) {
             if (ec) {
                 self->close();
@@ -87,7 +87,7 @@
     boost::asio::steady_timer m_timer;
     const StatusServer::Handler &m_handler;
     boost::beast::flat_buffer m_buffer {maxBufferBytes};
-    ChunkExtensionLimit m_chunkExtensionLimit;
+    ChunkLimit m_chunkLimit;
     std::optional<http::request_parser<http::string_body>> m_parser;
     http::response<http::string_body> m_response;
 };
