--- a/packages/gateway/src/gatewayprocess.cpp
+++ b/packages/gateway/src/gatewayprocess.cpp
@@ -2,6 +2,7 @@
 
 #include "eventloop.h"
 #include "gatewaycallers.h"
+#include "gatewaystatus.h"
 #include "loadreports.h"
 #include "memberlist.h"
 #include "statusserver.h"
@@ -9,8 +10,6 @@
 
 #include <boost/asio/signal_set.hpp>
 
-#include <nlohmann/json.hpp>
-
 #include <csignal>
 #include <iostream>
 
@@ -18,7 +17,6 @@
 {
 
 using boost::system::error_code;
-using Json = nlohmann::json;
 
 namespace
 {
@@ -69,6 +67,7 @@
         , m_tickTimer(m_io)
         , m_store(m_core, *this, m_random, [this] { m_reports.sendFullReport(); })
         , m_hashSeed(m_random.next())
+        , m_status(m_core, m_store, m_callers, m_incarnation)
     {
     }
 
@@ -334,89 +333,14 @@
     StatusReply adminReply(const std::string &path)
     {
         if (path == "/metrics") {
-            updateMetrics();
-            return {200, "text/plain; version=0.0.4", m_metrics.text()};
+            return {200, "text/plain; version=0.0.4", m_status.metricsText()};
         }
         if (path == "/state") {
-            return {200, "application/json", stateJson()};
+            return {200, "application/json", m_status.stateJson(isReady(), m_unavailableTables)};
         }
         return {404, "text/plain", "not found\n"};
     }
 
-    void updateMetrics()
-    {
-        const auto now = m_clock.now();
-        m_metrics.setEngines(m_core.engines.size(), m_core.fleet.size());
-        m_metrics.setOpenRequests(m_core.openRequests, m_callers.connections());
-        m_metrics.setLogRecordsDropped(m_log.dropped());
-        m_metrics.setStoreEra(m_store.era());
-        m_metrics.setCrashSuspects(m_core.crashSuspects.refusedCount(now));
-        updateLimitMetrics(now);
-        if (!m_core.activeConfiguration) {
-            return;
-        }
-        const auto &configuration = *m_core.activeConfiguration->configuration;
-        m_metrics.setConfiguration(configuration.revision, m_core.freshness.age(now).value_or(Duration::zero()));
-        for (const auto &it : configuration.services) {
-            m_metrics.setRetriesLeft(it.name, m_core.retryBudget.remaining(it.name, m_core.fleet.size(), now));
-        }
-    }
-
-    void updateLimitMetrics(TimePoint now)
-    {
-        std::size_t limited = 0;
-        double ownPerSecond = 0;
-        for (const auto *it : m_core.engines.all()) {
-            if (const auto allowance = m_core.engineLimiter.allowanceOf(*it, now)) {
-                ++limited;
-                ownPerSecond += allowance->share;
-            }
-        }
-        m_metrics.setEngineLimits(limited, ownPerSecond);
-    }
-
-    std::string stateJson()
-    {
-        const auto now = m_clock.now();
-        Json json {{"host", m_core.settings.host.text()},
-                   {"life", m_incarnation},
-                   {"ready", isReady()},
-                   {"stopping", m_core.isStopping},
-                   {"open_requests", m_core.openRequests},
-                   {"caller_connections", m_callers.connections()},
-                   {"gateways", m_core.fleet.size()},
-                   {"store_era", m_store.era()},
-                   {"crash_suspects", m_core.crashSuspects.refusedCount(now)},
-                   {"proof_rank", m_store.proofRank(now)},
-                   {"tables_unavailable", m_unavailableTables},
-                   {"engines", Json::object()}};
-        if (const auto age = m_core.freshness.age(now)) {
-            json["proof_age_ms"] = milliseconds(*age);
-        }
-        if (!m_core.activeConfiguration) {
-            return json.dump(2);
-        }
-        json["revision"] = m_core.activeConfiguration->configuration->revision;
-        const auto &ownRequests = m_core.placer->ownRequests();
-        for (const auto &service : m_core.activeConfiguration->configuration->services) {
-            for (const auto *it : m_core.engines.ofService(service.name)) {
-                const auto requests = ownRequests.find(it->name);
-                json["engines"][it->name.text()] = {
-                    {"service", service.name.text()},
-                    {"own_requests", requests == ownRequests.end() ? 0 : requests->second},
-                    {"other_requests", m_core.fleet.requestsAt(it->name)},
-                    {"failure_rate", m_core.health.failureRate(it->name)},
-                    {"usable", m_core.health.isAvailable(it->name, now)}};
-                if (const auto allowance = m_core.engineLimiter.allowanceOf(*it, now)) {
-                    json["engines"][it->name.text()]["rate_limit"] = {{"per_second", allowance->perSecond},
-                                                                      {"stated_ms_ago", milliseconds(allowance->age)},
-                                                                      {"own_per_second", allowance->share}};
-                }
-            }
-        }
-        return json.dump(2);
-    }
-
     /// Ends the requests in progress and runs the handlers that refer to them. Handlers left to the event loop's
     /// destructor would use components that are destroyed before it.
     void releaseRequests()
@@ -569,6 +493,7 @@
     boost::asio::steady_timer m_tickTimer;
     StoreWatch m_store;
     std::uint64_t m_hashSeed;
+    GatewayStatus m_status;
     std::set<std::string> m_unavailableTables; // tables whose last call failed
     bool m_hasLoggedMalformedEra = false;
     bool m_enginesListed = false;
