Look up a service's engines once per placement, and limits only if some engine states one

The limits of engines added a second list of the service's engines and hash look-ups to each request, also where no engine states a limit; processor time is priced. Behaviour is unchanged; dispatch_test and gateway_test pass.

--- a/packages/dispatch/src/enginelimiter.cpp
+++ b/packages/dispatch/src/enginelimiter.cpp
@@ -42,6 +42,9 @@
 
 std::optional<EngineAllowance> EngineLimiter::allowanceOf(const EngineRecord &engine, TimePoint now)
 {
+    if (m_limits.isEmpty()) {
+        return std::nullopt;
+    }
     const auto run = runOf(engine);
     const auto limit = m_limits.limitOf(run);
     if (!limit) {
@@ -56,22 +59,23 @@
 
 bool EngineLimiter::maySend(const EngineRecord &engine, double urgentShare, TimePoint now)
 {
-    if (m_limits.isEmpty()) {
-        return true;
-    }
     const auto allowance = allowanceOf(engine, now);
     return !allowance || allowance->available >= 1 + urgentShare * (sizeOf(allowance->share) - 1);
 }
 
 void EngineLimiter::requestSent(const EngineRecord &engine, TimePoint now)
 {
-    if (const auto limit = m_limits.limitOf(runOf(engine))) {
+    const auto limit = m_limits.isEmpty() ? std::nullopt : m_limits.limitOf(runOf(engine));
+    if (limit) {
         refilled(engine, *limit, now).bucket.take(1);
     }
 }
 
 void EngineLimiter::requestNotSent(const EngineRecord &engine)
 {
+    if (m_shares.empty()) {
+        return;
+    }
     const auto it = m_shares.find(runOf(engine));
     if (it != m_shares.end()) {
         it->second.bucket.giveBack(1);
--- a/packages/dispatch/src/placement.cpp
+++ b/packages/dispatch/src/placement.cpp
@@ -90,7 +90,8 @@
         const auto urgentShare = moreUrgentShare(request, now);
         const double fraction =
             mostUrgentDelayFraction - (mostUrgentDelayFraction - leastUrgentDelayFraction) * urgentShare;
-        const auto engines = usableEngines(request, urgentShare, now);
+        const auto known = m_directory.ofService(request.service);
+        const auto engines = usableEngines(request, known, urgentShare, now);
         Placement placement;
         if (engines.usable.empty()) {
             if (engines.limited == nullptr) {
@@ -100,10 +101,10 @@
             placement.outcome = PlacementOutcome::Limited;
             placement.engine = *engines.limited;
             placement.allowance = m_limiter.allowanceOf(*engines.limited, now);
-            placement.retryAfter = untilLimitsAllow(request, now);
+            placement.retryAfter = untilLimitsAllow(request, known, now);
             return placement;
         }
-        const auto choices = choose(request, engines.usable, now);
+        const auto choices = choose(request, engines.usable, unreportedLoad(request.service, known, now), now);
         const auto objective = objectiveOf(request);
         for (const auto &it : choices) {
             // The time without load includes delays of this daemon and its links, which don't mean that the engine is
@@ -194,6 +195,14 @@
         return it == counts.end() ? 0 : it->second;
     }
 
+    /// @brief Estimated changes of the other daemons' load since their last reports.
+    struct UnreportedLoad
+    {
+        double remainingFraction = 1; ///< fraction of the reported requests that are still in progress
+        double newPerEngine = 0; ///< mean number of requests per engine that started since the reports
+        double concurrentRequests = 0; ///< requests that the other daemons place in one report interval
+    };
+
     /// @brief The engines that may be tried for a request.
     struct UsableEngines
     {
@@ -201,13 +210,17 @@
         const EngineRecord *limited = nullptr; ///< one that may not be tried only because of the limit that it states
     };
 
+    /// @param known engines of the service
     /// @param urgentShare fraction of the service's requests that are more urgent
-    UsableEngines usableEngines(const PlacementRequest &request, double urgentShare, TimePoint now) const
+    UsableEngines usableEngines(const PlacementRequest &request,
+                                const std::vector<const EngineRecord *> &known,
+                                double urgentShare,
+                                TimePoint now) const
     {
         UsableEngines engines;
         std::vector<const EngineRecord *> reportedLeaving;
         const auto &excludedEngines = request.excludedEngines;
-        for (const auto *it : m_directory.ofService(request.service)) {
+        for (const auto *it : known) {
             if (std::find(excludedEngines.begin(), excludedEngines.end(), it->name) != excludedEngines.end()
                 || !m_health.isAvailable(it->name, now)) {
                 continue;
@@ -226,10 +239,11 @@
 
     /// @param usable must not be empty
     /// @return the engine chosen for the request, then the one with the least cost if it is a different one
-    std::vector<Candidate>
-    choose(const PlacementRequest &request, const std::vector<const EngineRecord *> &usable, TimePoint now) const
+    std::vector<Candidate> choose(const PlacementRequest &request,
+                                  const std::vector<const EngineRecord *> &usable,
+                                  const UnreportedLoad &load,
+                                  TimePoint now) const
     {
-        const auto load = unreportedLoad(request.service, m_directory.ofService(request.service), now);
         std::vector<Candidate> candidates;
         std::vector<EngineCost> costs;
         for (const auto *it : usable) {
@@ -245,14 +259,6 @@
         return choices;
     }
 
-    /// @brief Estimated changes of the other daemons' load since their last reports.
-    struct UnreportedLoad
-    {
-        double remainingFraction = 1; ///< fraction of the reported requests that are still in progress
-        double newPerEngine = 0; ///< mean number of requests per engine that started since the reports
-        double concurrentRequests = 0; ///< requests that the other daemons place in one report interval
-    };
-
     /// Assumes that each other daemon has as many requests as this one, of the same duration, and that their number has
     /// grown by as much since the last report, not counting growth that may be random. Reports are half an interval old
     /// on average.
@@ -331,9 +337,10 @@
     /// Refused callers are told to return one after the other, at this daemon's part of the rate that the engines'
     /// limits allow, since they return to any daemon.
     /// @return time after which to retry, within the time that the caller is willing to wait
-    Duration untilLimitsAllow(const PlacementRequest &request, TimePoint now)
+    Duration
+    untilLimitsAllow(const PlacementRequest &request, const std::vector<const EngineRecord *> &known, TimePoint now)
     {
-        const double limit = m_limiter.totalLimit(m_directory.ofService(request.service));
+        const double limit = m_limiter.totalLimit(known);
         const double rate = std::max(limit, LimitDivision::minPerSecond) / static_cast<double>(m_fleet.size());
         const Seconds maxWait = std::min(maxRetryAfter, Seconds(request.timeLeft) * maxWaitFraction);
         auto &next = m_nextReturnAt[request.service];
--- a/packages/gateway/src/exchange.cpp
+++ b/packages/gateway/src/exchange.cpp
@@ -231,7 +231,9 @@
 
 void Exchange::rateLimitStated(std::optional<double> perSecond)
 {
-    recordRateLimit(m_core, m_call->engine(), perSecond, requestId());
+    if (perSecond || !m_core.engineLimits.isEmpty()) {
+        recordRateLimit(m_core, m_call->engine(), perSecond, requestId());
+    }
 }
 
 void Exchange::rateLimitMalformed(const std::string &reason)
