--- a/apps/monsoonctl/explain.h
+++ b/apps/monsoonctl/explain.h
@@ -8,8 +8,8 @@
 {
 
 /// @brief Collects from gateways' logs the records that explain the outcome of one request: the records of the request,
-/// and earlier ones of the same gateways about its engines, the configuration, the store and the other gateways. The limits
-/// that its engines stated, or all engines if limits refused it, are included however old they are.
+/// and earlier ones of the same gateways about its engines, the configuration, the store and the other gateways. The
+/// limits that its engines stated, or all engines if limits refused it, are included however old they are.
 class Explanation
 {
 public:
--- a/packages/gateway/src/headervalues.h
+++ b/packages/gateway/src/headervalues.h
@@ -20,8 +20,8 @@
 /// @return the duration of a Retry-After header in seconds, or nothing if there is none or it is no number
 std::optional<Duration> retryAfterOf(const boost::beast::http::fields &fields, Duration max);
 /// @param name of a header that states requests per second as a decimal number
-/// @return the limit, or nothing if there is no such header. Errors: Invalid if it is there twice, is no decimal number,
-/// or is above EngineLimits::maxPerSecond.
+/// @return the limit, or nothing if there is no such header. Errors: Invalid if it is there twice, is no decimal
+/// number, or is above EngineLimits::maxPerSecond.
 Result<std::optional<double>> rateLimitOf(const boost::beast::http::fields &fields, const std::string &name);
 /// @return seconds with two decimals, rounded up, for the Retry-After header
 std::string retryAfterText(Duration duration);
