Use the token bucket for the bytes sent between regions too

LinkBudget of the older entry had a token bucket of its own. There is one now, in values. No change of behaviour: values_test, policy_test, dispatch_test and gateway_test pass.

--- a/packages/dispatch/include/monsoonward/dispatch/allotments.h
+++ b/packages/dispatch/include/monsoonward/dispatch/allotments.h
@@ -1,7 +1,6 @@
 #pragma once
 
 #include "monsoonward/dispatch/servingconfiguration.h"
-#include "monsoonward/dispatch/tokenbucket.h"
 
 #include <map>
 
--- a/packages/dispatch/include/monsoonward/dispatch/dispatch.h
+++ b/packages/dispatch/include/monsoonward/dispatch/dispatch.h
@@ -21,5 +21,4 @@
 #include "monsoonward/dispatch/routetable.h"
 #include "monsoonward/dispatch/servingconfiguration.h"
 #include "monsoonward/dispatch/storeknowledge.h"
-#include "monsoonward/dispatch/tokenbucket.h"
 #include "monsoonward/dispatch/topology.h"
--- a/packages/dispatch/include/monsoonward/dispatch/enginelimiter.h
+++ b/packages/dispatch/include/monsoonward/dispatch/enginelimiter.h
@@ -2,7 +2,6 @@
 
 #include "monsoonward/dispatch/enginelimits.h"
 #include "monsoonward/dispatch/limitdivision.h"
-#include "monsoonward/dispatch/tokenbucket.h"
 
 namespace monsoonward
 {
--- a/packages/policy/src/linkbudget.cpp
+++ b/packages/policy/src/linkbudget.cpp
@@ -9,26 +9,19 @@
     : m_clock(clock)
     , m_bytesPerSecond(bytesPerSecond)
     , m_burstBytes(burstBytes)
-    , m_availableBytes(burstBytes)
-    , m_updatedAt(clock.now())
+    , m_bytes(clock.now(), burstBytes)
 {
 }
 
 bool LinkBudget::allows(double bytes) const
 {
-    return std::min(bytes, m_burstBytes) <= availableBytes();
+    return std::min(bytes, m_burstBytes) <= m_bytes.levelAt(m_bytesPerSecond, m_burstBytes, m_clock.now());
 }
 
 void LinkBudget::spend(double bytes)
 {
-    m_availableBytes = availableBytes() - bytes;
-    m_updatedAt = m_clock.now();
-}
-
-double LinkBudget::availableBytes() const
-{
-    const double seconds = std::chrono::duration<double>(m_clock.now() - m_updatedAt).count();
-    return std::min(m_burstBytes, m_availableBytes + seconds * m_bytesPerSecond);
+    m_bytes.refill(m_bytesPerSecond, m_burstBytes, m_clock.now());
+    m_bytes.take(bytes);
 }
 
 } // namespace monsoonward
--- a/packages/dispatch/include/monsoonward/dispatch/tokenbucket.h
+++ b/packages/values/include/monsoonward/values/tokenbucket.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include <monsoonward/values/values.h>
+#include "monsoonward/values/time.h"
 
 namespace monsoonward
 {
@@ -10,8 +10,9 @@
 class TokenBucket
 {
 public:
-    /// An empty bucket that grows from @p now on.
-    explicit TokenBucket(TimePoint now = TimePoint());
+    /// @param now the level grows from then on
+    /// @param level at that time
+    explicit TokenBucket(TimePoint now = TimePoint(), double level = 0);
 
     /// Adds what has grown since the last call.
     /// @param perSecond growth in tokens per second
@@ -23,9 +24,11 @@
     void limitTo(double size);
     /// @return the level after the last change
     double level() const;
+    /// @return the level to which refill() would raise it
+    double levelAt(double perSecond, double size, TimePoint now) const;
 
 private:
-    double m_level = 0;
+    double m_level;
     TimePoint m_refilledAt;
 };
 
--- a/packages/values/include/monsoonward/values/values.h
+++ b/packages/values/include/monsoonward/values/values.h
@@ -12,4 +12,5 @@
 #include "monsoonward/values/requestid.h"
 #include "monsoonward/values/tied.h"
 #include "monsoonward/values/time.h"
+#include "monsoonward/values/tokenbucket.h"
 #include "monsoonward/values/verdict.h"
--- a/packages/dispatch/src/tokenbucket_test.cpp
+++ b/packages/values/src/tokenbucket_test.cpp
@@ -1,4 +1,4 @@
-#include "monsoonward/dispatch/tokenbucket.h"
+#include "monsoonward/values/tokenbucket.h"
 
 #include <doctest/doctest.h>
 
@@ -21,3 +21,12 @@
     bucket.giveBack(0.5);
     CHECK(bucket.level() == doctest::Approx(1.5));
 }
+
+TEST_CASE("the level of a token bucket can be looked up without a change")
+{
+    VirtualClock clock;
+    const TokenBucket bucket(clock.now(), 3);
+    CHECK(bucket.levelAt(1, 5, clock.now() + 1s) == doctest::Approx(4));
+    CHECK(bucket.levelAt(1, 5, clock.now() + 9s) == doctest::Approx(5));
+    CHECK(bucket.level() == doctest::Approx(3));
+}
