Count a gateway's own demand as the others count it

A gateway that had seen no request for a service took the mean demand for its own, while the others took none from its report, so the shares of a limit added up to more than it; and with no limit in force its demand of the time before was kept. Both sides use one function now.

--- a/packages/dispatch/include/monsoonward/dispatch/fleetview.h
+++ b/packages/dispatch/include/monsoonward/dispatch/fleetview.h
@@ -47,6 +47,10 @@
                        serviceDemand)
 };
 
+/// @param reported demand by service as a daemon reports it
+/// @return the demand for the service: 0 if only that for other services is stated, nothing if none is
+std::optional<double> demandFor(const ServiceName &service, const std::map<ServiceName, double> &reported);
+
 /// @brief What a new report changes compared with the daemon's previous one.
 struct ReportChanges
 {
--- a/packages/dispatch/src/fleetview.cpp
+++ b/packages/dispatch/src/fleetview.cpp
@@ -29,6 +29,15 @@
 
 } // namespace
 
+std::optional<double> demandFor(const ServiceName &service, const std::map<ServiceName, double> &reported)
+{
+    if (reported.empty()) {
+        return std::nullopt;
+    }
+    const auto it = reported.find(service);
+    return it == reported.end() ? 0 : it->second;
+}
+
 FleetView::FleetView(HostName own)
     : m_own(std::move(own))
 {
@@ -207,14 +216,9 @@
 {
     std::map<HostName, std::optional<double>> demands;
     for (const auto &[host, member] : m_members) {
-        if (!isReporting(host, now)) {
-            continue;
+        if (isReporting(host, now)) {
+            demands[host] = demandFor(service, member.report.serviceDemand);
         }
-        const auto &reported = member.report.serviceDemand;
-        const auto it = reported.find(service);
-        // A daemon that states its demand for other services only has none for this one.
-        const double demand = it == reported.end() ? 0 : it->second;
-        demands[host] = reported.empty() ? std::nullopt : std::optional<double>(demand);
     }
     return demands;
 }
--- a/packages/dispatch/src/limitdivision.cpp
+++ b/packages/dispatch/src/limitdivision.cpp
@@ -45,12 +45,11 @@
     m_ownDemand = std::move(demand);
 }
 
-/// @return this gateway, the first, and the reporting ones, with their parts of one
+/// @return this gateway and the reporting ones, with their fractions of what may be sent to the engine
 std::vector<LimitDivision::Candidate> LimitDivision::candidatesFor(const EngineRecord &engine, TimePoint now) const
 {
-    const auto own = m_ownDemand.find(engine.service);
     auto demands = m_fleet.serviceDemands(engine.service, now);
-    demands.insert_or_assign(m_own, own == m_ownDemand.end() ? std::nullopt : std::optional<double>(own->second));
+    demands.insert_or_assign(m_own, demandFor(engine.service, m_ownDemand));
     double known = 0;
     double knownCount = 0;
     for (const auto &it : demands) {
--- a/packages/dispatch/src/limitdivision_test.cpp
+++ b/packages/dispatch/src/limitdivision_test.cpp
@@ -158,3 +158,17 @@
     CHECK(sum(shares) == doctest::Approx(12));
     CHECK(shares[3] <= 1);
 }
+
+// A gateway took the mean for its own demand where the others took none.
+TEST_CASE("a gateway that reports demand for other services only has none for this one, by its own count too")
+{
+    CHECK_FALSE(demandFor(service, {}));
+    CHECK(demandFor(service, {{ServiceName("other"), 3.0}}) == 0.0);
+    CHECK(demandFor(service, {{service, 3.0}}) == 3.0);
+    VirtualClock clock;
+    const FleetView fleet(HostName("own"));
+    LimitDivision division({}, HostName("own"), fleet);
+    const EngineRecord engine {EngineName("e"), service, {"10.0.0.1", 80}, DataCentreName("dc"), 1, false};
+    division.setOwnDemand({{ServiceName("other"), 3.0}});
+    CHECK(division.ownShare(engine, 5, {}, clock.now()) == doctest::Approx(5)); // there is no other gateway
+}
--- a/packages/gateway/src/loadreports.cpp
+++ b/packages/gateway/src/loadreports.cpp
@@ -179,8 +179,8 @@
     report.limits = m_core.engineLimits.report(now);
     if (!m_core.engineLimits.isEmpty()) {
         report.serviceDemand = m_core.placer->demand(now);
-        m_core.limitDivision.setOwnDemand(report.serviceDemand);
     }
+    m_core.limitDivision.setOwnDemand(report.serviceDemand);
     sendTo(m_localPeers, report);
     if (m_remotePeers.size() <= maxDirectRemotePeers) {
         sendTo(m_remotePeers, report);
