Don't send to leaving engines what limited engines can't take

With all other engines at their limits, requests went to an engine that other gateways know to be leaving, and could be cut there. Found by reading the change. They are refused with a time to return now, as long as a limited engine could take them later. Measured: the new test failed before the change and passes; dispatch_test passes (116 cases).

--- a/packages/dispatch/src/placement.cpp
+++ b/packages/dispatch/src/placement.cpp
@@ -231,7 +231,7 @@
             }
             (m_fleet.isReportedLeaving(it->name) ? reportedLeaving : engines.usable).push_back(it);
         }
-        if (engines.usable.empty()) {
+        if (engines.usable.empty() && engines.limited == nullptr) {
             engines.usable = std::move(reportedLeaving);
         }
         return engines;
--- a/packages/dispatch/src/placement_test.cpp
+++ b/packages/dispatch/src/placement_test.cpp
@@ -334,3 +334,20 @@
     CHECK(placed[0] + placed[1] > 380);
     CHECK(placed[0] > 4 * placed[1]);
 }
+
+// Requests that limited engines don't take went to an engine that other gateways know to be leaving.
+TEST_CASE_FIXTURE(Fixture, "an engine that is reported to be leaving doesn't get what limited engines can't take")
+{
+    addEngine("a", "here");
+    addEngine("leaving", "here");
+    fleet.setMembers({HostName("own"), HostName("other")}, clock.now());
+    LoadReport report;
+    report.host = HostName("other");
+    report.incarnation = 1;
+    report.sequenceNumber = 1;
+    report.leavingEngines = {EngineName("leaving")};
+    fleet.addReport(report, clock.now());
+    CHECK(place(0).engine.name == EngineName("a"));
+    limits.record(runOf(*directory.find(EngineName("a"))), 1.0, clock.now());
+    CHECK(place(0).outcome == PlacementOutcome::Limited);
+}
