--- a/bench/limits/limitkeeper.h
+++ b/bench/limits/limitkeeper.h
@@ -9,7 +9,7 @@
 namespace monsoonward
 {
 
-/// @brief The name of one way to keep a limit over all gateways.
+/// @brief A way to keep the limit of an engine over all gateways.
 enum class LimitMethod {
     Separate, ///< each gateway keeps the whole limit
     Even, ///< each gateway has an even share
