--- a/packages/dispatch/include/monsoonward/dispatch/enginedirectory.h
+++ b/packages/dispatch/include/monsoonward/dispatch/enginedirectory.h
@@ -22,7 +22,8 @@
     bool isLeaving = false; ///< accepts no new requests
     /// Start time of the engine's process in Unix milliseconds; tells apart two runs under one name. 0 if not stated.
     std::uint64_t incarnation = 0;
-    MONSOONWARD_FIELDS(name, service, address, dataCentre, slots, isLeaving, incarnation)
+    std::string softwareVersion {}; ///< of the engine's program, not of its model
+    MONSOONWARD_FIELDS(name, service, address, dataCentre, slots, isLeaving, incarnation, softwareVersion)
 };
 
 /// @brief The registered engines.
--- a/packages/gateway/include/monsoonward/gateway/httpdialect.h
+++ b/packages/gateway/include/monsoonward/gateway/httpdialect.h
@@ -24,6 +24,7 @@
     /// Parts of a model request's prompt in order, as "ID:tokens,ID:tokens"; the last one belongs to the request alone.
     std::string promptParts;
     std::string lastEventId; ///< ID of the last event received, to resume a stream after it
+    std::string resumes; ///< ID of the request that brought the first event of the stream that this one resumes
     std::vector<std::string> reservedHeaders; ///< removed from callers' requests
     std::string readyPath; ///< path of the readiness check
     MONSOONWARD_FIELDS(requestId,
@@ -38,6 +39,7 @@
                        tokenCounts,
                        promptParts,
                        lastEventId,
+                       resumes,
                        reservedHeaders,
                        readyPath)
 };
--- a/packages/gateway/src/exchange.cpp
+++ b/packages/gateway/src/exchange.cpp
@@ -185,6 +185,7 @@
     m_core.placer->requestSent(engine.name, now);
     m_core.engineLimiter.requestSent(engine, now);
     m_triedEngines.push_back(engine.name);
+    m_lastVersion = engine.softwareVersion;
     m_sentAt = now;
     m_loadAtPlacement = placement.load;
     m_allowanceAtPlacement = placement.allowance;
@@ -332,6 +333,8 @@
                       {"end", textOf(finalOutcome)},
                       {"reason", std::string_view(finalReason)},
                       {"attempt", static_cast<std::int64_t>(m_attempts)},
+                      {"version", std::string_view(engineRecord.softwareVersion)},
+                      {"events", static_cast<std::int64_t>(m_eventSplitter.eventCount())},
                       {"connection_lost", m_hasLostConnection},
                       {"parts", m_hasLostConnection ? promptParts() : std::string_view()},
                       {"after_ms", milliseconds(now - m_sentAt)}});
--- a/packages/gateway/src/exchange.h
+++ b/packages/gateway/src/exchange.h
@@ -101,6 +101,7 @@
     double m_loadAtPlacement = 0; // load of the engine
     std::optional<EngineAllowance> m_allowanceAtPlacement; // of the engine
     std::vector<EngineName> m_triedEngines;
+    std::string m_lastVersion; // of the software of the engine tried last, for the log
     std::uint32_t m_attempts = 0;
     bool m_mayHaveRun = false;
     bool m_hasLostConnection = false; // the engine of the last attempt ended the connection early
--- a/packages/gateway/src/gatewayprocess.cpp
+++ b/packages/gateway/src/gatewayprocess.cpp
@@ -270,6 +270,7 @@
                     "engine-listed",
                     {{"engine", std::string_view(name.text())},
                      {"service", std::string_view(engine->service.text())},
+                     {"version", std::string_view(engine->softwareVersion)},
                      {"leaving", engine->isLeaving},
                      {"row_version", static_cast<std::int64_t>(row.version)}});
     }
--- a/packages/gateway/src/gatewaytesting.h
+++ b/packages/gateway/src/gatewaytesting.h
@@ -25,6 +25,7 @@
     dialect.tokenCounts = "Tokens";
     dialect.promptParts = "Parts";
     dialect.lastEventId = "Last-Event-Id";
+    dialect.resumes = "Resumed-Request";
     dialect.reservedHeaders = {"Reserved"};
     dialect.readyPath = "/ready";
     return dialect;
