Let streams go on only at the software version of their first event

Cause: both ways to go on with a stream, a retry within one response and a request that takes a stream up, chose among all engines of the service; no gateway read the engines' versions or what the caller resumes.

The build (service and version) of the engine that wrote the first event is recorded before the event is passed on, and told to three holders by rendezvous hashing (StreamDirectory). A gateway that doesn't know a stream asks them; whoever doesn't know refuses with 503, not run. Placement takes the build as a condition and admits streams that go on up to the maximum load. Peers' datagrams go through one socket (PeerSocket).

--- a/packages/dispatch/include/monsoonward/dispatch/placement.h
+++ b/packages/dispatch/include/monsoonward/dispatch/placement.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "monsoonward/dispatch/enginebuild.h"
 #include "monsoonward/dispatch/enginedirectory.h"
 #include "monsoonward/dispatch/enginehealth.h"
 #include "monsoonward/dispatch/enginelimiter.h"
@@ -21,10 +22,14 @@
     std::vector<EngineName> excludedEngines; ///< engines that this request was sent to before
     bool isRetry = false; ///< a further attempt by this daemon; admitted like the most urgent tier
     bool isResend = false; ///< sent again by a refused caller; admitted like the most urgent tier
+    /// The request goes on with a stream, for which only engines of this build may be chosen. It is refused only above
+    /// the maximum load, since its caller can't begin the stream again.
+    std::optional<EngineBuild> build {};
     Duration timeLeft {}; ///< until the caller's deadline
     /// 0 to 1, uniformly distributed over requests; a pseudorandom number for the choice of engine and retry time.
     double uniformHash = 0;
-    MONSOONWARD_FIELDS(service, tier, latencyObjective, excludedEngines, isRetry, isResend, timeLeft, uniformHash)
+    MONSOONWARD_FIELDS(
+        service, tier, latencyObjective, excludedEngines, isRetry, isResend, build, timeLeft, uniformHash)
 };
 
 /// @brief The result of a placement.
--- /dev/null
+++ b/packages/dispatch/include/monsoonward/dispatch/streamdirectory.h
@@ -0,0 +1,130 @@
+#pragma once
+
+#include "monsoonward/dispatch/fleetview.h"
+#include "monsoonward/dispatch/streamtable.h"
+
+#include <functional>
+
+namespace monsoonward
+{
+
+/// @brief A message between two daemons about one stream.
+struct StreamMessage
+{
+    enum class Kind {
+        Tell, ///< the stream has begun; no answer
+        Ask, ///< where has the stream begun?
+        Known, ///< answer with the origin
+        Unknown, ///< answer of a daemon that doesn't know the stream
+    };
+    Kind kind = Kind::Ask;
+    StreamKey stream;
+    EngineBuild build = 0; ///< of Tell and Known
+    bool isDoubtful = false; ///< of Tell and Known: the build isn't certain
+    Duration left {}; ///< of Tell and Known: time until the stream's caller gives up
+    MONSOONWARD_FIELDS(kind, stream, build, isDoubtful, left)
+};
+
+/// @brief Another daemon that may know streams.
+struct StreamPeer
+{
+    HostName host;
+    Address address;
+    MONSOONWARD_FIELDS(host, address)
+};
+
+/// @brief Sends messages about streams to other daemons. They may get lost.
+class StreamMessenger
+{
+public:
+    virtual ~StreamMessenger() = default;
+    virtual void send(const Address &to, const StreamMessage &message) = 0;
+};
+
+/// @brief What is known of a stream that a caller wants to take up.
+struct StreamFinding
+{
+    std::optional<StreamOrigin> origin; ///< nothing if no daemon that was asked knows the stream
+    std::string source; ///< "here", or the daemon that knew the stream
+    std::uint32_t asked = 0; ///< number of daemons that were asked
+    MONSOONWARD_FIELDS(origin, source, asked)
+};
+
+/// @brief Knows at which build of an engine each stream began, together with the other daemons.
+///
+/// When a stream begins at a daemon, that daemon tells some others, its holders, which all daemons find by rendezvous
+/// hashing of the stream over the registered daemons. So any daemon can ask them, also after the first one has ended,
+/// and also one that has just started; the work for a stream doesn't grow with the number of daemons. A daemon that
+/// gets no answer asks those that come next, since views of the fleet differ for a while. If none knows the stream, it
+/// is unknown.
+class StreamDirectory
+{
+public:
+    static constexpr std::size_t defaultHolders = 3;
+    static constexpr std::size_t maxAsked = 9;
+    /// Then the next daemons are asked. A round trip between regions fits into it.
+    static constexpr Duration answerTimeout = std::chrono::milliseconds(60);
+    /// An engine that starts again under its name is in use for up to this long before its registration is read here.
+    static constexpr Duration registrationDelay = std::chrono::seconds(3);
+
+    using Found = std::function<void(const StreamFinding &)>;
+
+    /// @param fleet, messenger must outlive this object
+    /// @param holders number of daemons that are told of each stream
+    StreamDirectory(HostName own,
+                    const FleetView &fleet,
+                    StreamMessenger &messenger,
+                    std::size_t holders = defaultHolders,
+                    std::size_t capacity = StreamTable::defaultCapacity);
+
+    /// Replaces the other registered daemons.
+    void setPeers(std::vector<StreamPeer> peers);
+    /// The first event of a stream has arrived here, and hasn't been passed on to the caller yet.
+    /// @param left until the time limit of the caller
+    void begin(const StreamKey &stream, const EngineRecord &engine, Duration left, TimePoint now);
+    /// An engine registered with another build under the name that it had.
+    /// @param former its registration before
+    /// @return number of streams that may have begun at the new build already, and are doubtful now
+    std::size_t buildChanged(const EngineRecord &former, TimePoint now);
+    /// @return what this daemon itself knows
+    std::optional<StreamOrigin> findHere(const StreamKey &stream, TimePoint now) const;
+    /// Finds a stream here or at other daemons.
+    /// @param found called exactly once, at once or within the time that asking takes
+    void find(const StreamKey &stream, Found found, TimePoint now);
+    void receive(const Address &from, const StreamMessage &message, TimePoint now);
+    /// Asks further daemons where answers are missing, and drops expired streams.
+    void tick(TimePoint now);
+    /// @return when tick() has to be called for the answers that are missing; nothing if there are none
+    std::optional<TimePoint> nextTickAt() const;
+    std::size_t size() const;
+    /// @return number of streams dropped because there were too many
+    std::uint64_t dropped() const;
+
+private:
+    struct Lookup
+    {
+        std::vector<StreamPeer> ranked; // the daemons to ask, in order
+        std::size_t asked = 0; // how many of them were asked
+        std::size_t awaited = 0; // answers that may still come before timeoutAt
+        TimePoint timeoutAt;
+        std::vector<Found> callbacks;
+    };
+    using Lookups = std::map<StreamKey, Lookup>;
+
+    std::vector<StreamPeer> rankedFor(const StreamKey &stream, std::size_t count, TimePoint now) const;
+    void tellHolders(const StreamKey &stream, const StreamOrigin &origin, TimePoint now);
+    void askMore(const StreamKey &stream, Lookup &lookup, std::size_t count, TimePoint now);
+    void answered(const Address &from, const StreamMessage &message, TimePoint now);
+    void finish(Lookups::iterator it, std::optional<StreamOrigin> origin, std::string source);
+
+    HostName m_own;
+    const FleetView &m_fleet;
+    StreamMessenger &m_messenger;
+    std::size_t m_holders;
+    StreamTable m_table;
+    std::vector<StreamPeer> m_peers;
+    std::vector<std::uint64_t> m_peerHashes; // of the names in m_peers
+    Lookups m_lookups;
+};
+
+} // namespace monsoonward
--- a/packages/dispatch/src/placement.cpp
+++ b/packages/dispatch/src/placement.cpp
@@ -117,7 +117,8 @@
             placement.expected = std::chrono::duration_cast<Duration>(it.expected);
             placement.limit = std::chrono::duration_cast<Duration>(limit);
             placement.allowance = m_limiter.allowanceOf(*it.engine, now);
-            if (it.load < alwaysAdmittedLoad || (it.expected <= limit && it.load < maxLoad)) {
+            const bool isInTime = request.build || it.expected <= limit;
+            if (it.load < alwaysAdmittedLoad || (isInTime && it.load < maxLoad)) {
                 placement.outcome = PlacementOutcome::Placed;
                 return placement;
             }
@@ -222,7 +223,7 @@
         const auto &excludedEngines = request.excludedEngines;
         for (const auto *it : known) {
             if (std::find(excludedEngines.begin(), excludedEngines.end(), it->name) != excludedEngines.end()
-                || !m_health.isAvailable(it->name, now)) {
+                || (request.build && buildOf(*it) != *request.build) || !m_health.isAvailable(it->name, now)) {
                 continue;
             }
             if (!m_limiter.maySend(*it, urgentShare, now)) {
--- a/packages/dispatch/src/placement_test.cpp
+++ b/packages/dispatch/src/placement_test.cpp
@@ -351,3 +351,42 @@
     limits.record(runOf(*directory.find(EngineName("a"))), 1.0, clock.now());
     CHECK(place(0).outcome == PlacementOutcome::Limited);
 }
+
+TEST_CASE_FIXTURE(Fixture,
+                  "a request that goes on with a stream gets an engine of its build, also when others are faster")
+{
+    addEngine("a", "far");
+    addEngine("b", "here");
+    auto record = *directory.find(EngineName("a"));
+    record.softwareVersion = "v2";
+    directory.put(record);
+    PlacementRequest request;
+    request.service = service;
+    request.latencyObjective = 400ms;
+    request.timeLeft = 4s;
+    request.build = buildOf(record);
+    CHECK(placer->place(request, clock.now()).engine.name == EngineName("a"));
+    record.isLeaving = true;
+    directory.put(record);
+    CHECK(placer->place(request, clock.now()).outcome == PlacementOutcome::NoEngine);
+}
+
+// Streams ended at gateways because new ones weren't admitted at the engines of their version.
+TEST_CASE_FIXTURE(Fixture, "a request that goes on with a stream is admitted at engines too loaded for new requests")
+{
+    addEngine("a", "here");
+    teachTimes({"a"}, 1);
+    while (place(0).outcome == PlacementOutcome::Placed) { }
+    PlacementRequest request;
+    request.service = service;
+    request.latencyObjective = 400ms;
+    request.timeLeft = 4s;
+    request.build = buildOf(*directory.find(EngineName("a")));
+    unsigned admitted = 0;
+    while (placer->place(request, clock.now()).outcome == PlacementOutcome::Placed && admitted < 100) {
+        placer->requestSent(EngineName("a"), clock.now());
+        ++admitted;
+    }
+    CHECK(admitted > 0);
+    CHECK(admitted < 20); // the engine refuses what exceeds its own queue
+}
--- /dev/null
+++ b/packages/dispatch/src/streamdirectory.cpp
@@ -0,0 +1,222 @@
+#include "monsoonward/dispatch/streamdirectory.h"
+
+#include <xxhash.h>
+
+#include <algorithm>
+
+namespace monsoonward
+{
+
+namespace
+{
+
+StreamOrigin originIn(const StreamMessage &message, TimePoint now)
+{
+    return {message.build, message.isDoubtful, now + message.left};
+}
+
+StreamMessage messageOf(StreamMessage::Kind kind, const StreamKey &stream, const StreamOrigin &origin, TimePoint now)
+{
+    return {kind, stream, origin.build, origin.isDoubtful, std::max(origin.expiresAt - now, Duration::zero())};
+}
+
+} // namespace
+
+StreamDirectory::StreamDirectory(
+    HostName own, const FleetView &fleet, StreamMessenger &messenger, std::size_t holders, std::size_t capacity)
+    : m_own(std::move(own))
+    , m_fleet(fleet)
+    , m_messenger(messenger)
+    , m_holders(holders)
+    , m_table(capacity)
+{
+}
+
+void StreamDirectory::setPeers(std::vector<StreamPeer> peers)
+{
+    m_peers = std::move(peers);
+    m_peerHashes.clear();
+    for (const auto &it : m_peers) {
+        m_peerHashes.push_back(XXH3_64bits(it.host.text().data(), it.host.text().size()));
+    }
+}
+
+/// @return the first daemons in an order that depends on the stream only; those that report come before those that
+/// don't
+std::vector<StreamPeer> StreamDirectory::rankedFor(const StreamKey &stream, std::size_t count, TimePoint now) const
+{
+    struct Rank
+    {
+        bool isSilent;
+        std::uint64_t weight;
+        std::size_t index;
+        bool operator<(const Rank &other) const
+        {
+            return std::tie(isSilent, weight, index) < std::tie(other.isSilent, other.weight, other.index);
+        }
+    };
+    std::vector<Rank> ranks;
+    ranks.reserve(m_peers.size());
+    for (std::size_t n = 0; n < m_peers.size(); ++n) {
+        const std::uint64_t key[] {stream.high, stream.low, m_peerHashes[n]};
+        ranks.push_back({!m_fleet.isReporting(m_peers[n].host, now), XXH3_64bits(key, sizeof key), n});
+    }
+    const auto last = ranks.begin() + static_cast<std::ptrdiff_t>(std::min(count, ranks.size()));
+    std::partial_sort(ranks.begin(), last, ranks.end());
+    std::vector<StreamPeer> ranked;
+    std::transform(ranks.begin(), last, std::back_inserter(ranked), [&](const Rank &it) { return m_peers[it.index]; });
+    return ranked;
+}
+
+void StreamDirectory::begin(const StreamKey &stream, const EngineRecord &engine, Duration left, TimePoint now)
+{
+    m_table.record(stream, {buildOf(engine), false, now + left}, runOf(engine), now);
+    if (const auto origin = m_table.find(stream, now)) {
+        tellHolders(stream, *origin, now);
+    }
+}
+
+void StreamDirectory::tellHolders(const StreamKey &stream, const StreamOrigin &origin, TimePoint now)
+{
+    for (const auto &it : rankedFor(stream, m_holders, now)) {
+        m_messenger.send(it.address, messageOf(StreamMessage::Kind::Tell, stream, origin, now));
+    }
+}
+
+std::size_t StreamDirectory::buildChanged(const EngineRecord &former, TimePoint now)
+{
+    const auto doubted = m_table.doubt(runOf(former), now - registrationDelay);
+    for (const auto &it : doubted) {
+        if (const auto origin = m_table.find(it, now)) {
+            tellHolders(it, *origin, now);
+        }
+    }
+    return doubted.size();
+}
+
+std::optional<StreamOrigin> StreamDirectory::findHere(const StreamKey &stream, TimePoint now) const
+{
+    return m_table.find(stream, now);
+}
+
+void StreamDirectory::find(const StreamKey &stream, Found found, TimePoint now)
+{
+    if (const auto origin = m_table.find(stream, now)) {
+        found({origin, "here", 0});
+        return;
+    }
+    const auto [it, isNew] = m_lookups.try_emplace(stream);
+    it->second.callbacks.push_back(std::move(found));
+    if (isNew) {
+        it->second.ranked = rankedFor(stream, maxAsked, now);
+        askMore(stream, it->second, m_holders, now);
+        if (it->second.asked == 0) {
+            finish(it, std::nullopt, "");
+        }
+    }
+}
+
+void StreamDirectory::askMore(const StreamKey &stream, Lookup &lookup, std::size_t count, TimePoint now)
+{
+    const auto end = std::min(lookup.asked + count, lookup.ranked.size());
+    for (; lookup.asked < end; ++lookup.asked) {
+        m_messenger.send(lookup.ranked[lookup.asked].address, {StreamMessage::Kind::Ask, stream, 0, false, {}});
+        ++lookup.awaited;
+        lookup.timeoutAt = now + answerTimeout;
+    }
+}
+
+void StreamDirectory::receive(const Address &from, const StreamMessage &message, TimePoint now)
+{
+    switch (message.kind) {
+    case StreamMessage::Kind::Tell:
+        m_table.record(message.stream, originIn(message, now), 0, now);
+        return;
+    case StreamMessage::Kind::Ask: {
+        const auto origin = m_table.find(message.stream, now);
+        m_messenger.send(from,
+                         origin ? messageOf(StreamMessage::Kind::Known, message.stream, *origin, now)
+                                : StreamMessage {StreamMessage::Kind::Unknown, message.stream, 0, false, {}});
+        return;
+    }
+    case StreamMessage::Kind::Known:
+    case StreamMessage::Kind::Unknown:
+        answered(from, message, now);
+        return;
+    }
+}
+
+void StreamDirectory::answered(const Address &from, const StreamMessage &message, TimePoint now)
+{
+    const auto it = m_lookups.find(message.stream);
+    if (it == m_lookups.end()) {
+        return;
+    }
+    auto &lookup = it->second;
+    const auto end = lookup.ranked.begin() + static_cast<std::ptrdiff_t>(lookup.asked);
+    const auto peer =
+        std::find_if(lookup.ranked.begin(), end, [&](const StreamPeer &asked) { return asked.address == from; });
+    if (peer == end) {
+        return;
+    }
+    if (message.kind == StreamMessage::Kind::Known) {
+        m_table.record(message.stream, originIn(message, now), 0, now);
+        finish(it, m_table.find(message.stream, now), peer->host.text());
+        return;
+    }
+    lookup.awaited -= std::min<std::size_t>(lookup.awaited, 1);
+    askMore(message.stream, lookup, 1, now);
+    if (lookup.awaited == 0) {
+        finish(it, std::nullopt, "");
+    }
+}
+
+void StreamDirectory::tick(TimePoint now)
+{
+    m_table.expire(now);
+    std::vector<StreamKey> silent;
+    for (auto &[stream, lookup] : m_lookups) {
+        if (lookup.timeoutAt > now) {
+            continue;
+        }
+        lookup.awaited = 0;
+        askMore(stream, lookup, m_holders, now);
+        if (lookup.awaited == 0) {
+            silent.push_back(stream);
+        }
+    }
+    for (const auto &it : silent) {
+        finish(m_lookups.find(it), std::nullopt, "");
+    }
+}
+
+void StreamDirectory::finish(Lookups::iterator it, std::optional<StreamOrigin> origin, std::string source)
+{
+    const auto lookup = std::move(it->second);
+    m_lookups.erase(it); // a callback may look the stream up again
+    const StreamFinding finding {origin, std::move(source), static_cast<std::uint32_t>(lookup.asked)};
+    for (const auto &callback : lookup.callbacks) {
+        callback(finding);
+    }
+}
+
+std::optional<TimePoint> StreamDirectory::nextTickAt() const
+{
+    std::optional<TimePoint> next;
+    for (const auto &it : m_lookups) {
+        next = next ? std::min(*next, it.second.timeoutAt) : it.second.timeoutAt;
+    }
+    return next;
+}
+
+std::size_t StreamDirectory::size() const
+{
+    return m_table.size();
+}
+
+std::uint64_t StreamDirectory::dropped() const
+{
+    return m_table.dropped();
+}
+
+} // namespace monsoonward
--- a/packages/gateway/src/exchange.cpp
+++ b/packages/gateway/src/exchange.cpp
@@ -87,7 +87,12 @@
 
 void Exchange::start()
 {
-    if (admit()) {
+    if (!admit()) {
+        return;
+    }
+    if (isTakeUp()) {
+        findStream();
+    } else {
         attempt();
     }
 }
@@ -105,6 +110,7 @@
     request.latencyObjective = m_route->latencyObjective;
     request.excludedEngines = m_triedEngines;
     request.isRetry = m_attempts > 0;
+    request.build = m_streamBuild;
     request.timeLeft = timeLeft();
     request.isResend = m_route->timeLimit > Duration::zero()
         && m_deadline - m_arrivedAt < m_route->timeLimit * minFirstSendPercent / 100;
@@ -173,7 +179,11 @@
     } else if (m_mayHaveRun) {
         finishWith(NextStep::Fail, detail);
     } else {
-        refuse(unavailable, std::string(reasonOf(placement.outcome)), placement.retryAfter, detail);
+        const bool isVersionGone = m_streamBuild && placement.outcome == PlacementOutcome::NoEngine;
+        refuse(unavailable,
+               isVersionGone ? "version-gone" : std::string(reasonOf(placement.outcome)),
+               placement.retryAfter,
+               detail);
     }
 }
 
@@ -361,6 +371,10 @@
         m_lastFailure += ", no event ID to resume after";
         return false;
     }
+    if (m_responseStarted && isStreamDoubtful()) {
+        m_lastFailure += ", the version of its first event is not certain";
+        return false;
+    }
     const auto now = m_core.clock.now();
     const bool hasEngine = m_core.placer->place(placementRequest(), now).outcome == PlacementOutcome::Placed;
     if (!hasEngine) {
--- a/packages/gateway/src/exchange.h
+++ b/packages/gateway/src/exchange.h
@@ -57,6 +57,21 @@
     bool refusedAsSuspect();
     std::vector<RequestTrait> traits() const;
     void recordCrash(const EngineRecord &engine);
+    /// @return whether the request goes on with a stream that an earlier request began
+    bool isTakeUp() const;
+    /// @param request ID of the request that brought the stream's first event
+    StreamKey streamKey(std::string_view request) const;
+    /// Finds the version at which the stream began, and continues with attempt() or refuses the request.
+    void findStream();
+    void streamFound(const StreamFinding &finding);
+    /// Sets the service to that of the route which has engines of the build.
+    /// @return whether there is one
+    bool chooseServiceOf(EngineBuild build);
+    void refuseTakeUp(const std::string &reason, const std::string &detail);
+    /// The first event has arrived: from now on only engines of this version may go on with the stream.
+    void recordStreamStart();
+    /// @return whether it isn't certain which version wrote the events that the caller has
+    bool isStreamDoubtful() const;
     void attempt();
     void send(const Placement &placement);
     std::shared_ptr<const Request> makeEngineRequest(const EngineRecord &engine, Duration timeout) const;
@@ -95,12 +110,17 @@
     Tier m_tier;
     double m_chargedUnits = 0; // charged to the customer's rate limit
     TimePoint m_deadline;
+    TimePoint m_callerDeadline; // until then the caller may take the stream up, at any gateway
     boost::asio::steady_timer m_timer;
     std::shared_ptr<EngineCall> m_call;
     TimePoint m_sentAt;
     double m_loadAtPlacement = 0; // load of the engine
     std::optional<EngineAllowance> m_allowanceAtPlacement; // of the engine
     std::vector<EngineName> m_triedEngines;
+    StreamKey m_stream; // valid if m_streamBuild is set, or while the stream is looked up
+    std::optional<EngineBuild> m_streamBuild; // of the stream's first event; nothing before it
+    bool m_isStreamDoubtful = false; // m_streamBuild isn't certain
+    std::string m_streamSource; // who knew the stream that the request takes up, for the log
     std::string m_lastVersion; // of the software of the engine tried last, for the log
     std::uint32_t m_attempts = 0;
     bool m_mayHaveRun = false;
--- a/packages/gateway/src/exchangeadmission.cpp
+++ b/packages/gateway/src/exchangeadmission.cpp
@@ -20,6 +20,7 @@
 constexpr Duration minRateLimitWait =
     std::chrono::milliseconds(100); // the response and the next request are in transit for that long anyway
 constexpr Duration defaultTimeLimit = std::chrono::seconds(30); // if neither caller nor route sets a limit
+constexpr Duration maxCallerDeadline = std::chrono::hours(1); // a caller that states more is taken to give up earlier
 constexpr std::size_t mebibyte = std::size_t {1024} * 1024;
 constexpr std::size_t bodyMemoryDivisor = 3; // request bodies may take a third of the memory
 
@@ -47,10 +48,14 @@
     }
     const auto stated = sumOfList(viewOf(m_request[m_core.adapter.dialect().timeLeft]));
     auto left = m_route->timeLimit > Duration::zero() ? m_route->timeLimit : defaultTimeLimit;
+    m_callerDeadline = m_arrivedAt + left;
     if (stated && *stated > 0) {
-        const std::chrono::duration<double, std::milli> limit = left; // a larger number may not fit into Duration
-        left =
-            std::chrono::duration_cast<Duration>(std::min(std::chrono::duration<double, std::milli>(*stated), limit));
+        const auto atMost = [&](Duration limit) { // a larger number may not fit into Duration
+            using Milliseconds = std::chrono::duration<double, std::milli>;
+            return std::chrono::duration_cast<Duration>(std::min(Milliseconds(*stated), Milliseconds(limit)));
+        };
+        m_callerDeadline = m_arrivedAt + atMost(maxCallerDeadline);
+        left = atMost(left);
     }
     m_deadline = m_arrivedAt + left;
     m_timer.expires_after(timeLeft());
--- a/packages/gateway/src/exchangeresponse.cpp
+++ b/packages/gateway/src/exchangeresponse.cpp
@@ -72,6 +72,7 @@
     }
     if (!m_responseStarted) {
         m_responseStarted = true;
+        recordStreamStart();
         recordFirstBytes();
         m_core.metrics.firstBytesSent(m_service, m_tier, m_core.clock.now() - m_arrivedAt);
         m_sink->startStream(m_responseHead.status, endToEndFields(m_responseHead.fields));
@@ -246,6 +247,7 @@
          {"version", std::string_view(m_lastVersion)},
          {"resumes", viewOf(m_request[m_core.adapter.dialect().resumes])},
          {"last_event", viewOf(m_request[m_core.adapter.dialect().lastEventId])},
+         {"known_by", std::string_view(m_streamSource)},
          {"sends", static_cast<std::int64_t>(m_attempts)},
          {"events", static_cast<std::int64_t>(m_eventSplitter.eventCount())},
          {"status", static_cast<std::int64_t>(m_responseHead.status)},
--- /dev/null
+++ b/packages/gateway/src/exchangestream.cpp
@@ -0,0 +1,107 @@
+// Which engines an exchange may use for a stream: those of the version of the engine that wrote its first event.
+#include "exchange.h"
+
+#include "headervalues.h"
+#include "httpstatus.h"
+
+#include <algorithm>
+
+namespace monsoonward
+{
+
+using namespace httpstatus;
+
+namespace
+{
+
+constexpr std::size_t maxStreamNameBytes = 256; // longer ones are no request ID
+
+} // namespace
+
+bool Exchange::isTakeUp() const
+{
+    const auto &dialect = m_core.adapter.dialect();
+    return m_route->isStream && (m_request.count(dialect.resumes) != 0 || m_request.count(dialect.lastEventId) != 0);
+}
+
+StreamKey Exchange::streamKey(std::string_view request) const
+{
+    return streamKeyOf(request, m_customer == nullptr ? std::string_view() : m_customer->name.text());
+}
+
+void Exchange::findStream()
+{
+    const auto [first, last] = m_request.base().equal_range(m_core.adapter.dialect().resumes);
+    const auto name = first == last ? std::string_view() : viewOf(first->value());
+    if (name.empty() || name.size() > maxStreamNameBytes || std::next(first) != last) {
+        refuseTakeUp("stream-unnamed", "no valid name of the stream's first request");
+        return;
+    }
+    m_stream = streamKey(name);
+    m_core.streams.find(m_stream, [weak = weak_from_this()](const StreamFinding &finding) {
+        if (const auto self = weak.lock(); self && self->m_sink != nullptr) {
+            self->streamFound(finding);
+        }
+    });
+}
+
+void Exchange::streamFound(const StreamFinding &finding)
+{
+    m_streamSource = finding.source;
+    const auto asked = "asked gateways: " + std::to_string(finding.asked);
+    if (!finding.origin) {
+        refuseTakeUp("stream-unknown", asked);
+    } else if (finding.origin->isDoubtful) {
+        refuseTakeUp("stream-doubtful", asked);
+    } else if (!chooseServiceOf(finding.origin->build)) {
+        refuseTakeUp("version-gone", "no engine of the stream's version");
+    } else {
+        m_core.metrics.takeUpEnded("known");
+        m_streamBuild = finding.origin->build;
+        attempt();
+    }
+}
+
+bool Exchange::chooseServiceOf(EngineBuild build)
+{
+    const auto engines = m_core.engines.all();
+    const auto &services = m_route->services;
+    const auto it = std::find_if(services.begin(), services.end(), [&](const WeightedService &weighted) {
+        return std::any_of(engines.begin(), engines.end(), [&](const EngineRecord *engine) {
+            return engine->service == weighted.service && buildOf(*engine) == build;
+        });
+    });
+    if (it == services.end()) {
+        return false;
+    }
+    m_service = it->service;
+    return true;
+}
+
+void Exchange::refuseTakeUp(const std::string &reason, const std::string &detail)
+{
+    m_core.metrics.takeUpEnded(reason);
+    refuse(unavailable, reason, defaultRetryAfter, detail);
+}
+
+void Exchange::recordStreamStart()
+{
+    const auto &engine = m_call->engine();
+    if (!m_streamBuild) {
+        m_stream = streamKey(requestId());
+        m_streamBuild = buildOf(engine);
+        const auto *registered = m_core.engines.find(engine.name);
+        m_isStreamDoubtful = registered != nullptr && buildOf(*registered) != *m_streamBuild;
+    }
+    if (m_route->repeatability == Repeatability::Resumable && !m_isStreamDoubtful) {
+        m_core.streams.begin(m_stream, engine, m_callerDeadline - m_core.clock.now());
+    }
+}
+
+bool Exchange::isStreamDoubtful() const
+{
+    const auto origin = m_streamBuild ? m_core.streams.findHere(m_stream) : std::nullopt;
+    return m_isStreamDoubtful || (origin && origin->isDoubtful);
+}
+
+} // namespace monsoonward
--- a/packages/gateway/src/gatewaycore.cpp
+++ b/packages/gateway/src/gatewaycore.cpp
@@ -23,6 +23,8 @@
     , engineLimiter(engineLimits, limitDivision)
     , placer(makeFirstBytesPlacer(settings.topology, engines, health, fleet, engineLimiter))
     , pool(io, clock)
+    , peers(io)
+    , streams(io, clock, settings.host, fleet, peers, metrics)
 {
     pool.onExtraBytes = [this](const EngineName &engine) {
         this->log.write(
--- a/packages/gateway/src/gatewaycore.h
+++ b/packages/gateway/src/gatewaycore.h
@@ -2,6 +2,7 @@
 
 #include "enginepool.h"
 #include "gatewaymetrics.h"
+#include "streamexchange.h"
 #include "structuredlog.h"
 
 #include "monsoonward/gateway/adapter.h"
@@ -55,6 +56,8 @@
     EngineLimiter engineLimiter;
     std::unique_ptr<Placer> placer;
     EnginePool pool;
+    PeerSocket peers;
+    StreamExchange streams;
     StoreKnowledge knowledge; ///< what this gateway has read from the store, for its load reports
     std::size_t openRequests = 0;
     std::size_t openBodyBytes = 0; ///< bytes of request bodies in memory
--- a/packages/gateway/src/gatewaymetrics.cpp
+++ b/packages/gateway/src/gatewaymetrics.cpp
@@ -86,6 +86,15 @@
                prometheus::BuildCounter(),
                "monsoonward_gateway_engine_limit_malformed_total",
                "Engines' responses whose rate limit can't be read");
+    prometheus::Family<prometheus::Counter> &streamMessages =
+        family(registry,
+               prometheus::BuildCounter(),
+               "monsoonward_gateway_stream_messages_total",
+               "Messages about streams to other gateways by kind");
+    prometheus::Family<prometheus::Counter> &takeUps = family(registry,
+                                                              prometheus::BuildCounter(),
+                                                              "monsoonward_gateway_take_ups_total",
+                                                              "Requests that take up a stream by result");
     prometheus::Family<prometheus::Gauge> &gauges =
         family(registry, prometheus::BuildGauge(), "monsoonward_gateway_state", "Present values, by name");
     prometheus::Family<prometheus::Gauge> &retries = family(registry,
@@ -138,6 +147,22 @@
     m_impl->malformedLimits.Add({}).Increment();
 }
 
+void GatewayMetrics::streamMessageSent(const char *kind)
+{
+    m_impl->streamMessages.Add({{"kind", kind}}).Increment();
+}
+
+void GatewayMetrics::takeUpEnded(const std::string &result)
+{
+    m_impl->takeUps.Add({{"result", result}}).Increment();
+}
+
+void GatewayMetrics::setStreams(std::size_t known, std::uint64_t dropped)
+{
+    m_impl->gauges.Add({{"name", "streams_known"}}).Set(static_cast<double>(known));
+    m_impl->gauges.Add({{"name", "streams_dropped"}}).Set(static_cast<double>(dropped));
+}
+
 void GatewayMetrics::setStoreEra(std::uint64_t era)
 {
     m_impl->gauges.Add({{"name", "store_era"}}).Set(static_cast<double>(era));
--- a/packages/gateway/src/gatewaymetrics.h
+++ b/packages/gateway/src/gatewaymetrics.h
@@ -33,6 +33,14 @@
     /// An answer of the store stated an era that is no number.
     void storeEraMalformed();
     void engineLimitMalformed();
+    /// @param kind of message about streams to another gateway, one of a fixed set of words
+    void streamMessageSent(const char *kind);
+    /// A caller asked to take up a stream.
+    /// @param result one of a fixed set of words
+    void takeUpEnded(const std::string &result);
+    /// @param known streams whose beginning this gateway knows
+    /// @param dropped streams forgotten because there were too many
+    void setStreams(std::size_t known, std::uint64_t dropped);
     void setStoreEra(std::uint64_t era);
     /// @param refused number of traits whose requests are refused because they crash engines
     void setCrashSuspects(std::size_t refused);
--- a/packages/gateway/src/gatewayprocess.cpp
+++ b/packages/gateway/src/gatewayprocess.cpp
@@ -7,6 +7,7 @@
 #include "memberlist.h"
 #include "statusserver.h"
 #include "storewatch.h"
+#include "streamcodec.h"
 
 #include <boost/asio/signal_set.hpp>
 
@@ -73,7 +74,11 @@
 
     int run()
     {
-        for (const auto &it : {m_callers.listen(), m_health.start(), m_admin.start(), m_reports.start()}) {
+        const auto datagramReceived = [this](const PeerSocket::Datagram &it) { receive(it); };
+        for (const auto &it : {m_callers.listen(),
+                               m_health.start(),
+                               m_admin.start(),
+                               m_core.peers.start(m_core.settings.peerListen, datagramReceived)}) {
             if (!it) {
                 m_log.write(Event::ChildFailed,
                             Severity::Error,
@@ -86,6 +91,7 @@
                     Severity::Info,
                     "started",
                     {{"data_centre", std::string_view(m_core.settings.topology.ownDataCentre.text())}});
+        m_reports.start();
         m_store.start();
         awaitSignal();
         m_startedAt = m_clock.now();
@@ -113,6 +119,7 @@
             std::vector<EngineRecord> engines;
             for (const auto &it : rows) {
                 if (auto engine = decodeEngineRow(it)) {
+                    noteVersion(*engine);
                     engines.push_back(std::move(*engine));
                 }
             }
@@ -200,6 +207,18 @@
 private:
     static constexpr std::size_t maxLogQueueBytes = std::size_t {256} * 1024;
 
+    void receive(const PeerSocket::Datagram &datagram)
+    {
+        if (!isStreamMessage(datagram.bytes, datagram.size)) {
+            m_reports.receive(datagram);
+        } else if (const auto received = m_core.streams.receive(datagram); !received) {
+            m_log.write(Event::GatewayReportRejected,
+                        Severity::Warning,
+                        "stream-message-rejected",
+                        {{"reason", std::string_view(received.error().message)}});
+        }
+    }
+
     // ---- changes in the store
 
     void configurationRowsReceived(const std::vector<TableRow> &rows)
@@ -264,6 +283,7 @@
             engineRemoved(name, row.value ? "record-rejected" : "registration-removed");
             return;
         }
+        noteVersion(*engine);
         m_core.engines.put(*engine);
         m_log.write(Event::EngineListed,
                     Severity::Info,
@@ -275,6 +295,23 @@
                      {"row_version", static_cast<std::int64_t>(row.version)}});
     }
 
+    /// To be called with a registration before it replaces the one that is known.
+    void noteVersion(const EngineRecord &engine)
+    {
+        const auto *former = m_core.engines.find(engine.name);
+        if (former == nullptr || buildOf(*former) == buildOf(engine)) {
+            return;
+        }
+        const auto doubtful = m_core.streams.buildChanged(*former);
+        m_log.write(Event::EngineVersionChanged,
+                    Severity::Warning,
+                    "engine-version-changed",
+                    {{"engine", std::string_view(engine.name.text())},
+                     {"former", std::string_view(former->softwareVersion)},
+                     {"version", std::string_view(engine.softwareVersion)},
+                     {"doubtful_streams", static_cast<std::int64_t>(doubtful)}});
+    }
+
     void engineRemoved(const EngineName &name, std::string_view reason)
     {
         const bool isKept = m_core.engines.find(name) != nullptr;
@@ -292,6 +329,7 @@
     {
         std::vector<HostName> hosts;
         std::vector<ReportPeer> peers;
+        std::vector<StreamPeer> streamPeers;
         std::vector<HostName> regionHosts;
         std::map<HostName, DataCentreName> locations;
         for (const auto &it : members) {
@@ -300,6 +338,7 @@
             if (it.host != m_core.settings.host) {
                 const bool isSameRegion = m_core.settings.topology.distanceTo(it.dataCentre) != Distance::OtherRegion;
                 peers.push_back({it.peerAddress, isSameRegion});
+                streamPeers.push_back({it.host, it.peerAddress});
                 if (isSameRegion) {
                     regionHosts.push_back(it.host);
                 }
@@ -308,6 +347,7 @@
         m_core.fleet.setMembers(hosts, m_clock.now());
         m_core.limitDivision.setMembers(std::move(locations));
         m_reports.setPeers(peers);
+        m_core.streams.setPeers(std::move(streamPeers));
         m_store.setRegionHosts(std::move(regionHosts));
         m_log.write(Event::GatewaysChanged,
                     Severity::Info,
@@ -381,6 +421,7 @@
         m_core.engineLimits.expire(now);
         m_core.engineLimiter.expire();
         expireCrashSuspects(now);
+        m_core.streams.expire();
         m_members.tick();
         m_store.pollIfDue(now);
         if (now - m_startedAt >= maxStartupDelay) {
--- a/packages/gateway/src/gatewaystatus.cpp
+++ b/packages/gateway/src/gatewaystatus.cpp
@@ -26,6 +26,7 @@
     m_core.metrics.setLogRecordsDropped(m_core.log.dropped());
     m_core.metrics.setStoreEra(m_store.era());
     m_core.metrics.setCrashSuspects(m_core.crashSuspects.refusedCount(now));
+    m_core.metrics.setStreams(m_core.streams.directory().size(), m_core.streams.directory().dropped());
     updateLimitMetrics(now);
     if (m_core.activeConfiguration) {
         const auto &configuration = *m_core.activeConfiguration->configuration;
@@ -62,6 +63,7 @@
                {"gateways", m_core.fleet.size()},
                {"store_era", m_store.era()},
                {"crash_suspects", m_core.crashSuspects.refusedCount(now)},
+               {"streams_known", m_core.streams.directory().size()},
                {"proof_rank", m_store.proofRank(now)},
                {"tables_unavailable", unavailableTables},
                {"engines", Json::object()}};
@@ -77,6 +79,7 @@
         for (const auto *it : m_core.engines.ofService(service.name)) {
             const auto requests = ownRequests.find(it->name);
             json["engines"][it->name.text()] = {{"service", service.name.text()},
+                                                {"version", it->softwareVersion},
                                                 {"own_requests", requests == ownRequests.end() ? 0 : requests->second},
                                                 {"other_requests", m_core.fleet.requestsAt(it->name)},
                                                 {"failure_rate", m_core.health.failureRate(it->name)},
--- a/packages/gateway/src/loadreports.cpp
+++ b/packages/gateway/src/loadreports.cpp
@@ -6,7 +6,6 @@
 namespace monsoonward
 {
 
-using boost::asio::ip::udp;
 using boost::system::error_code;
 
 namespace
@@ -39,30 +38,14 @@
     : m_core(core)
     , m_incarnation(incarnation)
     , m_onKnowledge(std::move(onKnowledge))
-    , m_socket(core.io)
     , m_timer(core.io)
 {
 }
 
-Result<void> LoadReports::start()
+void LoadReports::start()
 {
-    const auto &address = m_core.settings.peerListen;
-    error_code ec;
-    const udp::endpoint endpoint(boost::asio::ip::make_address(address.ip, ec), address.port);
-    if (!ec) {
-        m_socket.open(endpoint.protocol(), ec);
-    }
-    if (!ec) {
-        m_socket.bind(endpoint, ec);
-    }
-    if (ec) {
-        return Error {ErrorCode::Unavailable, "bind " + address.ip + ": " + ec.message()};
-    }
-    m_socket.non_blocking(true, ec);
     m_startedAt = m_core.clock.now();
-    receive();
     tick();
-    return boost::outcome_v2::success();
 }
 
 void LoadReports::setPeers(const std::vector<ReportPeer> &peers)
@@ -70,11 +53,7 @@
     m_localPeers.clear();
     m_remotePeers.clear();
     for (const auto &it : peers) {
-        error_code ec;
-        const auto ip = boost::asio::ip::make_address(it.address.ip, ec);
-        if (!ec) {
-            (it.isSameRegion ? m_localPeers : m_remotePeers).emplace_back(ip, it.address.port);
-        }
+        (it.isSameRegion ? m_localPeers : m_remotePeers).push_back(it.address);
     }
     // In large fleets the silence timeout grows with the interval: at least as many reports fit into it as at
     // maxInterval.
@@ -83,23 +62,9 @@
         std::max<Duration>(FleetView::silenceTimeout, interval * (FleetView::silenceTimeout / maxInterval + 1)));
 }
 
-void LoadReports::receive()
-{
-    m_socket.async_receive_from(
-        boost::asio::buffer(m_datagram), m_sender, [this](const error_code &ec, std::size_t size) {
-            if (ec == boost::asio::error::operation_aborted) {
-                return;
-            }
-            if (!ec) {
-                datagramReceived(size);
-            }
-            receive();
-        });
-}
-
-void LoadReports::datagramReceived(std::size_t size)
+void LoadReports::receive(const PeerSocket::Datagram &datagram)
 {
-    const auto report = decodeReport(m_datagram.data(), size);
+    const auto report = decodeReport(datagram.bytes, datagram.size);
     if (!report) {
         m_core.log.write(Event::GatewayReportRejected,
                          Severity::Warning,
@@ -190,12 +155,11 @@
     sendTo({m_remotePeers[m_lastSequenceNumber % m_remotePeers.size()]}, report);
 }
 
-void LoadReports::sendTo(const std::vector<udp::endpoint> &peers, const LoadReport &report)
+void LoadReports::sendTo(const std::vector<Address> &peers, const LoadReport &report)
 {
     const auto bytes = encodeReport(report);
     for (const auto &it : peers) {
-        error_code ignored; // a lost report is superseded by the next one
-        m_socket.send_to(boost::asio::buffer(bytes), it, 0, ignored);
+        m_core.peers.send(bytes, it); // a lost report is superseded by the next one
     }
 }
 
--- a/packages/gateway/src/loadreports.h
+++ b/packages/gateway/src/loadreports.h
@@ -2,8 +2,6 @@
 
 #include "gatewaycore.h"
 
-#include <boost/asio/ip/udp.hpp>
-
 #include <functional>
 
 namespace monsoonward
@@ -17,7 +15,7 @@
     MONSOONWARD_FIELDS(address, isSameRegion)
 };
 
-/// @brief Exchanges load reports with the other gateways over UDP. A lost report is superseded by the next one. Full
+/// @brief Exchanges load reports with the other gateways. A lost report is superseded by the next one. Full
 /// reports go to all gateways, to many remote ones through one of them. In the interval between two full reports,
 /// gateways of the same region get load-only reports, which hold just the requests in progress.
 class LoadReports
@@ -29,29 +27,26 @@
     LoadReports(const LoadReports &) = delete;
     LoadReports &operator=(const LoadReports &) = delete;
 
-    /// Binds the UDP socket and starts to send and receive. Errors: Unavailable if the address can't be bound.
-    Result<void> start();
+    /// Starts to send reports.
+    void start();
+    /// Another gateway has sent a datagram.
+    void receive(const PeerSocket::Datagram &datagram);
     /// Sends a full report at once, in addition to the regular ones.
     void sendFullReport();
     void setPeers(const std::vector<ReportPeer> &peers);
 
 private:
-    void receive();
-    void datagramReceived(std::size_t size);
     void tick();
     void send(bool isLoadOnly);
-    void sendTo(const std::vector<boost::asio::ip::udp::endpoint> &peers, const LoadReport &report);
+    void sendTo(const std::vector<Address> &peers, const LoadReport &report);
 
     GatewayCore &m_core;
     std::uint64_t m_incarnation;
     std::function<void(const StoreKnowledge &)> m_onKnowledge;
     std::uint64_t m_lastSequenceNumber = 0;
-    boost::asio::ip::udp::socket m_socket;
-    boost::asio::ip::udp::endpoint m_sender;
-    std::array<std::uint8_t, 65536> m_datagram {};
     boost::asio::steady_timer m_timer;
-    std::vector<boost::asio::ip::udp::endpoint> m_localPeers;
-    std::vector<boost::asio::ip::udp::endpoint> m_remotePeers;
+    std::vector<Address> m_localPeers;
+    std::vector<Address> m_remotePeers;
     TimePoint m_startedAt;
     TimePoint m_lastFullReportAt;
 };
--- /dev/null
+++ b/packages/gateway/src/streamcodec.h
@@ -0,0 +1,17 @@
+#pragma once
+
+#include <monsoonward/dispatch/dispatch.h>
+
+#include <vector>
+
+namespace monsoonward
+{
+
+/// @return whether the datagram is a message about a stream; otherwise it is a load report
+bool isStreamMessage(const std::uint8_t *bytes, std::size_t size);
+/// @return the message in its binary form, of a fixed size
+std::vector<std::uint8_t> encodeStreamMessage(const StreamMessage &message);
+/// Errors: Invalid.
+Result<StreamMessage> decodeStreamMessage(const std::uint8_t *bytes, std::size_t size);
+
+} // namespace monsoonward
--- /dev/null
+++ b/packages/gateway/src/streamexchange.h
@@ -0,0 +1,54 @@
+#pragma once
+
+#include "gatewaymetrics.h"
+#include "peersocket.h"
+
+#include <monsoonward/dispatch/dispatch.h>
+
+#include <boost/asio/steady_timer.hpp>
+
+namespace monsoonward
+{
+
+/// @brief Connects the directory of streams to the other gateways: sends its messages, and calls it in time.
+class StreamExchange : private StreamMessenger
+{
+public:
+    /// @param fleet, peers, metrics must outlive this object
+    StreamExchange(boost::asio::io_context &io,
+                   const Clock &clock,
+                   const HostName &own,
+                   const FleetView &fleet,
+                   PeerSocket &peers,
+                   GatewayMetrics &metrics);
+
+    void setPeers(std::vector<StreamPeer> peers);
+    /// The first event of a stream has arrived and hasn't been passed on yet.
+    /// @param left until the time limit of the caller
+    void begin(const StreamKey &stream, const EngineRecord &engine, Duration left);
+    /// An engine registered with another build under its name.
+    /// @return number of streams that are doubtful now
+    std::size_t buildChanged(const EngineRecord &former);
+    /// @param found called once, at once or when other gateways have answered
+    void find(const StreamKey &stream, StreamDirectory::Found found);
+    /// @return what this gateway knows
+    std::optional<StreamOrigin> findHere(const StreamKey &stream) const;
+    /// Errors: Invalid if the datagram is malformed.
+    Result<void> receive(const PeerSocket::Datagram &datagram);
+    /// Drops expired streams; to be called regularly.
+    void expire();
+    const StreamDirectory &directory() const;
+
+private:
+    void send(const Address &to, const StreamMessage &message) override;
+    void armTimer();
+
+    const Clock &m_clock;
+    PeerSocket &m_peers;
+    GatewayMetrics &m_metrics;
+    StreamDirectory m_directory;
+    boost::asio::steady_timer m_timer;
+    std::optional<TimePoint> m_armedFor;
+};
+
+} // namespace monsoonward
--- a/packages/values/include/monsoonward/values/eventlog.h
+++ b/packages/values/include/monsoonward/values/eventlog.h
@@ -73,6 +73,7 @@
     EngineLimitStated = 6107,
     EngineLimitLifted = 6108,
     EngineLimitMalformed = 6109,
+    EngineVersionChanged = 6110,
     GatewaysChanged = 6201,
     GatewaySilent = 6202,
     GatewayHeard = 6203,
