Compare ways to know where streams began by the number of gateways

A simulation of fleets of 4, 22, 68 and 304 gateways, with kills, restarts and lost datagrams, that runs the StreamDirectory of the gateways beside other ways.

--- /dev/null
+++ b/bench/streams/streamsimulation_test.cpp
@@ -0,0 +1,57 @@
+#include "streamsimulation.h"
+
+#include <doctest/doctest.h>
+
+using namespace monsoonward;
+using namespace std::chrono_literals;
+
+namespace
+{
+
+StreamScenario scenarioOf(unsigned gateways)
+{
+    StreamScenario scenario;
+    scenario.gateways = gateways;
+    scenario.length = 10s;
+    return scenario;
+}
+
+} // namespace
+
+TEST_CASE("streams of killed gateways are known, and what a gateway sends and holds doesn't grow with the fleet")
+{
+    for (const unsigned gateways : {4U, 22U, 68U, 304U}) {
+        CAPTURE(gateways);
+        auto scenario = scenarioOf(gateways);
+        if (gateways > 68) {
+            scenario.length = 5s;
+        }
+        const auto result = simulateStreams(scenario);
+        CHECK(result.takeUps > 50);
+        CHECK(result.knownFraction > 0.98);
+        CHECK(result.datagramsPerSecond < 3.5 * scenario.streamsPerSecond);
+        CHECK(result.bytesPerSecond < 3.5 * 31 * scenario.streamsPerSecond);
+        CHECK(result.mostHeld < 8 * 15 * static_cast<std::size_t>(scenario.streamsPerSecond));
+        CHECK(result.longestSearch < 300ms);
+    }
+}
+
+TEST_CASE("more than half of the streams are known after two fifths of the gateways were killed together")
+{
+    for (const unsigned gateways : {5U, 22U, 68U}) {
+        CAPTURE(gateways);
+        auto scenario = scenarioOf(gateways);
+        scenario.killInterval = 100s;
+        scenario.killedTogether = 0.4;
+        CHECK(simulateStreams(scenario).knownFraction > 0.8);
+    }
+}
+
+TEST_CASE("the simulation tells a method whose cost grows with the fleet")
+{
+    auto scenario = scenarioOf(68);
+    scenario.method = StreamMethod::TellRegion;
+    const auto large = simulateStreams(scenario);
+    scenario.gateways = 4;
+    CHECK(large.bytesPerSecond > 10 * simulateStreams(scenario).bytesPerSecond);
+}
