Explain all attempts at a stream together

monsoonctl explain showed one request; the attempts at a stream that callers take up have an ID each. It now finds the first request and all that resume it, whichever ID is given, and names the request in each line if there are several. Test: explain_test, three IDs of one stream give the same explanation.

--- a/apps/monsoonctl/explain.cpp
+++ b/apps/monsoonctl/explain.cpp
@@ -44,21 +44,23 @@
         && json.contains("what") && json["what"].is_string();
 }
 
-bool isAbout(const Json &record, const std::string &request)
+std::string requestOf(const Json &record)
 {
     const auto it = record.find("request");
-    return it != record.end() && it->is_string() && it->get<std::string>() == request;
+    return it != record.end() && it->is_string() ? it->get<std::string>() : std::string();
 }
 
-std::string formatRecord(const Json &record)
+/// @param hasOneRequest the explanation is about one request, whose ID isn't repeated in each line
+std::string formatRecord(const Json &record, bool hasOneRequest)
 {
-    static const std::set<std::string> hiddenFields {"time", "host", "what", "life", "severity", "event", "request"};
+    static const std::set<std::string> headerFields {"time", "host", "what", "life", "severity", "event"};
     std::ostringstream out;
     out << record["time"].get<std::int64_t>() << " " << record["host"].get<std::string>() << " "
         << record["what"].get<std::string>();
     for (const auto &[name, value] : record.items()) {
         const bool isEmpty = value.is_string() && value.get<std::string>().empty();
-        if (hiddenFields.count(name) == 0 && !isEmpty) {
+        const bool isHidden = headerFields.count(name) != 0 || (hasOneRequest && name == "request");
+        if (!isHidden && !isEmpty) {
             out << " " << name << "=" << (value.is_string() ? value.get<std::string>() : value.dump());
         }
     }
@@ -118,18 +120,47 @@
 
 } // namespace
 
+void StreamChain::read(std::istream &log)
+{
+    std::string line;
+    while (std::getline(log, line)) {
+        if (line.find("\"resumes\":\"") == std::string::npos) {
+            continue; // parsing takes most of the time
+        }
+        const auto record = Json::parse(line, nullptr, false);
+        if (isRecord(record)) {
+            if (const auto first = fieldOr<std::string>(record, "resumes", ""); !first.empty()) {
+                m_firstRequests[requestOf(record)] = first;
+            }
+        }
+    }
+}
+
+std::set<std::string> StreamChain::requestsWith(const std::string &request) const
+{
+    const auto known = m_firstRequests.find(request);
+    const auto &first = known == m_firstRequests.end() ? request : known->second;
+    std::set<std::string> requests {request, first};
+    for (const auto &it : m_firstRequests) {
+        if (it.second == first) {
+            requests.insert(it.first);
+        }
+    }
+    return requests;
+}
+
 struct Explanation::Data
 {
-    std::string request;
-    std::vector<Json> requestRecords; // records of the request
+    std::set<std::string> requests;
+    std::vector<Json> requestRecords; // records of the requests
     std::vector<Json> contextRecords; // records about engines, the configuration, the store and other gateways
     unsigned malformedLineCount = 0;
 };
 
-Explanation::Explanation(std::string request)
+Explanation::Explanation(std::set<std::string> requests)
     : m_data(std::make_unique<Data>())
 {
-    m_data->request = std::move(request);
+    m_data->requests = std::move(requests);
 }
 
 Explanation::~Explanation() = default;
@@ -144,7 +175,7 @@
             continue;
         }
         const auto event = record["event"].get<int>();
-        if (isAbout(record, m_data->request)) {
+        if (m_data->requests.count(requestOf(record)) != 0) {
             m_data->requestRecords.push_back(std::move(record));
         } else if (event >= firstContextEvent && (event < firstRequestEvent || event > lastRequestEvent)) {
             m_data->contextRecords.push_back(std::move(record));
@@ -174,7 +205,7 @@
     std::stable_sort(records.begin(), records.end(), isEarlier);
     std::string text;
     for (const auto &it : records) {
-        text += formatRecord(it) + "\n";
+        text += formatRecord(it, m_data->requests.size() == 1) + "\n";
     }
     return text;
 }
--- a/apps/monsoonctl/explain.h
+++ b/apps/monsoonctl/explain.h
@@ -1,19 +1,35 @@
 #pragma once
 
 #include <iosfwd>
+#include <map>
 #include <memory>
+#include <set>
 #include <string>
 
 namespace monsoonctl
 {
 
-/// @brief Collects from gateways' logs the records that explain the outcome of one request: the records of the request,
-/// and earlier ones of the same gateways about its engines, the configuration, the store and the other gateways. The
-/// limits that its engines stated, or all engines if limits refused it, are included however old they are.
+/// @brief Finds in gateways' logs which requests belong to one stream: the one that brought its first event, and those
+/// that took it up.
+class StreamChain
+{
+public:
+    void read(std::istream &log);
+    /// @return the request and all others of its stream
+    std::set<std::string> requestsWith(const std::string &request) const;
+
+private:
+    std::map<std::string, std::string> m_firstRequests; // of the streams, by the requests that took them up
+};
+
+/// @brief Collects from gateways' logs the records that explain the outcome of one request, or of the requests of one
+/// stream: their records, and earlier ones of the same gateways about its engines, the configuration, the store and the
+/// other gateways. The limits that its engines stated, or all engines if limits refused it, are included however old
+/// they are.
 class Explanation
 {
 public:
-    explicit Explanation(std::string request);
+    explicit Explanation(std::set<std::string> requests);
     ~Explanation();
     Explanation(const Explanation &) = delete;
     Explanation &operator=(const Explanation &) = delete;
--- a/apps/monsoonctl/explain_test.cpp
+++ b/apps/monsoonctl/explain_test.cpp
@@ -29,7 +29,7 @@
     std::istringstream second(record(58000, "g2", 5001, "store-unavailable", "")
                               + record(30000, "g1", 4001, "configuration-adopted", R"(,"revision":3)")
                               + record(55000, "g1", 4001, "configuration-adopted", R"(,"revision":4)"));
-    Explanation explanation("r1");
+    Explanation explanation({"r1"});
     explanation.read(first);
     explanation.read(second);
     CHECK(explanation.text()
@@ -52,7 +52,7 @@
         + record(61000, "g1", 6108, "engine-limit-lifted", R"(,"engine":"e2")");
     const auto explain = [&](const char *request) {
         std::istringstream in(log);
-        Explanation explanation(request);
+        Explanation explanation({request});
         explanation.read(in);
         return explanation.text();
     };
@@ -66,8 +66,32 @@
 TEST_CASE("a request that is not in the logs has no explanation")
 {
     std::istringstream log(record(1, "g", 6001, "served", R"(,"request":"other")"));
-    Explanation explanation("r1");
+    Explanation explanation({"r1"});
     explanation.read(log);
     CHECK(explanation.text().empty());
     CHECK(explanation.malformedLines() == 0);
 }
+
+TEST_CASE("an explanation of a stream has all requests that took it up, whichever of them is named")
+{
+    const std::string log =
+        record(1000, "g1", 6003, "attempt-failed", R"(,"request":"r1","engine":"e1","version":"v1","events":2)")
+        + record(1100, "g1", 6002, "broken-off", R"(,"request":"r1","engine":"e1","version":"v1","resumes":"")")
+        + record(1200, "g2", 6002, "refused", R"(,"request":"r2","resumes":"r1","reason":"stream-unknown")")
+        + record(1300, "g3", 6001, "served", R"(,"request":"r3","resumes":"r1","version":"v1","known_by":"g4")")
+        + record(1400, "g3", 6001, "served", R"(,"request":"r4","resumes":"other","version":"v2")");
+    for (const auto *it : {"r1", "r2", "r3"}) {
+        std::istringstream first(log);
+        std::istringstream second(log);
+        monsoonctl::StreamChain chain;
+        chain.read(first);
+        Explanation explanation(chain.requestsWith(it));
+        explanation.read(second);
+        CHECK(explanation.text()
+              == "1000 g1 attempt-failed engine=e1 events=2 request=r1 version=v1\n"
+                 "1100 g1 broken-off engine=e1 request=r1 version=v1\n"
+                 "1200 g2 refused reason=stream-unknown request=r2 resumes=r1\n"
+                 "1300 g3 served known_by=g4 request=r3 resumes=r1 version=v1\n");
+    }
+    CHECK(monsoonctl::StreamChain().requestsWith("r9") == std::set<std::string> {"r9"});
+}
--- a/apps/monsoonctl/main.cpp
+++ b/apps/monsoonctl/main.cpp
@@ -9,7 +9,9 @@
 
 #include <cstdlib>
 #include <fstream>
+#include <functional>
 #include <iostream>
+#include <sstream>
 
 namespace po = boost::program_options;
 
@@ -70,21 +72,36 @@
     }
 };
 
-/// Reads the logs @p files, or standard input when there are none, and prints the records that explain the request's
-/// outcome.
-ExitCode explain(const std::string &request, const std::vector<std::string> &files)
+/// Calls @p read with each of the logs @p files, or with @p standardInput when there are none.
+void readLogs(const std::vector<std::string> &files,
+              const std::string &standardInput,
+              const std::function<void(std::istream &)> &read)
 {
-    monsoonctl::Explanation explanation(request);
     if (files.empty()) {
-        explanation.read(std::cin);
+        std::istringstream in(standardInput);
+        read(in);
     }
     for (const auto &it : files) {
         std::ifstream in(it);
         if (!in) {
             throw std::runtime_error("cannot read the log \"" + it + "\"");
         }
-        explanation.read(in);
+        read(in);
+    }
+}
+
+/// Reads the logs @p files, or standard input when there are none, and prints the records that explain the outcome of
+/// the request and of the others of its stream.
+ExitCode explain(const std::string &request, const std::vector<std::string> &files)
+{
+    std::ostringstream standardInput;
+    if (files.empty()) {
+        standardInput << std::cin.rdbuf();
     }
+    monsoonctl::StreamChain chain;
+    readLogs(files, standardInput.str(), [&](std::istream &in) { chain.read(in); });
+    monsoonctl::Explanation explanation(chain.requestsWith(request));
+    readLogs(files, standardInput.str(), [&](std::istream &in) { explanation.read(in); });
     if (explanation.malformedLines() != 0) {
         std::cerr << "monsoonctl: " << explanation.malformedLines() << " lines skipped that are not log records\n";
     }
