Keep customers' limits that cover only a few requests with many gateways

Cause: when the bucket was half full, each gateway granted every request that the level covered; 24 gateways with demand of ten times the limit did so before they heard of each other. Now a gateway counts what the customer asks of the others between two reports. If the level doesn't cover that as well, all gateways together grant about half of the level: each grants a part of its requests.

--- a/packages/dispatch/include/monsoonward/dispatch/allotments.h
+++ b/packages/dispatch/include/monsoonward/dispatch/allotments.h
@@ -12,7 +12,8 @@
 {
     double reportingFraction = 1; ///< fraction of the limit for this daemon and those whose reports it receives
     double ownFraction = 1; ///< this daemon's fraction of what they may spend together
-    MONSOONWARD_FIELDS(reportingFraction, ownFraction)
+    double unreportedUnits = 0; ///< units that the customer requests from other daemons between two of their reports
+    MONSOONWARD_FIELDS(reportingFraction, ownFraction, unreportedUnits)
 };
 
 /// @brief By how much a customer's requests may exceed its limit, since daemons count separately.
@@ -31,12 +32,17 @@
 /// was granted the level is negative, and all daemons refuse requests until it has recovered. A bucket starts empty
 /// because the previous incarnation of this process may have spent its contents.
 ///
+/// In a large fleet the level covers only a few requests, and many daemons get requests before they hear of each
+/// other's grants. Each then grants only some of the requests that the level covers, so that all together grant about
+/// half of it.
+///
 /// Part of the tolerance is added to the limit, so that a customer within its limit isn't refused because reports are
 /// late.
 class RateLimiter
 {
 public:
-    explicit RateLimiter(const RateLimitTolerance &tolerance = {});
+    /// @param seed different for each daemon: decides which of the requests are granted if only some are
+    explicit RateLimiter(const RateLimitTolerance &tolerance = {}, std::uint64_t seed = 0);
 
     /// Applies the customers' limits. A bucket that holds more than its new size is cut down to it.
     void configure(const ServingConfiguration &configuration, TimePoint now);
@@ -69,6 +75,7 @@
         }
         TokenBucket tokens;
         double spent = 0; // granted by this daemon
+        double credit = 0; // of the requests of which only some are granted; one is granted when it reaches 1
         double demand = 0; // units per second, exponentially averaged
         TimePoint demandUpdatedAt;
     };
@@ -76,9 +83,11 @@
     double rateOf(const CustomerConfiguration &customer) const;
     double burstOf(const CustomerConfiguration &customer) const;
     double requiredLevel(const CustomerConfiguration &customer, double units, const RateLimitShare &share) const;
+    static bool mayGrantBesideOthers(Bucket &bucket, double units, const RateLimitShare &share);
     static double currentDemand(const Bucket &bucket, TimePoint now);
 
     RateLimitTolerance m_tolerance;
+    std::uint64_t m_seed;
     std::map<CustomerName, Bucket> m_buckets;
 };
 
--- a/packages/dispatch/include/monsoonward/dispatch/fleetview.h
+++ b/packages/dispatch/include/monsoonward/dispatch/fleetview.h
@@ -108,6 +108,10 @@
     /// @return this daemon's fraction of what the reporting daemons may spend together: a small part is divided evenly,
     /// the rest in proportion to demand
     double ownFractionFor(const CustomerName &customer, double ownDemand, TimePoint now) const;
+    /// Sets the time between two full reports of a daemon.
+    void setReportInterval(Duration interval);
+    /// @return units that the customer requests from the reporting daemons between two of their reports
+    double unreportedUnits(const CustomerName &customer, TimePoint now) const;
     /// @return callers' requests per second for the service at each reporting member; nothing for one that doesn't
     /// state its demand
     std::map<HostName, std::optional<double>> serviceDemands(const ServiceName &service, TimePoint now) const;
@@ -123,6 +127,7 @@
         LoadReport report;
     };
 
+    double reportedDemand(const CustomerName &customer, TimePoint now) const;
     void addToSums(const LoadReport &report);
     void removeFromSums(const LoadReport &report);
 
@@ -131,6 +136,7 @@
     std::map<EngineName, std::uint32_t> m_requests;
     std::map<EngineName, std::uint32_t> m_leaving; // number of daemons that the engine told that it is leaving
     Duration m_silenceTimeout = silenceTimeout;
+    Duration m_reportInterval {};
     std::map<HostName, TimePoint> m_unregistered; // last reports of daemons that aren't members yet
 };
 
--- a/packages/dispatch/src/allotments.cpp
+++ b/packages/dispatch/src/allotments.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <xxhash.h>
 
 namespace monsoonward
 {
@@ -15,13 +16,16 @@
 constexpr double minReportedDemand = 0.01; // units per second
 constexpr double wellFilledFraction = 0.5; // of the bucket size; the other daemons' reports arrive before it is spent
 
+constexpr double concurrentFraction = 0.5; // of the level; what all daemons grant on average before they hear of it
+
 constexpr double grantedRatioFraction = 0.5; // of the tolerance's ratio; the rest covers late reports
 constexpr double grantedUnitsFraction = 0.2; // of its units; the rest covers daemons cut off or just started
 
 } // namespace
 
-RateLimiter::RateLimiter(const RateLimitTolerance &tolerance)
+RateLimiter::RateLimiter(const RateLimitTolerance &tolerance, std::uint64_t seed)
     : m_tolerance(tolerance)
+    , m_seed(seed)
 {
 }
 
@@ -51,6 +55,11 @@
     for (const auto &it : configuration.customers) {
         const auto old = m_buckets.find(it.name);
         auto &bucket = kept.emplace(it.name, old == m_buckets.end() ? Bucket(now) : old->second).first->second;
+        if (old == m_buckets.end()) {
+            const auto &name = it.name.text();
+            constexpr double steps = 1024;
+            bucket.credit = static_cast<double>(XXH3_64bits_withSeed(name.data(), name.size(), m_seed) % 1024) / steps;
+        }
         bucket.tokens.limitTo(burstOf(it));
     }
     m_buckets = std::move(kept);
@@ -70,7 +79,7 @@
     bucket.tokens.refill(rateOf(customer) * share.reportingFraction, burstOf(customer) * share.reportingFraction, now);
     bucket.demand = currentDemand(bucket, now) + units / demandDecayTime.count();
     bucket.demandUpdatedAt = now;
-    if (bucket.tokens.level() < requiredLevel(customer, units, share)) {
+    if (bucket.tokens.level() < requiredLevel(customer, units, share) || !mayGrantBesideOthers(bucket, units, share)) {
         return false;
     }
     bucket.tokens.take(units);
@@ -78,6 +87,22 @@
     return true;
 }
 
+/// @return whether to grant a request that the level covers, although other daemons may grant requests unheard
+bool RateLimiter::mayGrantBesideOthers(Bucket &bucket, double units, const RateLimitShare &share)
+{
+    const double level = bucket.tokens.level();
+    if (share.unreportedUnits <= 0 || level - units >= share.unreportedUnits || level * share.ownFraction >= units) {
+        return true;
+    }
+    const double concurrentRequests = 1 + share.unreportedUnits / units;
+    bucket.credit += std::min(1.0, concurrentFraction * std::max(1.0, level / units) / concurrentRequests);
+    if (bucket.credit < 1) {
+        return false;
+    }
+    bucket.credit -= 1;
+    return true;
+}
+
 void RateLimiter::refund(const CustomerName &customer, double units)
 {
     const auto it = m_buckets.find(customer);
--- a/packages/dispatch/src/fleetview.cpp
+++ b/packages/dispatch/src/fleetview.cpp
@@ -197,21 +197,33 @@
     return reporting / static_cast<double>(size());
 }
 
-double FleetView::ownFractionFor(const CustomerName &customer, double ownDemand, TimePoint now) const
+double FleetView::reportedDemand(const CustomerName &customer, TimePoint now) const
 {
-    double reporting = 1;
-    double demand = ownDemand;
+    double demand = 0;
     for (const auto &[host, member] : m_members) {
-        if (!isReporting(host, now)) {
-            continue;
-        }
-        ++reporting;
         const auto reported = member.report.demand.find(customer);
-        demand += reported == member.report.demand.end() ? 0 : reported->second;
+        demand += isReporting(host, now) && reported != member.report.demand.end() ? reported->second : 0;
     }
+    return demand;
+}
+
+double FleetView::ownFractionFor(const CustomerName &customer, double ownDemand, TimePoint now) const
+{
+    const double reporting = reportingFraction(now) * static_cast<double>(size());
+    const double demand = ownDemand + reportedDemand(customer, now);
     return demand <= 0 ? 1 / reporting : evenFraction / reporting + (1 - evenFraction) * ownDemand / demand;
 }
 
+void FleetView::setReportInterval(Duration interval)
+{
+    m_reportInterval = interval;
+}
+
+double FleetView::unreportedUnits(const CustomerName &customer, TimePoint now) const
+{
+    return reportedDemand(customer, now) * std::chrono::duration<double>(m_reportInterval).count();
+}
+
 std::map<HostName, std::optional<double>> FleetView::serviceDemands(const ServiceName &service, TimePoint now) const
 {
     std::map<HostName, std::optional<double>> demands;
--- a/packages/gateway/src/exchangeadmission.cpp
+++ b/packages/gateway/src/exchangeadmission.cpp
@@ -118,7 +118,9 @@
     const auto tokens = stated.empty() ? std::nullopt : sumOfList(stated);
     const auto units = m_customer->countsTokens ? tokens.value_or(m_customer->defaultRequestUnits) : 1.0;
     const auto demand = m_core.rateLimiter.demand(name, now) + units;
-    const RateLimitShare share {m_core.fleet.reportingFraction(now), m_core.fleet.ownFractionFor(name, demand, now)};
+    const RateLimitShare share {m_core.fleet.reportingFraction(now),
+                                m_core.fleet.ownFractionFor(name, demand, now),
+                                m_core.fleet.unreportedUnits(name, now)};
     if (!m_core.rateLimiter.take(*m_customer, units, share, now)) {
         const auto wait = m_core.rateLimiter.waitTime(*m_customer, units, share);
         const auto text = [](double n) { return std::to_string(static_cast<std::int64_t>(n)); };
--- a/packages/gateway/src/gatewaycore.cpp
+++ b/packages/gateway/src/gatewaycore.cpp
@@ -1,5 +1,7 @@
 #include "gatewaycore.h"
 
+#include <xxhash.h>
+
 namespace monsoonward
 {
 
@@ -16,7 +18,7 @@
     , log(log)
     , metrics(metrics)
     , freshness(settings.freshness)
-    , rateLimiter(settings.rateLimitTolerance)
+    , rateLimiter(settings.rateLimitTolerance, XXH3_64bits(settings.host.text().data(), settings.host.text().size()))
     , retryBudget(settings.retryBudget, clock.now())
     , fleet(settings.host)
     , limitDivision(settings.topology, settings.host, fleet)
--- a/packages/gateway/src/loadreports.cpp
+++ b/packages/gateway/src/loadreports.cpp
@@ -58,6 +58,7 @@
     // In large fleets the silence timeout grows with the interval: at least as many reports fit into it as at
     // maxInterval.
     const auto interval = intervalFor(peers.size(), peersAtMinInterval);
+    m_core.fleet.setReportInterval(interval);
     m_core.fleet.setSilenceTimeout(
         std::max<Duration>(FleetView::silenceTimeout, interval * (FleetView::silenceTimeout / maxInterval + 1)));
 }
