--- a/packages/dispatch/src/streamdirectory_test.cpp
+++ b/packages/dispatch/src/streamdirectory_test.cpp
@@ -147,7 +147,7 @@
             CHECK(finding.origin->build == buildOf(engineOf("v1")));
             CHECK(!finding.origin->isDoubtful);
         }
-        CHECK(fleet.asks <= 5 * 2 * StreamDirectory::defaultHolders);
+        CHECK(fleet.asks <= std::size_t {5} * 2 * StreamDirectory::defaultHolders);
     }
 }
 
