--- a/bench/streams/streamsimulation_test.cpp
+++ b/bench/streams/streamsimulation_test.cpp
@@ -31,7 +31,7 @@
         CHECK(result.knownFraction > 0.98);
         CHECK(result.datagramsPerSecond < 3.5 * scenario.streamsPerSecond);
         CHECK(result.bytesPerSecond < 3.5 * 31 * scenario.streamsPerSecond);
-        CHECK(result.mostHeld < 8 * 15 * static_cast<std::size_t>(scenario.streamsPerSecond));
+        CHECK(result.mostHeld < std::size_t {8} * 15 * static_cast<std::size_t>(scenario.streamsPerSecond));
         CHECK(result.longestSearch < 300ms);
     }
 }
