An empty ID of the last event begins a new stream

Cause: any Last-Event-Id header made a request a take-up, which is refused without the name of the stream. Clients without an event send it empty. Change: only a header with a value does. Result: the new test in takeup_test fails before (503) and passes.

--- a/packages/gateway/src/exchangestream.cpp
+++ b/packages/gateway/src/exchangestream.cpp
@@ -21,7 +21,9 @@
 bool Exchange::isTakeUp() const
 {
     const auto &dialect = m_core.adapter.dialect();
-    return m_route->isStream && (m_request.count(dialect.resumes) != 0 || m_request.count(dialect.lastEventId) != 0);
+    const auto [first, last] = m_request.base().equal_range(dialect.lastEventId);
+    const bool hasLastEvent = std::any_of(first, last, [](const auto &it) { return !it.value().empty(); });
+    return m_route->isStream && (m_request.count(dialect.resumes) != 0 || hasLastEvent);
 }
 
 StreamKey Exchange::streamKey(std::string_view request) const
--- a/packages/gateway/src/takeup_test.cpp
+++ b/packages/gateway/src/takeup_test.cpp
@@ -87,6 +87,15 @@
     CHECK(m_first.requests().empty());
 }
 
+// Clients that have no event yet may send the header without a value.
+TEST_CASE_FIXTURE(StreamFixture, "a request with an empty ID of the last event begins a new stream")
+{
+    add("a", "v1", m_first);
+    start();
+    CHECK(statusOf(exchange(request("/stream/", "Last-Event-Id: \r\n"))) == 200);
+    CHECK(m_first.requests().size() == 1);
+}
+
 TEST_CASE_FIXTURE(StreamFixture, "a stream of another customer is unknown")
 {
     add("a", "v1", m_first);
