Gateways divide the connections that an engine accepts

Cause: each gateway kept up to 16 idle connections to an engine, whatever the number of gateways, and the number that the configuration states was decoded but not used. Change: ConnectionDivision gives each gateway its share of what the engine accepts beside the requests in progress; the rest of the division goes to gateways by rendezvous hashing. The pool keeps no more, also when the fleet grows. Result: connectiondivision_test, enginepool_test.

--- a/packages/dispatch/include/monsoonward/dispatch/dispatch.h
+++ b/packages/dispatch/include/monsoonward/dispatch/dispatch.h
@@ -4,6 +4,7 @@
 /// to engines. It does no I/O; the current time is passed in.
 #include "monsoonward/dispatch/allotments.h"
 #include "monsoonward/dispatch/attempts.h"
+#include "monsoonward/dispatch/connectiondivision.h"
 #include "monsoonward/dispatch/crashsuspects.h"
 #include "monsoonward/dispatch/customertable.h"
 #include "monsoonward/dispatch/enginebuild.h"
--- a/packages/gateway/src/enginepool.cpp
+++ b/packages/gateway/src/enginepool.cpp
@@ -8,16 +8,16 @@
 namespace
 {
 
-constexpr std::size_t maxIdlePerEngine = 16; // connections that a burst opened beyond this are closed
 constexpr Duration defaultKeepAliveTimeout = std::chrono::seconds(4); // if the engine sends no Keep-Alive timeout
 constexpr Duration keepAliveMargin =
     std::chrono::milliseconds(700); // for the engine's timer and the request's time in transit
 
 } // namespace
 
-EnginePool::EnginePool(boost::asio::io_context &io, const Clock &clock)
+EnginePool::EnginePool(boost::asio::io_context &io, const Clock &clock, const ConnectionDivision &division)
     : m_io(io)
     , m_clock(clock)
+    , m_division(division)
 {
 }
 
@@ -65,7 +65,7 @@
 void EnginePool::release(const EngineRecord &engine, std::unique_ptr<EngineConnection> connection)
 {
     auto &idle = m_idle[engine.name];
-    if (idle.size() >= maxIdlePerEngine) {
+    if (idle.size() >= m_division.ownIdleShare(engine)) {
         return;
     }
     const auto keepAliveTimeout =
@@ -108,7 +108,12 @@
         idle.erase(
             std::remove_if(idle.begin(), idle.end(), [&](const IdleConnection &one) { return now >= one.expiresAt; }),
             idle.end());
-        it = idle.empty() || directory.find(it->first) == nullptr ? m_idle.erase(it) : std::next(it);
+        const auto *engine = directory.find(it->first);
+        const auto share = engine == nullptr ? 0 : m_division.ownIdleShare(*engine);
+        if (idle.size() > share) {
+            idle.erase(idle.begin(), idle.end() - static_cast<std::ptrdiff_t>(share));
+        }
+        it = idle.empty() ? m_idle.erase(it) : std::next(it);
     }
 }
 
--- a/packages/gateway/src/enginepool.h
+++ b/packages/gateway/src/enginepool.h
@@ -34,11 +34,12 @@
 };
 
 /// @brief Pool of idle connections to engines. A connection is removed as soon as the engine closes it or sends
-/// unsolicited data.
+/// unsolicited data. Of the connections to an engine, the pool keeps this gateway's share.
 class EnginePool
 {
 public:
-    EnginePool(boost::asio::io_context &io, const Clock &clock);
+    /// @param clock, division must outlive this object
+    EnginePool(boost::asio::io_context &io, const Clock &clock, const ConnectionDivision &division);
     EnginePool(const EnginePool &) = delete;
     EnginePool &operator=(const EnginePool &) = delete;
 
@@ -47,7 +48,8 @@
     std::unique_ptr<EngineConnection> acquire(const EngineRecord &engine);
     /// Returns a connection without outstanding request or response to the pool.
     void release(const EngineRecord &engine, std::unique_ptr<EngineConnection> connection);
-    /// Closes connections that have been idle for too long, and those to engines that are not in @p directory.
+    /// Closes connections that have been idle for too long, those beyond this gateway's share, and those to engines
+    /// that are not in @p directory.
     void expire(const EngineDirectory &directory);
     /// Reports that bytes followed a response of the engine. The connection must not be used again.
     void reportExtraBytes(const EngineName &engine) const;
@@ -69,6 +71,7 @@
 
     boost::asio::io_context &m_io;
     const Clock &m_clock;
+    const ConnectionDivision &m_division;
     std::map<EngineName, std::vector<IdleConnection>> m_idle;
     std::uint64_t m_lastId = 0;
 };
--- a/packages/gateway/src/enginepool_test.cpp
+++ b/packages/gateway/src/enginepool_test.cpp
@@ -17,6 +17,7 @@
     {
         m_engine.name = EngineName("e");
         m_engine.address = {"127.0.0.1", m_acceptor.local_endpoint().port()};
+        m_engine.service = ServiceName("s");
         auto connection = std::make_unique<EngineConnection>(m_io);
         connection->socket.connect(m_acceptor.local_endpoint());
         m_acceptor.accept(m_peer);
@@ -32,7 +33,9 @@
     tcp::acceptor m_acceptor {m_io, {boost::asio::ip::address_v4::loopback(), 0}};
     tcp::socket m_peer {m_io};
     SteadyClock m_clock;
-    EnginePool m_pool {m_io, m_clock};
+    FleetView m_fleet {HostName("own")};
+    ConnectionDivision m_division {HostName("own"), m_fleet};
+    EnginePool m_pool {m_io, m_clock, m_division};
     EngineRecord m_engine;
     unsigned m_reports = 0;
 };
@@ -75,3 +78,27 @@
     m_peer.read_some(boost::asio::buffer(&byte, 1), ec);
     CHECK(ec);
 }
+
+// Gateways of a large fleet kept as many as those of a small one, more than the engines accept.
+TEST_CASE_FIXTURE(PoolFixture, "connections beyond the gateway's share are closed")
+{
+    EngineDirectory directory;
+    directory.put(m_engine);
+    m_pool.expire(directory);
+    ServingConfiguration configuration;
+    configuration.services.push_back({ServiceName("s"), 2, false});
+    m_division.configure(configuration);
+    std::vector<HostName> hosts;
+    for (unsigned n = 0; n < 1000; ++n) {
+        hosts.emplace_back("g" + std::to_string(n));
+    }
+    m_fleet.setMembers(hosts, m_clock.now());
+    m_division.setMembers(hosts);
+    REQUIRE(m_division.ownIdleShare(m_engine) == 0);
+    m_pool.expire(directory);
+    CHECK(m_pool.acquire(m_engine) == nullptr);
+    auto connection = std::make_unique<EngineConnection>(m_io);
+    connection->socket.connect(m_acceptor.local_endpoint());
+    m_pool.release(m_engine, std::move(connection));
+    CHECK(m_pool.acquire(m_engine) == nullptr);
+}
--- a/packages/gateway/src/gatewaycore.cpp
+++ b/packages/gateway/src/gatewaycore.cpp
@@ -24,7 +24,8 @@
     , limitDivision(settings.topology, settings.host, fleet)
     , engineLimiter(engineLimits, limitDivision)
     , placer(makeFirstBytesPlacer(settings.topology, engines, health, fleet, engineLimiter))
-    , pool(io, clock)
+    , connectionDivision(settings.host, fleet)
+    , pool(io, clock, connectionDivision)
     , peers(io)
     , streams(io, clock, settings.host, fleet, peers, metrics)
 {
--- a/packages/gateway/src/gatewaycore.h
+++ b/packages/gateway/src/gatewaycore.h
@@ -55,6 +55,7 @@
     LimitDivision limitDivision;
     EngineLimiter engineLimiter;
     std::unique_ptr<Placer> placer;
+    ConnectionDivision connectionDivision;
     EnginePool pool;
     PeerSocket peers;
     StreamExchange streams;
--- a/packages/gateway/src/gatewayprocess.cpp
+++ b/packages/gateway/src/gatewayprocess.cpp
@@ -252,6 +252,7 @@
         m_core.activeConfiguration = std::make_shared<const ActiveConfiguration>(
             std::make_shared<const ServingConfiguration>(configuration), m_hashSeed);
         m_core.rateLimiter.configure(configuration, m_clock.now());
+        m_core.connectionDivision.configure(configuration);
         m_log.write(Event::ConfigurationAdopted,
                     Severity::Info,
                     "configuration-adopted",
@@ -346,6 +347,7 @@
         }
         m_core.fleet.setMembers(hosts, m_clock.now());
         m_core.limitDivision.setMembers(std::move(locations));
+        m_core.connectionDivision.setMembers(std::move(hosts));
         m_reports.setPeers(peers);
         m_core.streams.setPeers(std::move(streamPeers));
         m_store.setRegionHosts(std::move(regionHosts));
