--- a/packages/gateway/src/gatewaycore.h
+++ b/packages/gateway/src/gatewaycore.h
@@ -2,7 +2,7 @@
 
 #include "enginepool.h"
 #include "gatewaymetrics.h"
-#include "streamexchange.h"
+#include "sharedstreams.h"
 #include "structuredlog.h"
 
 #include "monsoonward/gateway/adapter.h"
@@ -58,7 +58,7 @@
     ConnectionDivision connectionDivision;
     EnginePool pool;
     PeerSocket peers;
-    StreamExchange streams;
+    SharedStreams streams;
     StoreKnowledge knowledge; ///< what this gateway has read from the store, for its load reports
     std::size_t openRequests = 0;
     std::size_t openBodyBytes = 0; ///< bytes of request bodies in memory
--- a/packages/gateway/src/gatewayprocess.cpp
+++ b/packages/gateway/src/gatewayprocess.cpp
@@ -6,6 +6,7 @@
 #include "loadreports.h"
 #include "memberlist.h"
 #include "statusserver.h"
+#include "storechanges.h"
 #include "storewatch.h"
 #include "streamcodec.h"
 
@@ -67,7 +68,7 @@
         , m_signals(m_io, SIGTERM, SIGINT, SIGHUP)
         , m_tickTimer(m_io)
         , m_store(m_core, *this, m_random, [this] { m_reports.sendFullReport(); })
-        , m_hashSeed(m_random.next())
+        , m_changes(m_core, m_store, m_random.next())
         , m_status(m_core, m_store, m_callers, m_incarnation)
     {
     }
@@ -112,29 +113,11 @@
     {
         const auto &layout = m_core.adapter.storeLayout();
         if (table == layout.configurationTable) {
-            configurationRowsReceived(rows);
+            m_changes.configurationRows(rows);
         } else if (table == layout.gatewayTable) {
             m_members.rowsListed(rows);
         } else {
-            std::vector<EngineRecord> engines;
-            for (const auto &it : rows) {
-                if (auto engine = decodeEngineRow(it)) {
-                    noteVersion(*engine);
-                    engines.push_back(std::move(*engine));
-                }
-            }
-            const auto now = m_clock.now();
-            const bool isRestored = cause == ListCause::StoreRestored;
-            for (const auto &it :
-                 isRestored ? m_core.engines.replaceAfterRestore(engines, now) : m_core.engines.replace(engines, now)) {
-                engineRemoved(it, "registration-missing");
-            }
-            m_enginesListed = true;
-            m_log.write(Event::EngineListed,
-                        Severity::Info,
-                        "engines-read",
-                        {{"rows", static_cast<std::int64_t>(rows.size())},
-                         {"engines", static_cast<std::int64_t>(m_core.engines.size())}});
+            m_changes.enginesListed(rows, cause);
         }
     }
 
@@ -142,13 +125,11 @@
     {
         const auto &layout = m_core.adapter.storeLayout();
         if (table == layout.configurationTable) {
-            configurationRowsReceived(rows);
+            m_changes.configurationRows(rows);
         } else if (table == layout.gatewayTable) {
             m_members.rowsChanged(rows);
         } else {
-            for (const auto &it : rows) {
-                engineChanged(it);
-            }
+            m_changes.enginesChanged(rows);
         }
     }
 
@@ -219,112 +200,7 @@
         }
     }
 
-    // ---- changes in the store
-
-    void configurationRowsReceived(const std::vector<TableRow> &rows)
-    {
-        for (const auto &it : rows) {
-            if (it.key != m_core.adapter.storeLayout().configurationKey) {
-                continue;
-            }
-            const auto decoded = it.value ? m_core.adapter.decodeConfiguration(*it.value)
-                                          : Result<ServingConfiguration>(Error {ErrorCode::NotFound, "row removed"});
-            if (decoded) {
-                m_store.configurationRead(decoded.value().revision);
-                applyConfiguration(decoded.value());
-            } else {
-                m_log.write(Event::ConfigurationRejected,
-                            Severity::Error,
-                            "configuration-rejected",
-                            {{"reason", std::string_view(decoded.error().message)},
-                             {"row_version", static_cast<std::int64_t>(it.version)}});
-            }
-        }
-    }
-
-    void applyConfiguration(const ServingConfiguration &configuration)
-    {
-        const auto previousRevision =
-            m_core.activeConfiguration ? m_core.activeConfiguration->configuration->revision : 0;
-        if (m_core.activeConfiguration && configuration.revision <= previousRevision) {
-            return;
-        }
-        m_core.activeConfiguration = std::make_shared<const ActiveConfiguration>(
-            std::make_shared<const ServingConfiguration>(configuration), m_hashSeed);
-        m_core.rateLimiter.configure(configuration, m_clock.now());
-        m_core.connectionDivision.configure(configuration);
-        m_log.write(Event::ConfigurationAdopted,
-                    Severity::Info,
-                    "configuration-adopted",
-                    {{"revision", static_cast<std::int64_t>(configuration.revision)},
-                     {"former", static_cast<std::int64_t>(previousRevision)},
-                     {"routes", static_cast<std::int64_t>(configuration.routes.size())},
-                     {"customers", static_cast<std::int64_t>(configuration.customers.size())}});
-    }
-
-    std::optional<EngineRecord> decodeEngineRow(const TableRow &row)
-    {
-        auto engine = m_core.adapter.decodeEngine(row.key, row.value.value_or(""));
-        if (engine) {
-            return engine.value();
-        }
-        m_log.write(Event::EngineRecordRejected,
-                    Severity::Warning,
-                    "engine-record-rejected",
-                    {{"engine", std::string_view(row.key)}, {"reason", std::string_view(engine.error().message)}});
-        return std::nullopt;
-    }
-
-    void engineChanged(const TableRow &row)
-    {
-        const EngineName name(row.key);
-        const auto engine = row.value ? decodeEngineRow(row) : std::nullopt;
-        if (!engine) {
-            m_core.engines.remove(name, m_clock.now());
-            engineRemoved(name, row.value ? "record-rejected" : "registration-removed");
-            return;
-        }
-        noteVersion(*engine);
-        m_core.engines.put(*engine);
-        m_log.write(Event::EngineListed,
-                    Severity::Info,
-                    "engine-listed",
-                    {{"engine", std::string_view(name.text())},
-                     {"service", std::string_view(engine->service.text())},
-                     {"version", std::string_view(engine->softwareVersion)},
-                     {"leaving", engine->isLeaving},
-                     {"row_version", static_cast<std::int64_t>(row.version)}});
-    }
-
-    /// To be called with a registration before it replaces the one that is known.
-    void noteVersion(const EngineRecord &engine)
-    {
-        const auto *former = m_core.engines.find(engine.name);
-        if (former == nullptr || buildOf(*former) == buildOf(engine)) {
-            return;
-        }
-        const auto doubtful = m_core.streams.buildChanged(*former);
-        m_log.write(Event::EngineVersionChanged,
-                    Severity::Warning,
-                    "engine-version-changed",
-                    {{"engine", std::string_view(engine.name.text())},
-                     {"former", std::string_view(former->softwareVersion)},
-                     {"version", std::string_view(engine.softwareVersion)},
-                     {"doubtful_streams", static_cast<std::int64_t>(doubtful)}});
-    }
-
-    void engineRemoved(const EngineName &name, std::string_view reason)
-    {
-        const bool isKept = m_core.engines.find(name) != nullptr;
-        if (!isKept) {
-            m_core.health.forget(name);
-            m_core.placer->forget(name);
-        }
-        m_log.write(Event::EngineGone,
-                    Severity::Info,
-                    "engine-gone",
-                    {{"engine", std::string_view(name.text())}, {"reason", reason}, {"kept_for_now", isKept}});
-    }
+    // ---- other gateways
 
     void membersChanged(const std::vector<MemberRecord> &members)
     {
@@ -362,7 +238,8 @@
     bool isReady() const
     {
         const auto age = m_core.freshness.age(m_clock.now());
-        return !m_core.isStopping && m_core.activeConfiguration && m_enginesListed && age && *age < maxReadyProofAge;
+        return !m_core.isStopping && m_core.activeConfiguration && m_changes.haveEnginesBeenListed() && age
+            && *age < maxReadyProofAge;
     }
 
     StatusReply healthReply(const std::string &path) const
@@ -417,7 +294,7 @@
     {
         const auto now = m_clock.now();
         for (const auto &it : m_core.engines.expire(now)) {
-            engineRemoved(it, "registration-did-not-return");
+            m_changes.engineRemoved(it, "registration-did-not-return");
         }
         m_core.pool.expire(m_core.engines);
         m_core.engineLimits.expire(now);
@@ -536,11 +413,10 @@
     boost::asio::signal_set m_signals;
     boost::asio::steady_timer m_tickTimer;
     StoreWatch m_store;
-    std::uint64_t m_hashSeed;
+    StoreChanges m_changes;
     GatewayStatus m_status;
     std::set<std::string> m_unavailableTables; // tables whose last call failed
     bool m_hasLoggedMalformedEra = false;
-    bool m_enginesListed = false;
     TimePoint m_startedAt;
     TimePoint m_stoppingSince;
     bool m_isDeregistered = false;
--- a/packages/gateway/src/streamexchange.cpp
+++ b/packages/gateway/src/sharedstreams.cpp
@@ -1,4 +1,4 @@
-#include "streamexchange.h"
+#include "sharedstreams.h"
 
 #include "streamcodec.h"
 
@@ -25,12 +25,12 @@
 
 } // namespace
 
-StreamExchange::StreamExchange(boost::asio::io_context &io,
-                               const Clock &clock,
-                               const HostName &own,
-                               const FleetView &fleet,
-                               PeerSocket &peers,
-                               GatewayMetrics &metrics)
+SharedStreams::SharedStreams(boost::asio::io_context &io,
+                             const Clock &clock,
+                             const HostName &own,
+                             const FleetView &fleet,
+                             PeerSocket &peers,
+                             GatewayMetrics &metrics)
     : m_clock(clock)
     , m_peers(peers)
     , m_metrics(metrics)
@@ -39,33 +39,33 @@
 {
 }
 
-void StreamExchange::setPeers(std::vector<StreamPeer> peers)
+void SharedStreams::setPeers(std::vector<StreamPeer> peers)
 {
     m_directory.setPeers(std::move(peers));
 }
 
-void StreamExchange::begin(const StreamKey &stream, const EngineRecord &engine, Duration left)
+void SharedStreams::begin(const StreamKey &stream, const EngineRecord &engine, Duration left)
 {
     m_directory.begin(stream, engine, left, m_clock.now());
 }
 
-std::size_t StreamExchange::buildChanged(const EngineRecord &former)
+std::size_t SharedStreams::buildChanged(const EngineRecord &former)
 {
     return m_directory.buildChanged(former, m_clock.now());
 }
 
-void StreamExchange::find(const StreamKey &stream, StreamDirectory::Found found)
+void SharedStreams::find(const StreamKey &stream, StreamDirectory::Found found)
 {
     m_directory.find(stream, std::move(found), m_clock.now());
     armTimer();
 }
 
-std::optional<StreamOrigin> StreamExchange::findHere(const StreamKey &stream) const
+std::optional<StreamOrigin> SharedStreams::findHere(const StreamKey &stream) const
 {
     return m_directory.findHere(stream, m_clock.now());
 }
 
-Result<void> StreamExchange::receive(const PeerSocket::Datagram &datagram)
+Result<void> SharedStreams::receive(const PeerSocket::Datagram &datagram)
 {
     BOOST_OUTCOME_TRY(message, decodeStreamMessage(datagram.bytes, datagram.size));
     m_directory.receive(datagram.sender, message, m_clock.now());
@@ -73,23 +73,23 @@
     return boost::outcome_v2::success();
 }
 
-void StreamExchange::expire()
+void SharedStreams::expire()
 {
     m_directory.tick(m_clock.now());
 }
 
-const StreamDirectory &StreamExchange::directory() const
+const StreamDirectory &SharedStreams::directory() const
 {
     return m_directory;
 }
 
-void StreamExchange::send(const Address &to, const StreamMessage &message)
+void SharedStreams::send(const Address &to, const StreamMessage &message)
 {
     m_metrics.streamMessageSent(textOf(message.kind));
     m_peers.send(encodeStreamMessage(message), to);
 }
 
-void StreamExchange::armTimer()
+void SharedStreams::armTimer()
 {
     const auto next = m_directory.nextTickAt();
     if (next == m_armedFor) {
--- a/packages/gateway/src/streamexchange.h
+++ b/packages/gateway/src/sharedstreams.h
@@ -11,16 +11,16 @@
 {
 
 /// @brief Connects the directory of streams to the other gateways: sends its messages, and calls it in time.
-class StreamExchange : private StreamMessenger
+class SharedStreams : private StreamMessenger
 {
 public:
     /// @param fleet, peers, metrics must outlive this object
-    StreamExchange(boost::asio::io_context &io,
-                   const Clock &clock,
-                   const HostName &own,
-                   const FleetView &fleet,
-                   PeerSocket &peers,
-                   GatewayMetrics &metrics);
+    SharedStreams(boost::asio::io_context &io,
+                  const Clock &clock,
+                  const HostName &own,
+                  const FleetView &fleet,
+                  PeerSocket &peers,
+                  GatewayMetrics &metrics);
 
     void setPeers(std::vector<StreamPeer> peers);
     /// The first event of a stream has arrived and hasn't been passed on yet.
