A customer's burst is not granted again by gateways that were idle

Cause: a gateway subtracted what others granted and added what the bucket had gained only at its next request, so that the gain of a quiet time, which the size of the bucket limits, came on top. Change: the gain is added, and limited, before what others granted is subtracted. All copies of a bucket have the same level now, so gateways in large fleets may grant three fifths of it unheard in place of half.

--- a/bench/limits/limitkeeper.cpp
+++ b/bench/limits/limitkeeper.cpp
@@ -73,7 +73,7 @@
         m_fleet.expire(now);
         if (const auto changes = m_fleet.addReport(report, now)) {
             for (const auto &[customer, units] : changes->spent) {
-                m_limiter.recordRemoteSpending(customer, units);
+                m_limiter.recordRemoteSpending(customer, units, m_fleet.reportingFraction(now), now);
             }
         }
     }
--- a/packages/dispatch/include/monsoonward/dispatch/allotments.h
+++ b/packages/dispatch/include/monsoonward/dispatch/allotments.h
@@ -34,7 +34,7 @@
 ///
 /// In a large fleet the level covers only a few requests, and many daemons get requests before they hear of each
 /// other's grants. Each then grants only some of the requests that the level covers, so that all together grant about
-/// half of it.
+/// three fifths of it.
 ///
 /// Part of the tolerance is added to the limit, so that a customer within its limit isn't refused because reports are
 /// late.
@@ -53,7 +53,9 @@
     /// Returns the units of a request that was not executed.
     void refund(const CustomerName &customer, double units);
     /// Subtracts units that another daemon granted; negative if it refunded more than it granted.
-    void recordRemoteSpending(const CustomerName &customer, double units);
+    /// What the bucket has gained until then is limited to its size first.
+    /// @param reportingFraction as in RateLimitShare
+    void recordRemoteSpending(const CustomerName &customer, double units, double reportingFraction, TimePoint now);
     /// @return units per second that the customer requests from this daemon, granted or not
     double demand(const CustomerName &customer, TimePoint now) const;
     /// @return the demand of each customer with recent requests
@@ -74,6 +76,8 @@
         {
         }
         TokenBucket tokens;
+        double perSecond = 0; // growth of the tokens, for all daemons together
+        double size = 0; // of the bucket, for all daemons together
         double spent = 0; // granted by this daemon
         double credit = 0; // of the requests of which only some are granted; one is granted when it reaches 1
         double demand = 0; // units per second, exponentially averaged
@@ -82,6 +86,7 @@
 
     double rateOf(const CustomerConfiguration &customer) const;
     double burstOf(const CustomerConfiguration &customer) const;
+    void setLimit(Bucket &bucket, const CustomerConfiguration &customer) const;
     double requiredLevel(const CustomerConfiguration &customer, double units, const RateLimitShare &share) const;
     static bool mayGrantBesideOthers(Bucket &bucket, double units, const RateLimitShare &share);
     static double currentDemand(const Bucket &bucket, TimePoint now);
--- a/packages/dispatch/src/allotments.cpp
+++ b/packages/dispatch/src/allotments.cpp
@@ -16,7 +16,7 @@
 constexpr double minReportedDemand = 0.01; // units per second
 constexpr double wellFilledFraction = 0.5; // of the bucket size; the other daemons' reports arrive before it is spent
 
-constexpr double concurrentFraction = 0.5; // of the level; what all daemons grant on average before they hear of it
+constexpr double concurrentFraction = 0.6; // of the level; what all daemons grant on average before they hear of it
 
 constexpr double grantedRatioFraction = 0.5; // of the tolerance's ratio; the rest covers late reports
 constexpr double grantedUnitsFraction = 0.2; // of its units; the rest covers daemons cut off or just started
@@ -60,11 +60,18 @@
             constexpr double steps = 1024;
             bucket.credit = static_cast<double>(XXH3_64bits_withSeed(name.data(), name.size(), m_seed) % 1024) / steps;
         }
-        bucket.tokens.limitTo(burstOf(it));
+        setLimit(bucket, it);
+        bucket.tokens.limitTo(bucket.size);
     }
     m_buckets = std::move(kept);
 }
 
+void RateLimiter::setLimit(Bucket &bucket, const CustomerConfiguration &customer) const
+{
+    bucket.perSecond = rateOf(customer);
+    bucket.size = burstOf(customer);
+}
+
 double RateLimiter::currentDemand(const Bucket &bucket, TimePoint now)
 {
     return bucket.demand * std::exp(-Seconds(now - bucket.demandUpdatedAt).count() / demandDecayTime.count());
@@ -76,7 +83,8 @@
         return true;
     }
     auto &bucket = m_buckets.try_emplace(customer.name, now).first->second;
-    bucket.tokens.refill(rateOf(customer) * share.reportingFraction, burstOf(customer) * share.reportingFraction, now);
+    setLimit(bucket, customer);
+    bucket.tokens.refill(bucket.perSecond * share.reportingFraction, bucket.size * share.reportingFraction, now);
     bucket.demand = currentDemand(bucket, now) + units / demandDecayTime.count();
     bucket.demandUpdatedAt = now;
     if (bucket.tokens.level() < requiredLevel(customer, units, share) || !mayGrantBesideOthers(bucket, units, share)) {
@@ -112,11 +120,16 @@
     }
 }
 
-void RateLimiter::recordRemoteSpending(const CustomerName &customer, double units)
+void RateLimiter::recordRemoteSpending(const CustomerName &customer,
+                                       double units,
+                                       double reportingFraction,
+                                       TimePoint now)
 {
     const auto it = m_buckets.find(customer);
     if (it != m_buckets.end()) {
-        it->second.tokens.take(units);
+        auto &bucket = it->second;
+        bucket.tokens.refill(bucket.perSecond * reportingFraction, bucket.size * reportingFraction, now);
+        bucket.tokens.take(units);
     }
 }
 
--- a/packages/dispatch/src/allotments_test.cpp
+++ b/packages/dispatch/src/allotments_test.cpp
@@ -73,7 +73,7 @@
             const auto spent = m_daemons[n].spent()[m_customer.name];
             for (std::size_t other = 0; other < m_daemons.size(); ++other) {
                 if (other != n) {
-                    m_daemons[other].recordRemoteSpending(m_customer.name, spent - m_lastSpent[n]);
+                    m_daemons[other].recordRemoteSpending(m_customer.name, spent - m_lastSpent[n], 1, m_clock.now());
                 }
             }
             m_lastSpent[n] = spent;
@@ -102,6 +102,31 @@
     CHECK(fleet.maxWindowGranted <= (8 * 1000 + 1000) * 1.1);
 }
 
+// A daemon without requests of the customer added the units of the whole time at its next request, after it had
+// subtracted what others granted: the burst was granted twice.
+TEST_CASE("a burst that one daemon granted after a quiet time is not granted again by another one")
+{
+    const auto customer = customerWith(100, 100);
+    ServingConfiguration configuration;
+    configuration.customers = {customer};
+    VirtualClock clock;
+    RateLimiter first;
+    RateLimiter second;
+    first.configure(configuration, clock.now());
+    second.configure(configuration, clock.now());
+    clock.advance(10s);
+    double granted = 0;
+    while (first.take(customer, 20, {1, 1}, clock.now())) {
+        granted += 20;
+    }
+    CHECK(granted == 100);
+    second.recordRemoteSpending(customer.name, granted, 1, clock.now());
+    CHECK_FALSE(second.take(customer, 20, {1, 0.5}, clock.now()));
+    CHECK(second.level(customer.name) == doctest::Approx(0));
+    clock.advance(300ms);
+    CHECK(second.take(customer, 20, {1, 1}, clock.now()));
+}
+
 TEST_CASE("part of the tolerance is granted, and the tolerance is never exceeded")
 {
     Fleet fleet(customerWith(1000, 1000), 4, {0.1, 500});
--- a/packages/gateway/src/loadreports.cpp
+++ b/packages/gateway/src/loadreports.cpp
@@ -83,8 +83,9 @@
     if (!update) {
         return;
     }
+    const auto reportingFraction = m_core.fleet.reportingFraction(now);
     for (const auto &[customer, units] : update->spent) {
-        m_core.rateLimiter.recordRemoteSpending(customer, units);
+        m_core.rateLimiter.recordRemoteSpending(customer, units, reportingFraction, now);
     }
     m_core.crashSuspects.addReport(report.value().crashes, now);
     recordReportedRateLimits(m_core, report.value().limits, report.value().host);
