--- a/bench/streams/streamknowledge.cpp
+++ b/bench/streams/streamknowledge.cpp
@@ -136,7 +136,7 @@
 
     void restart(unsigned gateway) override
     {
-        ++m_gateways[gateway]->run;
+        m_gateways[gateway]->hasEnded = true;
         m_retired.push_back(std::move(m_gateways[gateway])); // look-ups in progress end with their time-outs
         m_gateways[gateway] = std::make_unique<Gateway>(*this, gateway);
     }
@@ -153,7 +153,7 @@
             : fleet(fleet)
             , number(number)
             , view(fleet.m_peers[number].host)
-            , directory(fleet.m_peers[number].host, view, *this, fleet.m_holders)
+            , directory(view, *this, fleet.m_holders)
         {
             auto peers = fleet.m_peers;
             peers.erase(peers.begin() + number);
@@ -161,13 +161,13 @@
         }
         void send(const Address &to, const StreamMessage &message) override
         {
-            if (run == 0) {
+            if (!hasEnded) {
                 fleet.send(number, to.port, message);
             }
         }
         HolderKnowledge &fleet;
         unsigned number;
-        unsigned run = 0; // 1 once it has ended
+        bool hasEnded = false;
         FleetView view;
         StreamDirectory directory;
     };
--- a/packages/dispatch/include/monsoonward/dispatch/allotments.h
+++ b/packages/dispatch/include/monsoonward/dispatch/allotments.h
@@ -53,7 +53,7 @@
     /// Returns the units of a request that was not executed.
     void refund(const CustomerName &customer, double units);
     /// Subtracts units that another daemon granted; negative if it refunded more than it granted.
-    /// What the bucket has gained until then is limited to its size first.
+    /// First adds the growth of the bucket until @p now, up to its size.
     /// @param reportingFraction as in RateLimitShare
     void recordRemoteSpending(const CustomerName &customer, double units, double reportingFraction, TimePoint now);
     /// @return units per second that the customer requests from this daemon, granted or not
@@ -79,7 +79,7 @@
         double perSecond = 0; // growth of the tokens, for all daemons together
         double size = 0; // of the bucket, for all daemons together
         double spent = 0; // granted by this daemon
-        double credit = 0; // of the requests of which only some are granted; one is granted when it reaches 1
+        double credit = 0; // grows with each request of which only some are granted; 1 grants one
         double demand = 0; // units per second, exponentially averaged
         TimePoint demandUpdatedAt;
     };
--- a/packages/dispatch/include/monsoonward/dispatch/dispatch.h
+++ b/packages/dispatch/include/monsoonward/dispatch/dispatch.h
@@ -25,4 +25,5 @@
 #include "monsoonward/dispatch/storeknowledge.h"
 #include "monsoonward/dispatch/streamdirectory.h"
 #include "monsoonward/dispatch/streamtable.h"
+#include "monsoonward/dispatch/texthash.h"
 #include "monsoonward/dispatch/topology.h"
--- a/packages/dispatch/include/monsoonward/dispatch/streamdirectory.h
+++ b/packages/dispatch/include/monsoonward/dispatch/streamdirectory.h
@@ -71,8 +71,7 @@
 
     /// @param fleet, messenger must outlive this object
     /// @param holders number of daemons that are told of each stream
-    StreamDirectory(HostName own,
-                    const FleetView &fleet,
+    StreamDirectory(const FleetView &fleet,
                     StreamMessenger &messenger,
                     std::size_t holders = defaultHolders,
                     std::size_t capacity = StreamTable::defaultCapacity);
@@ -117,7 +116,6 @@
     void answered(const Address &from, const StreamMessage &message, TimePoint now);
     void finish(Lookups::iterator it, std::optional<StreamOrigin> origin, std::string source);
 
-    HostName m_own;
     const FleetView &m_fleet;
     StreamMessenger &m_messenger;
     std::size_t m_holders;
--- a/packages/dispatch/src/allotments.cpp
+++ b/packages/dispatch/src/allotments.cpp
@@ -1,8 +1,9 @@
 #include "monsoonward/dispatch/allotments.h"
 
+#include "monsoonward/dispatch/texthash.h"
+
 #include <algorithm>
 #include <cmath>
-#include <xxhash.h>
 
 namespace monsoonward
 {
@@ -56,9 +57,7 @@
         const auto old = m_buckets.find(it.name);
         auto &bucket = kept.emplace(it.name, old == m_buckets.end() ? Bucket(now) : old->second).first->second;
         if (old == m_buckets.end()) {
-            const auto &name = it.name.text();
-            constexpr double steps = 1024;
-            bucket.credit = static_cast<double>(XXH3_64bits_withSeed(name.data(), name.size(), m_seed) % 1024) / steps;
+            bucket.credit = uniformOf(hashOf(it.name.text(), m_seed));
         }
         setLimit(bucket, it);
         bucket.tokens.limitTo(bucket.size);
--- a/packages/dispatch/src/connectiondivision.cpp
+++ b/packages/dispatch/src/connectiondivision.cpp
@@ -1,7 +1,8 @@
 #include "monsoonward/dispatch/connectiondivision.h"
 
+#include "monsoonward/dispatch/texthash.h"
+
 #include <algorithm>
-#include <xxhash.h>
 
 namespace monsoonward
 {
@@ -11,10 +12,10 @@
 
 constexpr std::uint32_t connectionsPerSlot = 2; // one request runs and one waits
 
+/// @return the position of a gateway in an order that all gateways agree on, another one for each engine
 std::uint64_t positionOf(const HostName &host, const EngineName &engine)
 {
-    const auto seed = XXH3_64bits(engine.text().data(), engine.text().size());
-    return XXH3_64bits_withSeed(host.text().data(), host.text().size(), seed);
+    return hashOf(host.text(), hashOf(engine.text()));
 }
 
 } // namespace
--- a/packages/dispatch/src/customertable.cpp
+++ b/packages/dispatch/src/customertable.cpp
@@ -1,6 +1,6 @@
 #include "monsoonward/dispatch/customertable.h"
 
-#include <xxhash.h>
+#include "monsoonward/dispatch/texthash.h"
 
 #include <algorithm>
 
@@ -31,7 +31,7 @@
 {
     for (const auto &customer : m_configuration->customers) {
         for (const auto &it : customer.keys) {
-            m_entries.push_back({XXH3_64bits_withSeed(it.data(), it.size(), m_seed), &it, &customer});
+            m_entries.push_back({hashOf(it, m_seed), &it, &customer});
         }
     }
     std::sort(m_entries.begin(), m_entries.end(), [](const Entry &a, const Entry &b) { return a.hash < b.hash; });
@@ -39,7 +39,7 @@
 
 const CustomerConfiguration *CustomerTable::find(std::string_view key) const
 {
-    const auto hash = XXH3_64bits_withSeed(key.data(), key.size(), m_seed);
+    const auto hash = hashOf(key, m_seed);
     auto it = std::lower_bound(
         m_entries.begin(), m_entries.end(), hash, [](const Entry &a, std::uint64_t b) { return a.hash < b; });
     for (; it != m_entries.end() && it->hash == hash; ++it) {
--- a/packages/dispatch/src/enginebuild.cpp
+++ b/packages/dispatch/src/enginebuild.cpp
@@ -1,15 +1,13 @@
 #include "monsoonward/dispatch/enginebuild.h"
 
-#include <xxhash.h>
+#include "monsoonward/dispatch/texthash.h"
 
 namespace monsoonward
 {
 
 EngineBuild buildOf(const EngineRecord &engine)
 {
-    const auto &service = engine.service.text();
-    const auto &version = engine.softwareVersion;
-    return XXH3_64bits_withSeed(version.data(), version.size(), XXH3_64bits(service.data(), service.size()));
+    return hashOf(engine.softwareVersion, hashOf(engine.service.text()));
 }
 
 } // namespace monsoonward
--- a/packages/dispatch/src/enginerun.cpp
+++ b/packages/dispatch/src/enginerun.cpp
@@ -1,6 +1,6 @@
 #include "monsoonward/dispatch/enginerun.h"
 
-#include <xxhash.h>
+#include "monsoonward/dispatch/texthash.h"
 
 namespace monsoonward
 {
@@ -8,7 +8,7 @@
 EngineRun runOf(const EngineRecord &engine)
 {
     const auto &name = engine.name.text();
-    return XXH3_64bits_withSeed(name.data(), name.size(), engine.incarnation);
+    return hashOf(name, engine.incarnation);
 }
 
 } // namespace monsoonward
--- a/packages/dispatch/src/fleetview.cpp
+++ b/packages/dispatch/src/fleetview.cpp
@@ -1,6 +1,6 @@
 #include "monsoonward/dispatch/fleetview.h"
 
-#include <xxhash.h>
+#include "monsoonward/dispatch/texthash.h"
 
 #include <algorithm>
 
@@ -181,7 +181,7 @@
 
 std::size_t FleetView::dutyRank(const std::vector<HostName> &hosts, TimePoint now) const
 {
-    const auto weight = [](const HostName &it) { return XXH3_64bits(it.text().data(), it.text().size()); };
+    const auto weight = [](const HostName &it) { return hashOf(it.text()); };
     const auto own = weight(m_own);
     return static_cast<std::size_t>(std::count_if(hosts.begin(), hosts.end(), [&](const HostName &it) {
         return it != m_own && isReporting(it, now) && weight(it) < own;
--- a/packages/dispatch/src/limitdivision.cpp
+++ b/packages/dispatch/src/limitdivision.cpp
@@ -1,10 +1,11 @@
 #include "monsoonward/dispatch/limitdivision.h"
 
+#include "monsoonward/dispatch/texthash.h"
+
 #include "monsoonward/dispatch/enginerun.h"
 
 #include <algorithm>
 #include <cmath>
-#include <xxhash.h>
 
 namespace monsoonward
 {
@@ -20,7 +21,7 @@
 /// as likely to be first
 double positionOf(const HostName &host, double weight, EngineRun run, std::uint64_t turn)
 {
-    const auto hash = XXH3_64bits_withSeed(host.text().data(), host.text().size(), run + turn);
+    const auto hash = hashOf(host.text(), run + turn);
     constexpr double hashes = 18446744073709551616.0; // 2^64
     const double uniform = (static_cast<double>(hash) + 1) / (hashes + 2); // neither 0 nor 1
     return -std::log(uniform) / weight;
--- a/packages/dispatch/src/placement_test.cpp
+++ b/packages/dispatch/src/placement_test.cpp
@@ -28,13 +28,31 @@
         directory.put({EngineName(name), service, {"10.0.0.1", 80}, DataCentreName(dataCentre), slots, false});
     }
 
-    Placement place(unsigned tier) const
+    static PlacementRequest requestOf(unsigned tier)
     {
         PlacementRequest request;
         request.service = service;
         request.tier = Tier(tier);
         request.latencyObjective = 400ms;
         request.timeLeft = 4s;
+        return request;
+    }
+
+    /// Sends as many requests like this one to engine "a" as are admitted there.
+    /// @return their number, at most 100
+    unsigned admit(const PlacementRequest &request) const
+    {
+        unsigned admitted = 0;
+        while (placer->place(request, clock.now()).outcome == PlacementOutcome::Placed && admitted < 100) {
+            placer->requestSent(EngineName("a"), clock.now());
+            ++admitted;
+        }
+        return admitted;
+    }
+
+    Placement place(unsigned tier) const
+    {
+        const auto request = requestOf(tier);
         auto placement = placer->place(request, clock.now());
         if (placement.outcome == PlacementOutcome::Placed) {
             placer->requestSent(placement.engine.name, clock.now());
@@ -360,10 +378,7 @@
     auto record = *directory.find(EngineName("a"));
     record.softwareVersion = "v2";
     directory.put(record);
-    PlacementRequest request;
-    request.service = service;
-    request.latencyObjective = 400ms;
-    request.timeLeft = 4s;
+    auto request = requestOf(0);
     request.build = buildOf(record);
     CHECK(placer->place(request, clock.now()).engine.name == EngineName("a"));
     record.isLeaving = true;
@@ -377,16 +392,9 @@
     addEngine("a", "here");
     teachTimes({"a"}, 1);
     while (place(0).outcome == PlacementOutcome::Placed) { }
-    PlacementRequest request;
-    request.service = service;
-    request.latencyObjective = 400ms;
-    request.timeLeft = 4s;
+    auto request = requestOf(0);
     request.build = buildOf(*directory.find(EngineName("a")));
-    unsigned admitted = 0;
-    while (placer->place(request, clock.now()).outcome == PlacementOutcome::Placed && admitted < 100) {
-        placer->requestSent(EngineName("a"), clock.now());
-        ++admitted;
-    }
+    const auto admitted = admit(request);
     CHECK(admitted > 0);
     CHECK(admitted < 20); // the engine refuses what exceeds its own queue
 }
@@ -397,18 +405,11 @@
     addEngine("a", "here");
     teachTimes({"a"}, 1);
     while (place(0).outcome == PlacementOutcome::Placed) { }
-    PlacementRequest request;
-    request.service = service;
-    request.latencyObjective = 400ms;
-    request.timeLeft = 4s;
+    auto request = requestOf(0);
     request.isRetry = true;
     CHECK(placer->place(request, clock.now()).outcome == PlacementOutcome::Full);
     request.mayHaveRun = true;
-    unsigned admitted = 0;
-    while (placer->place(request, clock.now()).outcome == PlacementOutcome::Placed && admitted < 100) {
-        placer->requestSent(EngineName("a"), clock.now());
-        ++admitted;
-    }
+    const auto admitted = admit(request);
     CHECK(admitted > 0);
     CHECK(admitted < 20);
 }
--- a/packages/dispatch/src/streamdirectory.cpp
+++ b/packages/dispatch/src/streamdirectory.cpp
@@ -1,8 +1,9 @@
 #include "monsoonward/dispatch/streamdirectory.h"
 
-#include <xxhash.h>
+#include "monsoonward/dispatch/texthash.h"
 
 #include <algorithm>
+#include <xxhash.h>
 
 namespace monsoonward
 {
@@ -22,10 +23,11 @@
 
 } // namespace
 
-StreamDirectory::StreamDirectory(
-    HostName own, const FleetView &fleet, StreamMessenger &messenger, std::size_t holders, std::size_t capacity)
-    : m_own(std::move(own))
-    , m_fleet(fleet)
+StreamDirectory::StreamDirectory(const FleetView &fleet,
+                                 StreamMessenger &messenger,
+                                 std::size_t holders,
+                                 std::size_t capacity)
+    : m_fleet(fleet)
     , m_messenger(messenger)
     , m_holders(holders)
     , m_table(capacity)
@@ -37,7 +39,7 @@
     m_peers = std::move(peers);
     m_peerHashes.clear();
     for (const auto &it : m_peers) {
-        m_peerHashes.push_back(XXH3_64bits(it.host.text().data(), it.host.text().size()));
+        m_peerHashes.push_back(hashOf(it.host.text()));
     }
 }
 
--- a/packages/dispatch/src/streamdirectory_test.cpp
+++ b/packages/dispatch/src/streamdirectory_test.cpp
@@ -83,7 +83,7 @@
             : fleet(fleet)
             , number(n)
             , view(HostName("g" + std::to_string(n)))
-            , directory(HostName("g" + std::to_string(n)), view, *this)
+            , directory(view, *this)
         {
         }
         void send(const Address &to, const StreamMessage &message) override
--- a/packages/dispatch/src/streamtable.cpp
+++ b/packages/dispatch/src/streamtable.cpp
@@ -1,5 +1,7 @@
 #include "monsoonward/dispatch/streamtable.h"
 
+#include "monsoonward/dispatch/texthash.h"
+
 #include <xxhash.h>
 
 namespace monsoonward
@@ -7,8 +9,7 @@
 
 StreamKey streamKeyOf(std::string_view request, std::string_view customer)
 {
-    const auto hash =
-        XXH3_128bits_withSeed(request.data(), request.size(), XXH3_64bits(customer.data(), customer.size()));
+    const auto hash = XXH3_128bits_withSeed(request.data(), request.size(), hashOf(customer));
     return {hash.high64, hash.low64};
 }
 
--- a/packages/gateway/src/exchange.cpp
+++ b/packages/gateway/src/exchange.cpp
@@ -7,7 +7,6 @@
 #include "requesttraits.h"
 
 #include <algorithm>
-#include <xxhash.h>
 
 namespace monsoonward
 {
@@ -57,6 +56,9 @@
 /// @return what decided on a request that was not placed
 std::string detailOf(const Placement &placement)
 {
+    if (placement.outcome == PlacementOutcome::NoEngine) {
+        return "no engine may be tried";
+    }
     if (placement.outcome == PlacementOutcome::Limited) {
         return std::string(placement.engine.name.text()) + " " + textOf(placement.allowance);
     }
@@ -115,9 +117,7 @@
     request.timeLeft = timeLeft();
     request.isResend = m_route->timeLimit > Duration::zero()
         && m_deadline - m_arrivedAt < m_route->timeLimit * minFirstSendPercent / 100;
-    const auto id = requestId();
-    constexpr double steps = 1024;
-    request.uniformHash = static_cast<double>(XXH3_64bits(id.data(), id.size()) % 1024) / steps;
+    request.uniformHash = uniformOf(hashOf(requestId()));
     return request;
 }
 
--- a/packages/gateway/src/exchangeadmission.cpp
+++ b/packages/gateway/src/exchangeadmission.cpp
@@ -5,7 +5,6 @@
 #include "httpstatus.h"
 
 #include <algorithm>
-#include <xxhash.h>
 
 namespace monsoonward
 {
@@ -85,8 +84,7 @@
         refuse(isCertain ? notFound : unavailable, isCertain ? "no-route" : "stale-route", defaultRetryAfter, "");
         return false;
     }
-    const auto id = viewOf(m_request[m_core.adapter.dialect().requestId]);
-    m_service = serviceFor(*m_route, XXH3_64bits(id.data(), id.size()));
+    m_service = serviceFor(*m_route, hashOf(requestId()));
     m_tier = combinedTier(m_route->tier, m_route->tier);
     return true;
 }
--- a/packages/gateway/src/gatewaycore.cpp
+++ b/packages/gateway/src/gatewaycore.cpp
@@ -1,7 +1,5 @@
 #include "gatewaycore.h"
 
-#include <xxhash.h>
-
 namespace monsoonward
 {
 
@@ -18,7 +16,7 @@
     , log(log)
     , metrics(metrics)
     , freshness(settings.freshness)
-    , rateLimiter(settings.rateLimitTolerance, XXH3_64bits(settings.host.text().data(), settings.host.text().size()))
+    , rateLimiter(settings.rateLimitTolerance, hashOf(settings.host.text()))
     , retryBudget(settings.retryBudget, clock.now())
     , fleet(settings.host)
     , limitDivision(settings.topology, settings.host, fleet)
@@ -27,7 +25,7 @@
     , connectionDivision(settings.host, fleet)
     , pool(io, clock, connectionDivision)
     , peers(io)
-    , streams(io, clock, settings.host, fleet, peers, metrics)
+    , streams(io, clock, fleet, peers, metrics)
 {
     pool.onExtraBytes = [this](const EngineName &engine) {
         this->log.write(
--- a/packages/gateway/src/peersocket.cpp
+++ b/packages/gateway/src/peersocket.cpp
@@ -49,7 +49,7 @@
     error_code ec;
     const auto ip = boost::asio::ip::make_address(to.ip, ec);
     if (!ec && m_socket.is_open()) {
-        m_socket.send_to(boost::asio::buffer(bytes), {ip, to.port}, 0, ec); // a lost datagram is allowed for
+        m_socket.send_to(boost::asio::buffer(bytes), {ip, to.port}, 0, ec);
     }
 }
 
--- a/packages/gateway/src/peersocket.h
+++ b/packages/gateway/src/peersocket.h
@@ -31,7 +31,8 @@
     /// Binds the socket and starts to receive. Errors: Unavailable if the address can't be bound.
     /// @param received called for each datagram; its bytes are valid during the call
     Result<void> start(const Address &address, std::function<void(const Datagram &)> received);
-    /// Sends a datagram; does nothing before start(), or if the address is malformed.
+    /// Sends a datagram. One that can't be sent counts as lost: a gateway that isn't heard is logged as silent, and
+    /// rows with malformed addresses are rejected when they are read. Does nothing before start().
     void send(const std::vector<std::uint8_t> &bytes, const Address &to);
 
 private:
--- a/packages/gateway/src/requesttraits.cpp
+++ b/packages/gateway/src/requesttraits.cpp
@@ -2,20 +2,12 @@
 
 #include "headervalues.h"
 
-#include <xxhash.h>
-
 namespace monsoonward
 {
 
 namespace
 {
 
-/// @return a hash of the text and the seed
-std::uint64_t hashOf(std::string_view text, std::uint64_t seed)
-{
-    return XXH3_64bits_withSeed(text.data(), text.size(), seed);
-}
-
 // Seeds that tell the kinds of traits apart.
 constexpr std::uint64_t wholeRequestSeed = 1;
 constexpr std::uint64_t promptPartSeed = 2;
--- a/packages/gateway/src/sharedstreams.cpp
+++ b/packages/gateway/src/sharedstreams.cpp
@@ -25,16 +25,12 @@
 
 } // namespace
 
-SharedStreams::SharedStreams(boost::asio::io_context &io,
-                             const Clock &clock,
-                             const HostName &own,
-                             const FleetView &fleet,
-                             PeerSocket &peers,
-                             GatewayMetrics &metrics)
+SharedStreams::SharedStreams(
+    boost::asio::io_context &io, const Clock &clock, const FleetView &fleet, PeerSocket &peers, GatewayMetrics &metrics)
     : m_clock(clock)
     , m_peers(peers)
     , m_metrics(metrics)
-    , m_directory(own, fleet, *this)
+    , m_directory(fleet, *this)
     , m_timer(io)
 {
 }
--- a/packages/gateway/src/sharedstreams.h
+++ b/packages/gateway/src/sharedstreams.h
@@ -10,14 +10,13 @@
 namespace monsoonward
 {
 
-/// @brief Connects the directory of streams to the other gateways: sends its messages, and calls it in time.
+/// @brief The directory of streams with what it needs to work: messages to other gateways, and a timer.
 class SharedStreams : private StreamMessenger
 {
 public:
     /// @param fleet, peers, metrics must outlive this object
     SharedStreams(boost::asio::io_context &io,
                   const Clock &clock,
-                  const HostName &own,
                   const FleetView &fleet,
                   PeerSocket &peers,
                   GatewayMetrics &metrics);
