A request can exclude engines of a build from its placement

Cause: roll-outs of engine versions keep most requests away from one version. Change: PlacementRequest::excludedBuilds; a test.

--- a/packages/dispatch/include/monsoonward/dispatch/placement.h
+++ b/packages/dispatch/include/monsoonward/dispatch/placement.h
@@ -30,8 +30,18 @@
     Duration timeLeft {}; ///< until the caller's deadline
     /// 0 to 1, uniformly distributed over requests; a pseudorandom number for the choice of engine and retry time.
     double uniformHash = 0;
-    MONSOONWARD_FIELDS(
-        service, tier, latencyObjective, excludedEngines, isRetry, isResend, build, mayHaveRun, timeLeft, uniformHash)
+    std::vector<EngineBuild> excludedBuilds {}; ///< engines of these builds get no new requests
+    MONSOONWARD_FIELDS(service,
+                       tier,
+                       latencyObjective,
+                       excludedEngines,
+                       isRetry,
+                       isResend,
+                       build,
+                       mayHaveRun,
+                       timeLeft,
+                       uniformHash,
+                       excludedBuilds)
 };
 
 /// @brief The result of a placement.
--- a/packages/dispatch/src/placement.cpp
+++ b/packages/dispatch/src/placement.cpp
@@ -50,6 +50,21 @@
     return regionPenalty;
 }
 
+template<class T>
+bool contains(const std::vector<T> &list, const T &value)
+{
+    return std::find(list.begin(), list.end(), value) != list.end();
+}
+
+bool isBuildAllowed(const PlacementRequest &request, const EngineRecord &engine)
+{
+    if (!request.build && request.excludedBuilds.empty()) {
+        return true;
+    }
+    const auto build = buildOf(engine);
+    return request.build.value_or(build) == build && !contains(request.excludedBuilds, build);
+}
+
 /// Number of recent requests, with exponentially decaying weight.
 class RecentRequests
 {
@@ -220,10 +235,9 @@
     {
         UsableEngines engines;
         std::vector<const EngineRecord *> reportedLeaving;
-        const auto &excludedEngines = request.excludedEngines;
         for (const auto *it : known) {
-            if (std::find(excludedEngines.begin(), excludedEngines.end(), it->name) != excludedEngines.end()
-                || (request.build && buildOf(*it) != *request.build) || !m_health.isAvailable(it->name, now)) {
+            if (contains(request.excludedEngines, it->name) || !isBuildAllowed(request, *it)
+                || !m_health.isAvailable(it->name, now)) {
                 continue;
             }
             if (!m_limiter.maySend(*it, urgentShare, now)) {
--- a/packages/dispatch/src/placement_test.cpp
+++ b/packages/dispatch/src/placement_test.cpp
@@ -387,6 +387,20 @@
 }
 
 // Streams ended at gateways because new ones weren't admitted at the engines of their version.
+TEST_CASE_FIXTURE(Fixture, "engines of an excluded build get no request")
+{
+    addEngine("a", "here");
+    addEngine("b", "here");
+    auto record = *directory.find(EngineName("a"));
+    record.softwareVersion = "v2";
+    directory.put(record);
+    auto request = requestOf(0);
+    request.excludedBuilds = {buildOf(record)};
+    CHECK(placer->place(request, clock.now()).engine.name == EngineName("b"));
+    request.excludedBuilds.push_back(buildOf(*directory.find(EngineName("b"))));
+    CHECK(placer->place(request, clock.now()).outcome == PlacementOutcome::NoEngine);
+}
+
 TEST_CASE_FIXTURE(Fixture, "a request that goes on with a stream is admitted at engines too loaded for new requests")
 {
     addEngine("a", "here");
