Test a second restore and a restart with a time of day that is behind

Read by the review and not tried: two restores within 6 s forget a departure, and a gateway whose time of day is behind isn't heard for 20 s after its restart.

--- a/packages/dispatch/src/enginedirectory_test.cpp
+++ b/packages/dispatch/src/enginedirectory_test.cpp
@@ -109,3 +109,26 @@
     directory.expire(clock.now());
     CHECK(directory.mayReceive(EngineName("lapsed")));
 }
+
+TEST_CASE("a second restore within the confirmation time brings back no departed engine either")
+{
+    VirtualClock clock;
+    EngineDirectory directory;
+    auto gone = engine("gone");
+    gone.incarnation = 100;
+    directory.replace({gone, engine("kept")}, clock.now());
+    directory.remove(gone.name, clock.now());
+    directory.replaceAfterRestore({gone, engine("kept")}, clock.now());
+    clock.advance(EngineDirectory::confirmationTime / 2);
+    directory.replaceAfterRestore({gone, engine("kept")}, clock.now());
+    CHECK_FALSE(directory.mayReceive(gone.name));
+    clock.advance(EngineDirectory::confirmationTime / 2);
+    directory.expire(clock.now());
+    CHECK_FALSE(directory.mayReceive(gone.name)); // its registration has stayed in the second copy for 3 s only
+    directory.replace({gone, engine("kept")}, clock.now()); // listed again, not written again
+    CHECK_FALSE(directory.mayReceive(gone.name));
+    CHECK(directory.mayReceive(EngineName("kept")));
+    gone.incarnation = 101;
+    directory.put(gone);
+    CHECK(directory.mayReceive(gone.name));
+}
--- a/packages/dispatch/src/fleetview_test.cpp
+++ b/packages/dispatch/src/fleetview_test.cpp
@@ -232,3 +232,24 @@
     rest.erase(std::find(rest.begin(), rest.end(), all.front()));
     CHECK(firstAmong(rest).size() == 1);
 }
+
+TEST_CASE("a daemon that starts again while its time of day is behind is heard at once")
+{
+    VirtualClock clock;
+    FleetView view {HostName("a")};
+    view.setMembers({HostName("b")}, clock.now());
+    auto former = reportOf("b", 900, 0, 3);
+    former.incarnation = 1'000'000;
+    former.uptime = 60s;
+    CHECK(view.addReport(former, clock.now()));
+    clock.advance(700ms); // it was killed, and its process started 300 ms ago
+    auto restarted = reportOf("b", 1, 0, 1);
+    restarted.incarnation = 400'000;
+    restarted.uptime = 300ms;
+    CHECK(view.addReport(restarted, clock.now()));
+    CHECK(view.requestsAt(engine) == 1);
+    restarted.sequenceNumber = 2;
+    CHECK(view.addReport(restarted, clock.now()));
+    former.sequenceNumber = 901; // a late report of the run that had ended has a longer uptime than the time since
+    CHECK_FALSE(view.addReport(former, clock.now()));
+}
