An empty list of customers withdraws all keys

Cause: a configuration whose list of customers is empty was decoded as one without the list, and then no request needed a key. Change: the configuration says whether the list is stated.

--- a/packages/dispatch/include/monsoonward/dispatch/customertable.h
+++ b/packages/dispatch/include/monsoonward/dispatch/customertable.h
@@ -18,7 +18,7 @@
 
     /// @return the customer, or null
     const CustomerConfiguration *find(std::string_view key) const;
-    /// @return whether requests need a key; false if no customers are configured
+    /// @return whether requests need a key; false if the configuration has no list of customers
     bool requiresKey() const;
 
 private:
--- a/packages/dispatch/include/monsoonward/dispatch/servingconfiguration.h
+++ b/packages/dispatch/include/monsoonward/dispatch/servingconfiguration.h
@@ -83,9 +83,11 @@
     Revision revision = 0;
     std::vector<Route> routes;
     std::vector<ServiceConfiguration> services;
-    std::vector<CustomerConfiguration> customers; ///< if empty, requests need no key
+    std::vector<CustomerConfiguration> customers;
+    /// The list of customers is stated. If it is stated and empty, no key is valid; if it isn't, requests need no key.
+    bool hasCustomerList = false;
     CallerLimits limits;
-    MONSOONWARD_FIELDS(revision, routes, services, customers, limits)
+    MONSOONWARD_FIELDS(revision, routes, services, customers, hasCustomerList, limits)
 };
 
 using ServingConfigurationPtr = std::shared_ptr<const ServingConfiguration>;
--- a/packages/dispatch/src/customertable.cpp
+++ b/packages/dispatch/src/customertable.cpp
@@ -52,7 +52,7 @@
 
 bool CustomerTable::requiresKey() const
 {
-    return !m_configuration->customers.empty();
+    return m_configuration->hasCustomerList || !m_configuration->customers.empty();
 }
 
 } // namespace monsoonward
--- a/packages/dispatch/src/customertable_test.cpp
+++ b/packages/dispatch/src/customertable_test.cpp
@@ -22,4 +22,9 @@
     CHECK(table.find("") == nullptr);
     CHECK(table.find("first-100") == nullptr);
     CHECK_FALSE(CustomerTable(std::make_shared<ServingConfiguration>(), 7).requiresKey());
+    auto emptyList = std::make_shared<ServingConfiguration>();
+    emptyList->hasCustomerList = true;
+    const CustomerTable noCustomers(emptyList, 7);
+    CHECK(noCustomers.requiresKey());
+    CHECK(noCustomers.find("") == nullptr);
 }
