A gateway that starts asks its peers before it has a proof

A peer that fell silent, or whose row the restore had lost, wasn't asked at all. A peer with a time of day behind that of its former run wasn't heard for 20 s. Change: PeerSurvey. The highest revision ever heard stays. Runs are ordered by their starts where incarnations contradict them. Adopted configurations are logged with needs_keys.

--- a/packages/dispatch/include/monsoonward/dispatch/dispatch.h
+++ b/packages/dispatch/include/monsoonward/dispatch/dispatch.h
@@ -18,6 +18,7 @@
 #include "monsoonward/dispatch/fleetview.h"
 #include "monsoonward/dispatch/freshness.h"
 #include "monsoonward/dispatch/limitdivision.h"
+#include "monsoonward/dispatch/peersurvey.h"
 #include "monsoonward/dispatch/placement.h"
 #include "monsoonward/dispatch/retryallowance.h"
 #include "monsoonward/dispatch/routetable.h"
--- a/packages/dispatch/include/monsoonward/dispatch/fleetview.h
+++ b/packages/dispatch/include/monsoonward/dispatch/fleetview.h
@@ -18,7 +18,7 @@
 struct LoadReport
 {
     HostName host;
-    std::uint64_t incarnation = 0; ///< of the process; increases with each start
+    std::uint64_t incarnation = 0; ///< of the process; differs from that of the run before
     std::uint64_t sequenceNumber = 0; ///< increases within an incarnation
     std::map<EngineName, std::uint32_t> requests; ///< in progress at each engine, sent by this daemon
     std::map<CustomerName, double> demand; ///< units per second requested from this daemon
@@ -31,6 +31,7 @@
     CrashReport crashes {}; ///< what this daemon knows about crashes of engines, if it is due
     std::vector<EngineLimitStatement> limits {}; ///< what engines have stated in responses to this daemon
     std::map<ServiceName, double> serviceDemand {}; ///< callers' requests per second, while some engine states a limit
+    bool asksForReport = false; ///< the sender wants a full report of the receiver at once
     MONSOONWARD_FIELDS(host,
                        incarnation,
                        sequenceNumber,
@@ -44,7 +45,8 @@
                        uptime,
                        crashes,
                        limits,
-                       serviceDemand)
+                       serviceDemand,
+                       asksForReport)
 };
 
 /// @param reported demand by service as a daemon reports it
@@ -96,9 +98,9 @@
     Revision highestRevision(TimePoint now) const;
     /// @param active revision of the active configuration
     /// @param stored revision that the store holds; lower after a restore from a copy
-    /// @return whether neither the store nor a reporting daemon is known to lack @p active or to hold a higher
+    /// @return whether the store holds @p active and no daemon, listed as a member or not, has ever reported a higher
     /// revision. Otherwise an answer of the store doesn't prove that @p active is the newest one.
-    bool isNewestRevision(Revision active, Revision stored, TimePoint now) const;
+    bool isNewestRevision(Revision active, Revision stored) const;
     /// @return how many reporting members of @p hosts come before this daemon in an order that all daemons agree on and
     /// that spreads duties over the daemons
     std::size_t dutyRank(const std::vector<HostName> &hosts, TimePoint now) const;
@@ -127,6 +129,7 @@
         LoadReport report;
     };
 
+    static bool isNewer(const Member &member, const LoadReport &report, TimePoint now);
     double reportedDemand(const CustomerName &customer, TimePoint now) const;
     void addToSums(const LoadReport &report);
     void removeFromSums(const LoadReport &report);
@@ -137,6 +140,7 @@
     std::map<EngineName, std::uint32_t> m_leaving; // number of daemons that the engine told that it is leaving
     Duration m_silenceTimeout = silenceTimeout;
     Duration m_reportInterval {};
+    Revision m_highestHeard = 0; // of the configuration, in any report
     std::map<HostName, TimePoint> m_unregistered; // last reports of daemons that aren't members yet
 };
 
--- a/packages/dispatch/src/fleetview.cpp
+++ b/packages/dispatch/src/fleetview.cpp
@@ -11,6 +11,8 @@
 {
 
 constexpr std::size_t maxUnregistered = 64; // bounds the memory that datagrams from unknown senders can take
+constexpr Duration maxReportDelay =
+    std::chrono::seconds(10); // of a report in buffers, or while this process is stopped
 // Fraction of a limit that is divided evenly, so that a daemon without demand so far can grant requests.
 constexpr double evenFraction = 0.1;
 
@@ -82,8 +84,31 @@
     }
 }
 
+/// Runs are ordered by their starts on this daemon's clock where they contradict the incarnations, since the time of
+/// day of the sender may have been set back between two of them. A delay in transit makes a start look later.
+bool FleetView::isNewer(const Member &member, const LoadReport &report, TimePoint now)
+{
+    const auto &last = member.report;
+    if (last.host != report.host) {
+        return true; // the first one
+    }
+    if (report.incarnation == last.incarnation) {
+        return report.sequenceNumber > last.sequenceNumber;
+    }
+    if (report.isLoadOnly) {
+        return false;
+    }
+    const auto startedAt = now - report.uptime;
+    const auto lastStartedAt = member.lastReportAt - last.uptime;
+    return report.incarnation > last.incarnation ? startedAt + maxReportDelay >= lastStartedAt
+                                                 : startedAt > lastStartedAt;
+}
+
 std::optional<ReportChanges> FleetView::addReport(const LoadReport &report, TimePoint now)
 {
+    if (report.host != m_own) {
+        m_highestHeard = std::max(m_highestHeard, report.knowledge.revision);
+    }
     const auto it = m_members.find(report.host);
     if (it == m_members.end()) {
         // The list of members may be out of date; the sender spends its share of the limits regardless.
@@ -95,8 +120,7 @@
     }
     auto &member = it->second;
     const auto &last = member.report;
-    if (last.incarnation > report.incarnation
-        || (last.incarnation == report.incarnation && last.sequenceNumber >= report.sequenceNumber)) {
+    if (!isNewer(member, report, now)) {
         return std::nullopt;
     }
     if (report.isLoadOnly) {
@@ -174,9 +198,9 @@
     return highest;
 }
 
-bool FleetView::isNewestRevision(Revision active, Revision stored, TimePoint now) const
+bool FleetView::isNewestRevision(Revision active, Revision stored) const
 {
-    return stored >= active && highestRevision(now) <= active;
+    return stored >= active && m_highestHeard <= active;
 }
 
 std::size_t FleetView::dutyRank(const std::vector<HostName> &hosts, TimePoint now) const
--- a/packages/dispatch/src/fleetview_test.cpp
+++ b/packages/dispatch/src/fleetview_test.cpp
@@ -175,11 +175,16 @@
     view.addReport(report, clock.now());
     CHECK(view.highestRevision(clock.now()) == 41);
     // A daemon restarted after a restore reads an older configuration than its peers hold, with keys taken away since.
-    CHECK_FALSE(view.isNewestRevision(40, 40, clock.now()));
-    CHECK_FALSE(view.isNewestRevision(41, 40, clock.now())); // the store was restored and doesn't hold 41 yet
-    CHECK(view.isNewestRevision(41, 41, clock.now()));
+    CHECK_FALSE(view.isNewestRevision(40, 40));
+    CHECK_FALSE(view.isNewestRevision(41, 40)); // the store was restored and doesn't hold 41 yet
+    CHECK(view.isNewestRevision(41, 41));
     clock.advance(FleetView::silenceTimeout + 1ms);
     CHECK(view.highestRevision(clock.now()) == 0);
+    CHECK_FALSE(view.isNewestRevision(40, 40)); // what a daemon that fell silent had in force stays in force
+    auto unlisted = reportOf("d", 1, 0, 1); // a restored store may have lost its row
+    unlisted.knowledge.revision = 42;
+    CHECK_FALSE(view.addReport(unlisted, clock.now()));
+    CHECK_FALSE(view.isNewestRevision(41, 41));
 }
 
 TEST_CASE("an engine is reported leaving as long as one daemon that reports says so")
--- a/packages/gateway/src/gatewaycore.cpp
+++ b/packages/gateway/src/gatewaycore.cpp
@@ -19,6 +19,7 @@
     , rateLimiter(settings.rateLimitTolerance, hashOf(settings.host.text()))
     , retryBudget(settings.retryBudget, clock.now())
     , fleet(settings.host)
+    , peerSurvey(settings.host)
     , limitDivision(settings.topology, settings.host, fleet)
     , engineLimiter(engineLimits, limitDivision)
     , placer(makeFirstBytesPlacer(settings.topology, engines, health, fleet, engineLimiter))
--- a/packages/gateway/src/gatewaycore.h
+++ b/packages/gateway/src/gatewaycore.h
@@ -52,6 +52,7 @@
     EngineLimits engineLimits;
     CrashSuspects crashSuspects;
     FleetView fleet;
+    PeerSurvey peerSurvey;
     LimitDivision limitDivision;
     EngineLimiter engineLimiter;
     std::unique_ptr<Placer> placer;
--- a/packages/gateway/src/gatewayprocess.cpp
+++ b/packages/gateway/src/gatewayprocess.cpp
@@ -61,7 +61,7 @@
         , m_callerService(m_core)
         , m_callers(
               m_io, m_clock, m_callerService, settings.callerListen, maxCallerConnections(settings.maxDescriptors))
-        , m_reports(m_core, m_incarnation, [this](const StoreKnowledge &it) { m_store.learnFromPeer(it); })
+        , m_reports(m_core, m_incarnation, [this](const StoreKnowledge &it) { learnFromPeer(it); })
         , m_members(m_core, m_incarnation, [this](const std::vector<MemberRecord> &it) { membersChanged(it); })
         , m_health(m_io, settings.healthListen, [this](const std::string &path) { return healthReply(path); })
         , m_admin(m_io, settings.adminListen, [this](const std::string &path) { return adminReply(path); })
@@ -136,9 +136,7 @@
     void upToDate(const std::string &table, const ReadTime &read) override
     {
         m_store.upToDate(table, read);
-        if (isReady()) {
-            m_callers.startAccepting();
-        }
+        acceptIfReady();
     }
 
     void storeAnswered(const std::string &table) override
@@ -200,8 +198,24 @@
         }
     }
 
+    void acceptIfReady()
+    {
+        if (isReady()) {
+            m_callers.startAccepting();
+        }
+    }
+
     // ---- other gateways
 
+    void learnFromPeer(const StoreKnowledge &knowledge)
+    {
+        const bool wasAsking = !m_core.peerSurvey.hasEnded();
+        m_store.learnFromPeer(knowledge);
+        if (wasAsking) {
+            acceptIfReady();
+        }
+    }
+
     void membersChanged(const std::vector<MemberRecord> &members)
     {
         std::vector<HostName> hosts;
@@ -222,9 +236,13 @@
             }
         }
         m_core.fleet.setMembers(hosts, m_clock.now());
+        m_core.peerSurvey.membersListed(hosts, m_clock.now());
         m_core.limitDivision.setMembers(std::move(locations));
         m_core.connectionDivision.setMembers(std::move(hosts));
         m_reports.setPeers(peers);
+        if (!m_core.peerSurvey.isComplete(m_core.fleet, m_clock.now())) {
+            m_reports.sendFullReport(); // asks the peers what they hold
+        }
         m_core.streams.setPeers(std::move(streamPeers));
         m_store.setRegionHosts(std::move(regionHosts));
         m_log.write(Event::GatewaysChanged,
@@ -303,6 +321,7 @@
         m_core.streams.expire();
         m_members.tick();
         m_store.pollIfDue(now);
+        acceptIfReady();
         if (now - m_startedAt >= maxStartupDelay) {
             m_callers.startAccepting();
         }
--- a/packages/gateway/src/loadreports.cpp
+++ b/packages/gateway/src/loadreports.cpp
@@ -78,6 +78,11 @@
         forwarded.shouldForward = false;
         sendTo(m_localPeers, forwarded);
     }
+    if (report.value().asksForReport) {
+        auto answer = makeReport();
+        addState(answer);
+        sendTo({datagram.sender}, answer);
+    }
     const auto now = m_core.clock.now();
     const auto update = m_core.fleet.addReport(report.value(), now);
     if (!update) {
@@ -105,7 +110,7 @@
     const auto loadOnlyInterval = std::min(fullInterval, intervalFor(m_localPeers.size(), localPeersAtMinLoadInterval));
     const bool isFullReportDue = now - m_lastFullReportAt + loadOnlyInterval / 2 >= fullInterval;
     m_core.fleet.expire(now);
-    send(!isFullReportDue);
+    send(!isFullReportDue && m_core.peerSurvey.hasEnded());
     m_timer.expires_after(loadOnlyInterval);
     m_timer.async_wait([this](const error_code &ec) {
         if (!ec) {
@@ -125,11 +130,7 @@
         return;
     }
     const auto now = m_core.clock.now();
-    LoadReport report;
-    report.host = m_core.settings.host;
-    report.incarnation = m_incarnation;
-    report.sequenceNumber = ++m_lastSequenceNumber;
-    report.requests = m_core.placer->ownRequests();
+    auto report = makeReport();
     report.isLoadOnly = isLoadOnly;
     m_core.placer->loadReported(now);
     if (isLoadOnly) {
@@ -137,24 +138,42 @@
         return;
     }
     m_lastFullReportAt = now;
+    addState(report);
+    report.crashes = m_core.crashSuspects.reportIfDue(now).value_or(CrashReport());
+    m_core.limitDivision.setOwnDemand(report.serviceDemand);
+    report.asksForReport = !m_core.peerSurvey.hasEnded();
+    sendTo(m_localPeers, report);
+    if (m_remotePeers.size() <= maxDirectRemotePeers || report.asksForReport) {
+        sendTo(m_remotePeers, report);
+        return;
+    }
+    report.shouldForward = true;
+    sendTo({m_remotePeers[m_lastSequenceNumber % m_remotePeers.size()]}, report);
+}
+
+LoadReport LoadReports::makeReport()
+{
+    LoadReport report;
+    report.host = m_core.settings.host;
+    report.incarnation = m_incarnation;
+    report.sequenceNumber = ++m_lastSequenceNumber;
+    report.requests = m_core.placer->ownRequests();
+    return report;
+}
+
+/// Adds what a full report states, but for crashes, of which each statement goes to all peers.
+void LoadReports::addState(LoadReport &report) const
+{
+    const auto now = m_core.clock.now();
     report.demand = m_core.rateLimiter.demands(now);
     report.spent = m_core.rateLimiter.spent();
     report.leavingEngines = m_core.engines.selfReportedLeaving();
     report.knowledge = m_core.knowledge;
     report.uptime = now - m_startedAt;
-    report.crashes = m_core.crashSuspects.reportIfDue(now).value_or(CrashReport());
     report.limits = m_core.engineLimits.report(now);
     if (!m_core.engineLimits.isEmpty()) {
         report.serviceDemand = m_core.placer->demand(now);
     }
-    m_core.limitDivision.setOwnDemand(report.serviceDemand);
-    sendTo(m_localPeers, report);
-    if (m_remotePeers.size() <= maxDirectRemotePeers) {
-        sendTo(m_remotePeers, report);
-        return;
-    }
-    report.shouldForward = true;
-    sendTo({m_remotePeers[m_lastSequenceNumber % m_remotePeers.size()]}, report);
 }
 
 void LoadReports::sendTo(const std::vector<Address> &peers, const LoadReport &report)
--- a/packages/gateway/src/loadreports.h
+++ b/packages/gateway/src/loadreports.h
@@ -38,6 +38,8 @@
 private:
     void tick();
     void send(bool isLoadOnly);
+    LoadReport makeReport();
+    void addState(LoadReport &report) const;
     void sendTo(const std::vector<Address> &peers, const LoadReport &report);
 
     GatewayCore &m_core;
--- a/packages/gateway/src/reportcodec.cpp
+++ b/packages/gateway/src/reportcodec.cpp
@@ -23,6 +23,7 @@
 constexpr const char *demandField = "d";
 constexpr const char *spentField = "s";
 constexpr const char *forwardField = "f";
+constexpr const char *askField = "a";
 constexpr const char *leavingField = "v";
 constexpr const char *eraField = "e";
 constexpr const char *revisionField = "c";
@@ -138,6 +139,7 @@
                                          demandField,
                                          spentField,
                                          forwardField,
+                                         askField,
                                          leavingField,
                                          eraField,
                                          revisionField,
@@ -185,7 +187,8 @@
     bool boolean(bool value) override
     {
         m_report.shouldForward = m_report.shouldForward || (value && m_field == forwardField);
-        return m_isUnknownField || (m_depth == 1 && m_field == forwardField);
+        m_report.asksForReport = m_report.asksForReport || (value && m_field == askField);
+        return m_isUnknownField || (m_depth == 1 && (m_field == forwardField || m_field == askField));
     }
     bool number_integer(Json::number_integer_t value) override
     {
@@ -390,6 +393,9 @@
     if (report.shouldForward) {
         json[forwardField] = true;
     }
+    if (report.asksForReport) {
+        json[askField] = true;
+    }
     return Json::to_msgpack(json);
 }
 
--- a/packages/gateway/src/reportcodec_test.cpp
+++ b/packages/gateway/src/reportcodec_test.cpp
@@ -43,6 +43,9 @@
     auto forwarded = full;
     forwarded.shouldForward = true;
     CHECK(encodedAndDecoded(forwarded) == forwarded);
+    LoadReport question = full;
+    question.asksForReport = true;
+    CHECK(encodedAndDecoded(question) == question);
     LoadReport loadOnlyReport = full;
     loadOnlyReport.demand.clear();
     loadOnlyReport.spent.clear();
--- a/packages/gateway/src/storechanges.cpp
+++ b/packages/gateway/src/storechanges.cpp
@@ -47,7 +47,8 @@
                      {{"revision", static_cast<std::int64_t>(configuration.revision)},
                       {"former", static_cast<std::int64_t>(previousRevision)},
                       {"routes", static_cast<std::int64_t>(configuration.routes.size())},
-                      {"customers", static_cast<std::int64_t>(configuration.customers.size())}});
+                      {"customers", static_cast<std::int64_t>(configuration.customers.size())},
+                      {"needs_keys", m_core.activeConfiguration->customers.requiresKey()}});
 }
 
 std::optional<EngineRecord> StoreChanges::decodeEngineRow(const TableRow &row)
--- a/packages/gateway/src/storewatch.cpp
+++ b/packages/gateway/src/storewatch.cpp
@@ -78,16 +78,27 @@
     } else if (table == layout.gatewayTable) {
         m_gatewaysBehindSince.reset();
     }
-    if (table == layout.configurationTable && isNewestRevision()) {
-        recordOwnProof(read);
+    if (table == layout.configurationTable) {
+        m_pendingProof = read;
     }
+    recordPendingProof();
+}
+
+void StoreWatch::recordPendingProof()
+{
+    if (!m_pendingProof || !m_core.peerSurvey.isComplete(m_core.fleet, m_core.clock.now())) {
+        return;
+    }
+    if (isNewestRevision()) {
+        recordOwnProof(*m_pendingProof);
+    }
+    m_pendingProof.reset();
 }
 
 bool StoreWatch::isNewestRevision() const
 {
     return m_core.activeConfiguration
-        && m_core.fleet.isNewestRevision(
-            m_core.activeConfiguration->configuration->revision, m_storedRevision, m_core.clock.now());
+        && m_core.fleet.isNewestRevision(m_core.activeConfiguration->configuration->revision, m_storedRevision);
 }
 
 void StoreWatch::recordOwnProof(const ReadTime &read)
@@ -113,6 +124,7 @@
 {
     m_core.freshness.storeRestored(m_core.clock.now());
     m_storedRevision = 0;
+    m_pendingProof.reset();
     // From now on, reports that date proofs in the former era are not comparable.
     m_core.knowledge.era = m_eras.current();
     m_core.knowledge.provenAtMs = 0;
@@ -128,6 +140,7 @@
 
 void StoreWatch::learnFromPeer(const StoreKnowledge &reported)
 {
+    recordPendingProof();
     auto &knowledge = m_core.knowledge;
     if (reported.era != knowledge.era) {
         return;
@@ -149,7 +162,7 @@
 bool StoreWatch::isProofDue(TimePoint now) const
 {
     const auto &active = m_core.activeConfiguration;
-    if (!active) {
+    if (!active || m_pendingProof) {
         return false;
     }
     const auto age = m_core.freshness.age(now);
@@ -160,6 +173,7 @@
 
 void StoreWatch::pollIfDue(TimePoint now)
 {
+    recordPendingProof();
     if (isProofDue(now)) {
         m_configurationFeed->pollNow();
     }
--- a/packages/gateway/src/storewatch.h
+++ b/packages/gateway/src/storewatch.h
@@ -42,6 +42,8 @@
 private:
     std::unique_ptr<TableFeed> makeFeed(const std::string &table, Duration changeDelay, TableFeedHandler &handler);
     bool isNewestRevision() const;
+    /// Takes the last answer about the configuration for a proof, if the peers have been asked and hold nothing newer.
+    void recordPendingProof();
     void recordOwnProof(const ReadTime &read);
     bool isProofDue(TimePoint now) const;
 
@@ -54,6 +56,7 @@
     std::unique_ptr<TableFeed> m_engineFeed;
     std::unique_ptr<TableFeed> m_gatewayFeed;
     Revision m_storedRevision = 0;
+    std::optional<ReadTime> m_pendingProof; // an answer that came before the peers had been asked
     std::vector<HostName> m_regionHosts;
     std::optional<TimePoint> m_enginesBehindSince; // another gateway has seen a newer row since then
     std::optional<TimePoint> m_gatewaysBehindSince;
--- a/packages/gateway/src/storewatch_test.cpp
+++ b/packages/gateway/src/storewatch_test.cpp
@@ -83,6 +83,29 @@
         core.activeConfiguration =
             std::make_shared<const ActiveConfiguration>(std::make_shared<const ServingConfiguration>(configuration), 1);
         core.settings.storePollTime = 10s;
+        core.peerSurvey.membersListed({}, clock.now());
+    }
+
+    /// The gateway has just started and read that there is another one.
+    void startBeside(const HostName &peer)
+    {
+        core.peerSurvey = PeerSurvey(HostName("g"));
+        core.peerSurvey.membersListed({peer}, clock.now());
+        core.fleet.setMembers({peer}, clock.now());
+        adapter.pages = {pageOf(1, 5000)};
+        watch.start();
+        run();
+    }
+
+    void hear(const HostName &peer, Revision held)
+    {
+        LoadReport report;
+        report.host = peer;
+        report.incarnation = 1;
+        report.sequenceNumber = ++sequenceNumber;
+        report.knowledge = {1, held, 4000, 0, 0};
+        core.fleet.addReport(report, clock.now());
+        watch.learnFromPeer(report.knowledge);
     }
 
     void rowsListed(const std::string & /*table*/, const std::vector<TableRow> & /*rows*/, ListCause /*cause*/) override
@@ -126,6 +149,7 @@
     StructuredLog log {LogLimits {"error", 1000, 1000}, HostName("g"), 1};
     GatewayCore core {io, clock, GatewaySettings(), adapter, log, metrics};
     unsigned reports = 0;
+    std::uint64_t sequenceNumber = 0;
     StoreWatch watch {core, *this, random, [this] { ++reports; }};
 };
 
@@ -169,3 +193,39 @@
     CHECK(core.knowledge.era == 2);
     CHECK(core.knowledge.provenAtMs == 0);
 }
+
+// After a restore of the store, a gateway that had started served a key that its peers refused.
+TEST_CASE_FIXTURE(Fixture, "a gateway that starts has no proof before its peer has said what it holds")
+{
+    const HostName peer("p");
+    const auto startedAt = clock.now();
+    startBeside(peer);
+    CHECK_FALSE(core.freshness.age(clock.now()));
+    clock.advance(100ms);
+    hear(peer, revision);
+    CHECK(core.freshness.age(clock.now()) == clock.now() - startedAt); // the answer that came meanwhile counts
+    CHECK(core.knowledge.revision == revision);
+}
+
+TEST_CASE_FIXTURE(Fixture, "a gateway that starts has no proof while its peer holds a higher revision, or held it last")
+{
+    const HostName peer("p");
+    startBeside(peer);
+    hear(peer, revision + 2);
+    CHECK_FALSE(core.freshness.age(clock.now()));
+    clock.advance(1min);
+    core.fleet.expire(clock.now());
+    watch.upToDate("configuration", {clock.now(), clock.now(), 1, 65'000});
+    CHECK_FALSE(core.freshness.age(clock.now()));
+}
+
+TEST_CASE_FIXTURE(Fixture, "a gateway that hears nobody takes the store's word after a bounded time")
+{
+    startBeside(HostName("p"));
+    clock.advance(PeerSurvey::answerTimeout - 1ms);
+    watch.pollIfDue(clock.now());
+    CHECK_FALSE(core.freshness.age(clock.now()));
+    clock.advance(1ms);
+    watch.pollIfDue(clock.now());
+    CHECK(core.freshness.age(clock.now()) == PeerSurvey::answerTimeout);
+}
