Streams go on only at runs that are certain while the store is away

Two restores within 6 s forgot a departure; a list that was read again confirmed an engine that hadn't been written again. Change: EngineContinuity tells since when a gateway has been connected to an engine without a break. While registrations can't be read, and until engines have registered again, only a run connected since 3 s before the last answer of the store is certain. Streams that begin elsewhere are served, but don't go on; streams go on only at certain runs. When an outage is noticed, streams that began since at other runs become doubtful. An engine that a restore lists again waits 6 s since the last restore.

--- a/packages/dispatch/include/monsoonward/dispatch/dispatch.h
+++ b/packages/dispatch/include/monsoonward/dispatch/dispatch.h
@@ -8,6 +8,7 @@
 #include "monsoonward/dispatch/crashsuspects.h"
 #include "monsoonward/dispatch/customertable.h"
 #include "monsoonward/dispatch/enginebuild.h"
+#include "monsoonward/dispatch/enginecontinuity.h"
 #include "monsoonward/dispatch/enginedirectory.h"
 #include "monsoonward/dispatch/enginehealth.h"
 #include "monsoonward/dispatch/enginelimiter.h"
--- a/packages/dispatch/include/monsoonward/dispatch/enginedirectory.h
+++ b/packages/dispatch/include/monsoonward/dispatch/enginedirectory.h
@@ -40,6 +40,8 @@
 public:
     /// Engines register again within this time after the store has recovered.
     static constexpr Duration reregistrationTimeout = std::chrono::seconds(2); // stated by the store's operators
+    /// An engine that starts again under its name is in use for up to this long before its registration is read here.
+    static constexpr Duration registrationDelay = std::chrono::seconds(3);
     /// Engines that are gone are removed from a restored store within this time: three heartbeats and their detection.
     static constexpr Duration confirmationTime = std::chrono::seconds(6);
     /// Departed engines are remembered for this long; the copies that the store is restored from are seconds old.
@@ -47,6 +49,8 @@
 
     /// A call to the store succeeded.
     void storeAnswered(TimePoint now);
+    /// A call for another table succeeded, here or at a peer whose proof was taken over, that began at @p at.
+    void storeReachable(TimePoint at);
     /// A call to the store failed.
     void storeFailed();
     /// Applies a complete list of registrations.
@@ -71,6 +75,13 @@
     const EngineRecord *find(const EngineName &name) const;
     /// @return whether the engine is known and may get new requests
     bool mayReceive(const EngineName &name) const;
+    /// @param connectedSince since when one run of the engine has answered, see EngineContinuity
+    /// @return whether the engine that answers now has the version of its registration: the registration can be read,
+    /// or the run had been connected for the time that reading takes before it couldn't be read any more
+    bool isVersionCertain(std::optional<TimePoint> connectedSince, TimePoint now) const;
+    /// @return streams that began at this time or later, at an engine whose version isn't certain, may have begun at
+    /// another version; nothing if all registrations can be read
+    std::optional<TimePoint> uncertainSince(TimePoint now) const;
     /// @return engines that said in an answer that they are leaving
     std::set<EngineName> selfReportedLeaving() const;
     /// @return engines of the service that may get new requests; valid until the next change
@@ -96,6 +107,8 @@
 
     static bool mayReceive(const Entry &entry);
     bool mayReregister(TimePoint now) const;
+    /// @return until when the same run of the engine waits to be confirmed; to be called before put()
+    std::optional<TimePoint> unconfirmedUntil(const EngineRecord &record) const;
     std::vector<EngineName> removeUnlisted(const std::vector<EngineRecord> &records, TimePoint now);
     void erase(std::map<EngineName, Entry>::iterator it, TimePoint now);
 
@@ -103,6 +116,7 @@
     std::map<EngineName, Departure> m_departed;
     bool m_storeUnavailable = false;
     std::optional<TimePoint> m_storeRecoveredAt;
+    std::optional<TimePoint> m_lastReachableAt; // the last time at which all registrations could be read
 };
 
 } // namespace monsoonward
--- a/packages/dispatch/include/monsoonward/dispatch/streamdirectory.h
+++ b/packages/dispatch/include/monsoonward/dispatch/streamdirectory.h
@@ -64,8 +64,6 @@
     static constexpr std::size_t maxAsked = 9;
     /// Then the next daemons are asked. A round trip between regions fits into it.
     static constexpr Duration answerTimeout = std::chrono::milliseconds(60);
-    /// An engine that starts again under its name is in use for up to this long before its registration is read here.
-    static constexpr Duration registrationDelay = std::chrono::seconds(3);
 
     using Found = std::function<void(const StreamFinding &)>;
 
@@ -85,6 +83,9 @@
     /// @param former its registration before
     /// @return number of streams that may have begun at the new build already, and are doubtful now
     std::size_t buildChanged(const EngineRecord &former, TimePoint now);
+    /// An engine may have started again with another build at @p since or later.
+    /// @return number of streams that began there since, and are doubtful now
+    std::size_t doubt(const EngineRecord &engine, TimePoint since, TimePoint now);
     /// @return what this daemon itself knows
     std::optional<StreamOrigin> findHere(const StreamKey &stream, TimePoint now) const;
     /// Finds a stream here or at other daemons.
--- a/packages/dispatch/src/enginedirectory.cpp
+++ b/packages/dispatch/src/enginedirectory.cpp
@@ -9,6 +9,20 @@
         m_storeUnavailable = false;
         m_storeRecoveredAt = now;
     }
+    storeReachable(now);
+}
+
+void EngineDirectory::storeReachable(TimePoint at)
+{
+    if (!mayReregister(at) && (!m_lastReachableAt || at > *m_lastReachableAt)) {
+        m_lastReachableAt = at;
+    }
+}
+
+bool EngineDirectory::isVersionCertain(std::optional<TimePoint> connectedSince, TimePoint now) const
+{
+    return !mayReregister(now)
+        || (connectedSince && m_lastReachableAt && *connectedSince + registrationDelay <= *m_lastReachableAt);
 }
 
 void EngineDirectory::storeFailed()
@@ -21,14 +35,29 @@
     return m_storeUnavailable || (m_storeRecoveredAt && now - *m_storeRecoveredAt < reregistrationTimeout);
 }
 
+std::optional<TimePoint> EngineDirectory::uncertainSince(TimePoint now) const
+{
+    return mayReregister(now) ? std::optional(m_lastReachableAt.value_or(TimePoint()) - registrationDelay)
+                              : std::nullopt;
+}
+
 std::vector<EngineName> EngineDirectory::replace(const std::vector<EngineRecord> &records, TimePoint now)
 {
     for (const auto &it : records) {
+        const auto unconfirmed = unconfirmedUntil(it);
         put(it);
+        m_engines[it.name].confirmedAt = unconfirmed; // a list doesn't tell whether the registration was written again
     }
     return removeUnlisted(records, now);
 }
 
+std::optional<TimePoint> EngineDirectory::unconfirmedUntil(const EngineRecord &record) const
+{
+    const auto known = m_engines.find(record.name);
+    const bool isSame = known != m_engines.end() && known->second.record.incarnation == record.incarnation;
+    return isSame ? known->second.confirmedAt : std::nullopt;
+}
+
 std::vector<EngineName> EngineDirectory::replaceAfterRestore(const std::vector<EngineRecord> &records, TimePoint now)
 {
     m_storeRecoveredAt = now; // registrations written since the copy was made are missing, too
@@ -38,10 +67,11 @@
         const auto known = m_engines.find(it.name);
         const bool wasLeaving = known != m_engines.end() && known->second.record.isLeaving
             && known->second.record.incarnation == it.incarnation;
+        const bool wasUnconfirmed = unconfirmedUntil(it).has_value();
         put(it);
         auto &entry = m_engines[it.name];
         entry.record.isLeaving = entry.record.isLeaving || wasLeaving;
-        if (hasDeparted) {
+        if (hasDeparted || wasUnconfirmed) {
             entry.confirmedAt = now + confirmationTime;
         }
     }
--- a/packages/dispatch/src/streamdirectory.cpp
+++ b/packages/dispatch/src/streamdirectory.cpp
@@ -87,7 +87,12 @@
 
 std::size_t StreamDirectory::buildChanged(const EngineRecord &former, TimePoint now)
 {
-    const auto doubted = m_table.doubt(runOf(former), now - registrationDelay);
+    return doubt(former, now - EngineDirectory::registrationDelay, now);
+}
+
+std::size_t StreamDirectory::doubt(const EngineRecord &engine, TimePoint since, TimePoint now)
+{
+    const auto doubted = m_table.doubt(runOf(engine), since);
     for (const auto &it : doubted) {
         if (const auto origin = m_table.find(it, now)) {
             tellHolders(it, *origin, now);
--- a/packages/dispatch/src/streamdirectory_test.cpp
+++ b/packages/dispatch/src/streamdirectory_test.cpp
@@ -218,7 +218,7 @@
 {
     Fleet fleet(5);
     fleet[0].begin(key(1), engineOf("v1"), 20s, fleet.now);
-    fleet.now += StreamDirectory::registrationDelay + 1s;
+    fleet.now += EngineDirectory::registrationDelay + 1s;
     fleet[0].begin(key(2), engineOf("v1"), 20s, fleet.now);
     fleet.deliver();
     CHECK(fleet[0].buildChanged(engineOf("v1"), fleet.now + 1s) == 1);
--- a/packages/gateway/src/enginecall.cpp
+++ b/packages/gateway/src/enginecall.cpp
@@ -62,6 +62,7 @@
         }
         self->m_timer.cancel();
         if (ec == asio::error::connection_refused) {
+            self->m_pool.connectionEnded(self->m_engine.name);
             self->m_handler->connectionRefused();
         }
         if (ec) {
@@ -69,6 +70,7 @@
             return;
         }
         setSocketOptions(self->m_connection->socket, serverTimeout);
+        self->m_pool.connectionOpened(self->m_engine.name, *self->m_connection);
         self->send();
     });
 }
@@ -299,6 +301,7 @@
     const bool isLost = ec == http::error::end_of_stream || ec == http::error::partial_message || ec == asio::error::eof
         || ec == asio::error::connection_reset;
     if (isLost) {
+        m_pool.connectionEnded(m_engine.name);
         m_handler->connectionLost();
     }
     finishInvalid(ec.message());
--- a/packages/gateway/src/enginepool.cpp
+++ b/packages/gateway/src/enginepool.cpp
@@ -14,10 +14,14 @@
 
 } // namespace
 
-EnginePool::EnginePool(boost::asio::io_context &io, const Clock &clock, const ConnectionDivision &division)
+EnginePool::EnginePool(boost::asio::io_context &io,
+                       const Clock &clock,
+                       const ConnectionDivision &division,
+                       EngineContinuity &continuity)
     : m_io(io)
     , m_clock(clock)
     , m_division(division)
+    , m_continuity(continuity)
 {
 }
 
@@ -44,15 +48,29 @@
     return nullptr;
 }
 
+void EnginePool::connectionOpened(const EngineName &engine, EngineConnection &connection)
+{
+    connection.ticket = m_continuity.connectionOpened(engine, m_clock.now());
+}
+
+void EnginePool::connectionEnded(const EngineName &engine)
+{
+    m_continuity.connectionEnded(engine);
+}
+
 /// @return whether the engine has neither closed the connection nor sent anything on it
-bool EnginePool::isQuiet(const EngineName &engine, EngineConnection &connection) const
+bool EnginePool::isQuiet(const EngineName &engine, EngineConnection &connection)
 {
     char byte = 0;
     const auto n = ::recv(connection.socket.native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
     if (n > 0) {
         reportExtraBytes(engine);
     }
-    return n < 0 && (errno == EAGAIN || errno == EWOULDBLOCK || errno == EINTR);
+    const bool isOpen = n > 0 || (n < 0 && (errno == EAGAIN || errno == EWOULDBLOCK || errno == EINTR));
+    if (!isOpen) {
+        connectionEnded(engine);
+    }
+    return isOpen && n < 0;
 }
 
 void EnginePool::reportExtraBytes(const EngineName &engine) const
@@ -96,6 +114,8 @@
     boost::system::error_code ignored; // a broken connection has nothing to read
     if (found->connection->socket.available(ignored) > 0) {
         reportExtraBytes(engine);
+    } else {
+        connectionEnded(engine);
     }
     idle.erase(found);
 }
--- a/packages/gateway/src/enginepool.h
+++ b/packages/gateway/src/enginepool.h
@@ -30,6 +30,7 @@
     boost::asio::ip::tcp::socket socket;
     boost::beast::flat_buffer buffer {maxBufferBytes};
     bool isReused = false;
+    EngineContinuity::Ticket ticket; ///< null until it is connected
     Duration keepAliveTimeout {}; ///< how long the engine keeps the connection open while idle; zero if it did not say
 };
 
@@ -38,14 +39,20 @@
 class EnginePool
 {
 public:
-    /// @param clock, division must outlive this object
-    EnginePool(boost::asio::io_context &io, const Clock &clock, const ConnectionDivision &division);
+    /// @param clock, division, continuity must outlive this object
+    EnginePool(boost::asio::io_context &io,
+               const Clock &clock,
+               const ConnectionDivision &division,
+               EngineContinuity &continuity);
     EnginePool(const EnginePool &) = delete;
     EnginePool &operator=(const EnginePool &) = delete;
 
     boost::asio::io_context &io();
     /// @return an idle connection to the engine, or null if there is none
     std::unique_ptr<EngineConnection> acquire(const EngineRecord &engine);
+    /// Records that the engine accepted the connection, or ended or refused one.
+    void connectionOpened(const EngineName &engine, EngineConnection &connection);
+    void connectionEnded(const EngineName &engine);
     /// Returns a connection without outstanding request or response to the pool.
     void release(const EngineRecord &engine, std::unique_ptr<EngineConnection> connection);
     /// Closes connections that have been idle for too long, those beyond this gateway's share, and those to engines
@@ -67,11 +74,12 @@
     };
 
     void remove(const EngineName &engine, std::uint64_t id);
-    bool isQuiet(const EngineName &engine, EngineConnection &connection) const;
+    bool isQuiet(const EngineName &engine, EngineConnection &connection);
 
     boost::asio::io_context &m_io;
     const Clock &m_clock;
     const ConnectionDivision &m_division;
+    EngineContinuity &m_continuity;
     std::map<EngineName, std::vector<IdleConnection>> m_idle;
     std::uint64_t m_lastId = 0;
 };
--- a/packages/gateway/src/enginepool_test.cpp
+++ b/packages/gateway/src/enginepool_test.cpp
@@ -35,7 +35,8 @@
     SteadyClock m_clock;
     FleetView m_fleet {HostName("own")};
     ConnectionDivision m_division {HostName("own"), m_fleet};
-    EnginePool m_pool {m_io, m_clock, m_division};
+    EngineContinuity m_continuity;
+    EnginePool m_pool {m_io, m_clock, m_division, m_continuity};
     EngineRecord m_engine;
     unsigned m_reports = 0;
 };
--- a/packages/gateway/src/exchange.cpp
+++ b/packages/gateway/src/exchange.cpp
@@ -111,6 +111,10 @@
     request.tier = m_tier;
     request.latencyObjective = m_route->latencyObjective;
     request.excludedEngines = m_triedEngines;
+    if (m_streamBuild) {
+        const auto uncertain = uncertainEngines();
+        request.excludedEngines.insert(request.excludedEngines.end(), uncertain.begin(), uncertain.end());
+    }
     request.isRetry = m_attempts > 0;
     request.build = m_streamBuild;
     request.mayHaveRun = m_mayHaveRun;
@@ -216,6 +220,9 @@
     if (m_customer != nullptr && !m_core.freshness.mayAcceptKeys(now)) {
         return "the configuration became too old while connecting";
     }
+    if (m_streamBuild && !isVersionCertain(m_call->engine().name)) {
+        return "the version of the engine is no longer certain";
+    }
     return m_core.engines.mayReceive(m_call->engine().name) ? "" : "the engine has left while connecting";
 }
 
--- a/packages/gateway/src/exchange.h
+++ b/packages/gateway/src/exchange.h
@@ -70,6 +70,10 @@
     void refuseTakeUp(const std::string &reason, const std::string &detail);
     /// The first event has arrived: from now on only engines of this version may go on with the stream.
     void recordStreamStart();
+    /// @return whether the engine that answers under the name has the version of its registration
+    bool isVersionCertain(const EngineName &engine) const;
+    /// @return engines of the service whose version isn't certain: a stream must not go on there
+    std::vector<EngineName> uncertainEngines() const;
     /// @return whether it isn't certain which version wrote the events that the caller has
     bool isStreamDoubtful() const;
     void attempt();
--- a/packages/gateway/src/exchangestream.cpp
+++ b/packages/gateway/src/exchangestream.cpp
@@ -93,13 +93,30 @@
         m_stream = streamKey(requestId());
         m_streamBuild = buildOf(engine);
         const auto *registered = m_core.engines.find(engine.name);
-        m_isStreamDoubtful = registered != nullptr && buildOf(*registered) != *m_streamBuild;
+        m_isStreamDoubtful =
+            (registered != nullptr && buildOf(*registered) != *m_streamBuild) || !isVersionCertain(engine.name);
     }
     if (m_route->repeatability == Repeatability::Resumable && !m_isStreamDoubtful) {
         m_core.streams.begin(m_stream, engine, m_callerDeadline - m_core.clock.now());
     }
 }
 
+bool Exchange::isVersionCertain(const EngineName &engine) const
+{
+    return m_core.engines.isVersionCertain(m_core.continuity.connectedSince(engine), m_core.clock.now());
+}
+
+std::vector<EngineName> Exchange::uncertainEngines() const
+{
+    std::vector<EngineName> uncertain;
+    for (const auto *it : m_core.engines.ofService(m_service)) {
+        if (!isVersionCertain(it->name)) {
+            uncertain.push_back(it->name);
+        }
+    }
+    return uncertain;
+}
+
 bool Exchange::isStreamDoubtful() const
 {
     const auto origin = m_streamBuild ? m_core.streams.findHere(m_stream) : std::nullopt;
--- a/packages/gateway/src/gatewaycore.cpp
+++ b/packages/gateway/src/gatewaycore.cpp
@@ -24,7 +24,7 @@
     , engineLimiter(engineLimits, limitDivision)
     , placer(makeFirstBytesPlacer(settings.topology, engines, health, fleet, engineLimiter))
     , connectionDivision(settings.host, fleet)
-    , pool(io, clock, connectionDivision)
+    , pool(io, clock, connectionDivision, continuity)
     , peers(io)
     , streams(io, clock, fleet, peers, metrics)
 {
--- a/packages/gateway/src/gatewaycore.h
+++ b/packages/gateway/src/gatewaycore.h
@@ -48,6 +48,7 @@
     RateLimiter rateLimiter;
     RetryBudgetShare retryBudget;
     EngineDirectory engines;
+    EngineContinuity continuity;
     EngineHealth health;
     EngineLimits engineLimits;
     CrashSuspects crashSuspects;
--- a/packages/gateway/src/gatewayprocess.cpp
+++ b/packages/gateway/src/gatewayprocess.cpp
@@ -144,6 +144,8 @@
         m_metrics.storeCallEnded(table, true);
         if (table == m_core.adapter.storeLayout().engineTable) {
             m_core.engines.storeAnswered(m_clock.now());
+        } else {
+            m_core.engines.storeReachable(m_clock.now());
         }
         if (m_unavailableTables.erase(table) != 0) {
             m_log.write(Event::StoreRecovered, Severity::Info, "store-recovered", {{"table", std::string_view(table)}});
@@ -158,10 +160,14 @@
         }
         m_store.pollAll(); // a long poll on a connection that went silent would notice an outage only at its end
         if (m_unavailableTables.insert(table).second) {
+            const auto doubtful =
+                table == m_core.adapter.storeLayout().engineTable ? m_changes.doubtStreams() : std::size_t {0};
             m_log.write(Event::StoreUnavailable,
                         Severity::Warning,
                         "store-unavailable",
-                        {{"table", std::string_view(table)}, {"reason", std::string_view(error.message)}});
+                        {{"table", std::string_view(table)},
+                         {"reason", std::string_view(error.message)},
+                         {"doubtful_streams", static_cast<std::int64_t>(doubtful)}});
         }
     }
 
--- a/packages/gateway/src/sharedstreams.cpp
+++ b/packages/gateway/src/sharedstreams.cpp
@@ -50,6 +50,11 @@
     return m_directory.buildChanged(former, m_clock.now());
 }
 
+std::size_t SharedStreams::doubt(const EngineRecord &engine, TimePoint since)
+{
+    return m_directory.doubt(engine, since, m_clock.now());
+}
+
 void SharedStreams::find(const StreamKey &stream, StreamDirectory::Found found)
 {
     m_directory.find(stream, std::move(found), m_clock.now());
--- a/packages/gateway/src/sharedstreams.h
+++ b/packages/gateway/src/sharedstreams.h
@@ -28,6 +28,9 @@
     /// An engine registered with another build under its name.
     /// @return number of streams that are doubtful now
     std::size_t buildChanged(const EngineRecord &former);
+    /// An engine may have started again with another build at @p since or later.
+    /// @return number of streams that began there since, and are doubtful now
+    std::size_t doubt(const EngineRecord &engine, TimePoint since);
     /// @param found called once, at once or when other gateways have answered
     void find(const StreamKey &stream, StreamDirectory::Found found);
     /// @return what this gateway knows
--- a/packages/gateway/src/storechanges.cpp
+++ b/packages/gateway/src/storechanges.cpp
@@ -102,6 +102,19 @@
                       {"doubtful_streams", static_cast<std::int64_t>(doubtful)}});
 }
 
+std::size_t StoreChanges::doubtStreams()
+{
+    const auto now = m_core.clock.now();
+    const auto since = m_core.engines.uncertainSince(now);
+    std::size_t doubtful = 0;
+    for (const auto *it : m_core.engines.all()) {
+        if (since && !m_core.engines.isVersionCertain(m_core.continuity.connectedSince(it->name), now)) {
+            doubtful += m_core.streams.doubt(*it, *since);
+        }
+    }
+    return doubtful;
+}
+
 void StoreChanges::engineRemoved(const EngineName &name, std::string_view reason)
 {
     const bool isKept = m_core.engines.find(name) != nullptr;
--- a/packages/gateway/src/takeup_test.cpp
+++ b/packages/gateway/src/takeup_test.cpp
@@ -220,3 +220,46 @@
     exchange(request("/safe/", afterTwo));
     CHECK(m_first.requests().size() == 1);
 }
+
+// A stream that began at an engine that had started again while the store was away went on at its former version.
+TEST_CASE_FIXTURE(StreamFixture,
+                  "a stream that began while registrations can't be read goes on only from a certain run")
+{
+    ScriptedEngine cut(cutAfterTwo);
+    add("a", "v1", cut);
+    add("b", "v1", m_second);
+    m_core.engines.storeAnswered(m_clock.now());
+    m_core.engines.storeFailed();
+    allowRetries();
+    start();
+    for (unsigned n = 0; n < 10; ++n) {
+        const auto response = exchange(request("/stream/"));
+        CHECK((response.find("id: 2") == std::string::npos || response.find("id: 4") == std::string::npos));
+    }
+    CHECK_FALSE(cut.requests().empty());
+    for (const auto &it : m_second.requests()) {
+        CHECK(it.find("Last-Event-Id") == std::string::npos);
+    }
+}
+
+TEST_CASE_FIXTURE(StreamFixture,
+                  "a stream is taken up only by engines whose run was connected before the store went away")
+{
+    add("a", "v1", m_first);
+    tell(record("gone", "v1"));
+    m_core.engines.storeAnswered(m_clock.now());
+    start();
+    const auto ticket = m_core.continuity.connectionOpened(EngineName("a"), m_clock.now());
+    m_clock.jump(EngineDirectory::registrationDelay);
+    m_core.freshness.recordProof(m_clock.now());
+    m_core.engines.storeReachable(m_clock.now());
+    m_core.engines.storeFailed();
+    tell(record("gone", "v1"));
+    CHECK(statusOf(exchange(request("/stream/", afterTwo))) == 200);
+    m_core.continuity.connectionEnded(EngineName("a"));
+    const auto response = exchange(request("/stream/", afterTwo));
+    CHECK(statusOf(response) == 503);
+    CHECK(header(response, "Monsoonward-Verdict") == "not-run");
+    CHECK(statusOf(exchange(request("/safe/"))) == 200); // other requests go on
+    CHECK(m_first.requests().size() == 2);
+}
