--- a/packages/gateway/src/storechanges.h
+++ b/packages/gateway/src/storechanges.h
@@ -21,8 +21,8 @@
     /// @return whether all engines have been read once
     bool haveEnginesBeenListed() const;
     void enginesChanged(const std::vector<TableRow> &rows);
-    /// To be called when the registrations can't be read any more: what began at engines that may have started again since
-    /// becomes doubtful.
+    /// To be called when the registrations can't be read any more: what began at engines that may have started again
+    /// since becomes doubtful.
     /// @return number of these streams
     std::size_t doubtStreams();
     /// To be called when a registration is gone: forgets what is known about the engine unless it is kept.
