One place decides how a caller's body is framed

Cause: the parser looks at all lines of Transfer-Encoding, the gateway at the first, so a body could reach an engine without a length and run as the next request (UNASKED). framingOf() decides from all headers and refuses what isn't certain: 400, or 501 for an unknown coding, and the connection is closed. The request goes on with the length that was read, without trailers.

--- a/packages/callers/include/monsoonward/callers/callers.h
+++ b/packages/callers/include/monsoonward/callers/callers.h
@@ -5,4 +5,5 @@
 #include "monsoonward/callers/callerservice.h"
 #include "monsoonward/callers/chunklimit.h"
 #include "monsoonward/callers/listening.h"
+#include "monsoonward/callers/requestframing.h"
 #include "monsoonward/callers/socketoptions.h"
--- a/packages/callers/src/callerconnection.cpp
+++ b/packages/callers/src/callerconnection.cpp
@@ -136,10 +136,19 @@
     m_keepAlive = message.keep_alive();
     m_httpVersion = message.version();
     m_isHead = message.method() == http::verb::head;
-    if (message.count(http::field::content_length) != 0 && message.count(http::field::transfer_encoding) != 0) {
-        respondWithError(badRequest, "two-lengths");
+    const auto framing = framingOf(message, m_httpVersion);
+    if (const auto *const fault = std::get_if<FramingFault>(&framing)) {
+        respondWithError(fault->status, fault->reason);
         return;
     }
+    m_framing = std::get<BodyFraming>(framing);
+    if ((m_framing == BodyFraming::Chunked) != m_parser->chunked()) {
+        respondWithError(badRequest, "framing-unclear"); // the parser would look for the body's end elsewhere
+        return;
+    }
+    if (m_framing == BodyFraming::Chunked) {
+        m_fieldsBeforeBody = message; // the parser adds trailers to the headers
+    }
     startTimer(bodyTimeout, [this] { respondWithError(requestTimeout, "body-time"); });
     if (!boost::beast::iequals(message[http::field::expect], "100-continue")) {
         readBody();
@@ -197,8 +206,13 @@
 {
     m_phase = Phase::Responding;
     stopTimer();
-    m_exchange = m_service.makeExchange(m_parser->release(), m_arrivedAt, *this);
+    auto request = m_parser->release();
     m_parser.reset();
+    if (m_framing == BodyFraming::Chunked) {
+        static_cast<http::fields &>(request) = std::move(m_fieldsBeforeBody);
+    }
+    frameAnew(request, m_framing, request.body().size());
+    m_exchange = m_service.makeExchange(std::move(request), m_arrivedAt, *this);
     watchForDisconnect();
     const auto exchange =
         m_exchange; // keeps the exchange alive: start() may send the final response, which resets m_exchange
--- a/packages/callers/src/callerconnection.h
+++ b/packages/callers/src/callerconnection.h
@@ -2,6 +2,7 @@
 
 #include "monsoonward/callers/callerservice.h"
 #include "monsoonward/callers/chunklimit.h"
+#include "monsoonward/callers/requestframing.h"
 
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/steady_timer.hpp>
@@ -86,6 +87,8 @@
     boost::beast::flat_buffer m_buffer;
     ChunkLimit m_chunkLimit;
     std::optional<Parser> m_parser;
+    BodyFraming m_framing = BodyFraming::None; // of the request that is read
+    boost::beast::http::fields m_fieldsBeforeBody; // of a chunked request
     Phase m_phase = Phase::Idle;
     TimePoint m_idleSince;
     TimePoint m_arrivedAt;
--- a/packages/gateway/src/endtoendfields.cpp
+++ b/packages/gateway/src/endtoendfields.cpp
@@ -28,8 +28,13 @@
 http::fields endToEndFields(const http::fields &source)
 {
     http::fields fields = source;
-    for (const auto &it : http::token_list(source[http::field::connection])) {
-        fields.erase(it);
+    const auto [first, last] = source.equal_range(http::field::connection);
+    for (auto line = first; line != last; ++line) {
+        for (const auto &it : http::token_list(line->value())) {
+            if (!boost::beast::iequals(it, "host")) { // belongs to the request whatever the peer says
+                fields.erase(it);
+            }
+        }
     }
     for (const auto it : hopByHopFields) {
         fields.erase(it);
--- a/packages/gateway/src/exchange.cpp
+++ b/packages/gateway/src/exchange.cpp
@@ -274,6 +274,7 @@
     for (const auto &it : dialect.reservedHeaders) {
         request->erase(it);
     }
+    request->set(dialect.requestId, requestId());
     request->erase(dialect.apiKey);
     request->erase(dialect.customer);
     if (m_customer != nullptr) {
@@ -285,7 +286,7 @@
         request->set(dialect.lastEventId, std::to_string(*last));
     }
     request->body() = m_request.body();
-    if (m_request.has_content_length() || m_request.chunked()) {
+    if (m_request.has_content_length() || !request->body().empty()) {
         request->content_length(request->body().size());
     }
     return request;
--- a/packages/gateway/src/requestframing_test.cpp
+++ b/packages/gateway/src/requestframing_test.cpp
@@ -3,6 +3,9 @@
 
 #include <rapidcheck.h>
 
+#include <array>
+#include <set>
+
 using namespace monsoonward;
 
 namespace
@@ -81,7 +84,7 @@
         {{"Transfer-Encoding: identity, chunked"}, chunked, 501},
         {{"Transfer-Encoding: gzip"}, smuggled, 501},
         {{"Transfer-Encoding: gzip", "Transfer-Encoding: chunked"}, chunked, 501},
-        {{"Transfer-Encoding: chunked", "Transfer-Encoding: gzip"}, chunked, 501},
+        {{"Transfer-Encoding: chunked", "Transfer-Encoding: gzip"}, chunked, 400},
         {{"Transfer-Encoding: xchunked"}, smuggled, 501},
         {{"Transfer-Encoding: chunked, chunked"}, chunked, 400},
         {{"Transfer-Encoding: chunked", "Transfer-Encoding: chunked"}, chunked, 400},
@@ -144,43 +147,34 @@
 
 TEST_CASE_FIXTURE(FramingFixture, "whatever the lines on framing are, an engine reads the caller's bytes or nothing")
 {
-    rc::check([this] {
-        const auto line = [] {
-            const auto name = *rc::gen::element<std::string>(
-                "Transfer-Encoding", "transfer-encoding", "TRANSFER-ENCODING", "Content-Length", "Connection", "TE");
-            const auto part = [] {
-                return *rc::gen::element<std::string>("chunked",
-                                                      "Chunked",
-                                                      "identity",
-                                                      "gzip",
-                                                      "",
-                                                      " ",
-                                                      ",",
-                                                      "\t",
-                                                      "close",
-                                                      "0",
-                                                      "3",
-                                                      ";",
-                                                      "content-length");
-            };
-            return name + ":" + part() + *rc::gen::element<std::string>("", ",", ", ", " ") + part();
-        };
+    const std::vector<std::string> names {
+        "Transfer-Encoding", "transfer-encoding", "TRANSFER-ENCODING", "Content-Length", "Connection", "TE"};
+    const std::vector<std::string> parts {
+        "chunked", "Chunked", "identity", "gzip", "", " ", ",", "\t", "close", "0", "3", ";", "content-length"};
+    const std::vector<std::string> separators {"", ",", ", ", " "};
+    const std::vector<std::string> contents {"", "abc", smuggled};
+    const bool passed = rc::check("framings", [&](const std::array<std::uint32_t, 20> &choices) {
+        auto choice = choices.begin();
+        const auto oneOf = [&](const std::vector<std::string> &texts) { return texts[*choice++ % texts.size()]; };
         std::vector<std::string> lines;
-        for (auto n = *rc::gen::inRange(0, 4); n > 0; --n) {
-            lines.push_back(line());
+        for (auto n = *choice++ % 4; n > 0; --n) {
+            lines.push_back(oneOf(names) + ":" + oneOf(parts) + oneOf(separators) + oneOf(parts));
         }
-        const auto content = *rc::gen::element<std::string>("", "abc", smuggled);
-        const bool isInChunks = *rc::gen::arbitrary<bool>();
-        if (*rc::gen::arbitrary<bool>()) {
+        const auto content = oneOf(contents);
+        const bool isInChunks = *choice++ % 2 == 0;
+        const auto bytes = isInChunks ? inChunks(content) : content;
+        if (*choice++ % 2 == 0) {
             lines.push_back(isInChunks ? "Transfer-Encoding: chunked"
                                        : "Content-Length: " + std::to_string(content.size()));
         }
-        const auto status = statusOf(exchange(requestFramed(lines, isInChunks ? inChunks(content) : content)));
+        const auto status = statusOf(exchange(requestFramed(lines, bytes)));
         const auto read = bodies();
-        RC_ASSERT(read.size() == (status == 200 ? 1U : 0U));
+        const std::size_t expected = status == 200 ? 1 : 0;
+        RC_ASSERT(read.size() == expected);
         // Without a length, or with one of 0 or 3, the rest is what follows the request.
-        RC_ASSERT(read.empty() || read.front() == content || read.front().empty()
-                  || content.substr(0, 3) == read.front()
-                  || (isInChunks && inChunks(content).substr(0, 3) == read.front()));
+        const std::set<std::string> allowed {"", content, bytes.substr(0, 3)};
+        const bool isAllowed = read.empty() || allowed.count(read.front()) != 0;
+        RC_ASSERT(isAllowed);
     });
+    CHECK(passed);
 }
