One account of the bytes held for callers and engines

Each share now asks the account before more is read: long bodies leave a quarter of the bound to short ones, wait in line for 0.5 s at most, and are refused with 503 (not run, with Retry-After). A request to an engine refers to the caller's body. Streams are buffered up to 256 KiB for callers that read slowly. What the kernel holds unread is bounded.

Token counts that are no finite numbers count as not stated; refusals of callers' bytes are counted, and logged once a minute for each reason. Requests that were sent in advance aren't passed on when their caller has left.

--- a/packages/callers/include/monsoonward/callers/callerservice.h
+++ b/packages/callers/include/monsoonward/callers/callerservice.h
@@ -31,7 +31,8 @@
     /// Sends the headers of a streamed response.
     virtual void startStream(unsigned status, const boost::beast::http::fields &fields) = 0;
     /// Sends a piece of the body. CallerExchange::bytesSent() is called when it has been written to the socket.
-    virtual void sendBytes(std::string bytes) = 0;
+    /// @return whether more may be sent before that, as the caller's buffer has room
+    virtual bool sendBytes(std::string bytes) = 0;
     /// Completes the streamed response.
     virtual void finishStream() = 0;
     /// Closes the connection, so that the caller sees the response as incomplete.
@@ -71,6 +72,11 @@
     /// A caller sent bytes after the end of its connection, and they were dropped. Called once for a connection.
     /// @param bytes received first; more may follow
     virtual void inputDiscarded(std::size_t bytes) = 0;
+    /// @return the account of the bytes that are held for callers; null if they aren't counted
+    virtual MemoryAccount *memory()
+    {
+        return nullptr;
+    }
 };
 
 } // namespace monsoonward
--- a/packages/callers/src/callerconnection.cpp
+++ b/packages/callers/src/callerconnection.cpp
@@ -4,6 +4,9 @@
 
 #include <boost/asio/write.hpp>
 
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+
 #include <algorithm>
 
 namespace monsoonward
@@ -25,6 +28,13 @@
     30); // for the caller to read the rest of a complete response; it may be large and the link slow
 constexpr std::size_t maxLineBytes =
     std::size_t {64} * 1024; // of a line between two chunks, and of what follows the last chunk
+constexpr Duration disconnectPollInterval =
+    std::chrono::milliseconds(100); // while unread bytes hide the end of the connection
+constexpr Duration maxMemoryWait = std::chrono::milliseconds(500); // by then the caller hears when to come back
+constexpr Duration memoryRetryInterval = std::chrono::milliseconds(10);
+constexpr std::size_t growthFactor = 2; // of a string that grows
+constexpr std::size_t maxPendingBytes =
+    std::size_t {256} * 1024; // for a caller that reads slowly, so that the engine doesn't cut its response off
 constexpr unsigned badRequest = 400;
 constexpr unsigned requestTimeout = 408;
 constexpr unsigned bodyTooLarge = 413;
@@ -43,6 +53,9 @@
     , m_socket(std::move(socket))
     , m_onClosed(std::move(onClosed))
     , m_timer(m_socket.get_executor())
+    , m_requestShare(service.memory())
+    , m_responseShare(service.memory())
+    , m_memoryTimer(m_socket.get_executor())
 {
 }
 
@@ -77,7 +90,8 @@
 void CallerConnection::awaitRequest()
 {
     m_phase = Phase::Idle;
-    if (m_buffer.size() != 0) {
+    m_isPipelined = m_buffer.size() != 0;
+    if (m_isPipelined) {
         readHeader();
         return;
     }
@@ -149,6 +163,9 @@
     if (m_framing == BodyFraming::Chunked) {
         m_fieldsBeforeBody = message; // the parser adds trailers to the headers
     }
+    if (!m_parser->is_done()) {
+        m_requestShare.setDisplaceable([this] { refuseForMemory(); });
+    }
     startTimer(bodyTimeout, [this] { respondWithError(requestTimeout, "body-time"); });
     if (!boost::beast::iequals(message[http::field::expect], "100-continue")) {
         readBody();
@@ -170,18 +187,75 @@
         onRequestRead();
         return;
     }
-    http::async_read(m_socket, m_buffer, *m_parser, [self = shared_from_this()](const error_code &ec, std::size_t) {
-        if (self->m_phase != Phase::Reading) {
-            return;
-        }
-        if (ec) {
-            self->onReadFailed(ec);
-        } else {
-            self->onRequestRead();
+    switch (m_requestShare.ask(bytesToHold())) {
+    case MemoryShare::Answer::Refused:
+        refuseForMemory();
+        return;
+    case MemoryShare::Answer::Wait:
+        awaitMemory();
+        return;
+    case MemoryShare::Answer::Granted:
+        break;
+    }
+    m_waitsSince.reset();
+    m_isReadingBody = true;
+    http::async_read_some(
+        m_socket, m_buffer, *m_parser, [self = shared_from_this()](const error_code &ec, std::size_t) {
+            self->m_isReadingBody = false;
+            if (self->m_phase != Phase::Reading) {
+                self->m_parser.reset(); // the request was refused meanwhile
+                return;
+            }
+            if (ec) {
+                self->onReadFailed(ec);
+            } else {
+                self->readBody();
+            }
+        });
+}
+
+std::size_t CallerConnection::bytesToHold() const
+{
+    const auto length = m_parser->content_length();
+    if (length) {
+        return static_cast<std::size_t>(*length);
+    }
+    const auto read = m_parser->get().body().size() + MemoryAccount::shortBytes / growthFactor;
+    auto bytes = MemoryAccount::shortBytes;
+    while (bytes < growthFactor * read) {
+        bytes *= growthFactor;
+    }
+    return std::min<std::size_t>(bytes, growthFactor * m_service.limits().maxBodyBytes);
+}
+
+void CallerConnection::awaitMemory()
+{
+    const auto now = m_clock.now();
+    m_waitsSince = m_waitsSince.value_or(now);
+    if (now - *m_waitsSince >= maxMemoryWait) {
+        refuseForMemory();
+        return;
+    }
+    m_memoryTimer.expires_after(memoryRetryInterval);
+    m_memoryTimer.async_wait([self = shared_from_this()](const error_code &ec) {
+        if (!ec && self->m_phase == Phase::Reading) {
+            self->readBody();
         }
     });
 }
 
+void CallerConnection::refuseForMemory()
+{
+    m_requestShare.release();
+    if (m_isReadingBody) {
+        error_code ignored; // the caller may have closed the connection already
+        m_socket.cancel(ignored);
+    } else {
+        m_parser.reset();
+    }
+    respondWithError(unavailable, "memory");
+}
+
 void CallerConnection::onReadFailed(const error_code &ec)
 {
     if (ec == http::error::header_limit) {
@@ -206,6 +280,13 @@
 {
     m_phase = Phase::Responding;
     stopTimer();
+    m_requestShare.setDisplaceable({});
+    m_requestShare.hold(m_parser->get().body().capacity());
+    if (m_isPipelined && hasDisconnected()) {
+        m_parser.reset();
+        close();
+        return;
+    }
     auto request = m_parser->release();
     m_parser.reset();
     if (m_framing == BodyFraming::Chunked) {
@@ -221,8 +302,9 @@
 
 void CallerConnection::watchForDisconnect()
 {
-    if (m_buffer.size() != 0) {
-        return; // a pipelined request was already received
+    if (m_buffer.size() != 0) { // a pipelined request was already received
+        pollForDisconnect();
+        return;
     }
     m_socket.async_wait(tcp::socket::wait_read, [self = shared_from_this()](const error_code &ec) {
         if (!ec) {
@@ -243,7 +325,30 @@
         close();
     } else if (n < 0) {
         watchForDisconnect();
+    } else {
+        pollForDisconnect();
+    }
+}
+
+void CallerConnection::pollForDisconnect()
+{
+    startTimer(disconnectPollInterval, [this] {
+        if (m_exchange && hasDisconnected()) {
+            close();
+        } else if (m_exchange) {
+            pollForDisconnect();
+        }
+    });
+}
+
+bool CallerConnection::hasDisconnected()
+{
+    tcp_info info {};
+    socklen_t size = sizeof info;
+    if (::getsockopt(m_socket.native_handle(), IPPROTO_TCP, TCP_INFO, &info, &size) != 0) {
+        return false; // a read or write tells later
     }
+    return info.tcpi_state == TCP_CLOSE_WAIT || info.tcpi_state == TCP_CLOSE;
 }
 
 // ---- responding
@@ -259,6 +364,8 @@
 void CallerConnection::respond(CallerResponse response)
 {
     m_exchange.reset();
+    m_requestShare.release();
+    m_responseShare.hold(response.body.size());
     m_phase = Phase::Responding;
     startTimer(finalWriteTimeout, [this] { close(); });
     m_response.emplace();
@@ -308,13 +415,21 @@
         });
 }
 
-void CallerConnection::sendBytes(std::string bytes)
+void CallerConnection::countPendingBytes()
+{
+    m_responseShare.hold(m_writeBuffer.size() + m_pendingBytes.size());
+}
+
+bool CallerConnection::sendBytes(std::string bytes)
 {
     if (m_isWriting) {
         m_pendingBytes += bytes;
-        return;
+        countPendingBytes();
+        const auto held = m_responseShare.bytes();
+        return held < maxPendingBytes && m_responseShare.hasRoomFor(held + MemoryAccount::shortBytes);
     }
     m_writeBuffer = std::move(bytes);
+    countPendingBytes();
     m_isWriting = true;
     auto done = [self = shared_from_this()](const error_code &ec, std::size_t /*n*/) { self->onBytesWritten(ec); };
     if (m_httpVersion >= 11) {
@@ -322,14 +437,25 @@
     } else {
         asio::async_write(m_socket, asio::buffer(m_writeBuffer), std::move(done));
     }
+    return true;
 }
 
 void CallerConnection::onBytesWritten(const error_code &ec)
 {
     m_isWriting = false;
+    m_writeBuffer.clear();
     if (ec) {
         close();
-    } else if (m_isFinishPending) {
+        return;
+    }
+    if (!m_pendingBytes.empty()) {
+        sendBytes(std::exchange(m_pendingBytes, {}));
+    }
+    if (m_isWriting && m_isFinishPending) {
+        return;
+    }
+    countPendingBytes();
+    if (m_isFinishPending) {
         finishStream();
     } else if (m_exchange) {
         const auto exchange = m_exchange;
@@ -340,6 +466,7 @@
 void CallerConnection::finishStream()
 {
     m_exchange.reset();
+    m_requestShare.release();
     if (!m_isFinishPending) {
         startTimer(finalWriteTimeout, [this] { close(); });
     }
@@ -375,6 +502,8 @@
     if (m_phase != Phase::Responding) {
         return;
     }
+    m_response.reset();
+    m_responseShare.release();
     if (!m_keepAlive) {
         linger();
         return;
@@ -437,6 +566,9 @@
 {
     m_phase = Phase::Closing;
     stopTimer();
+    m_memoryTimer.cancel();
+    m_requestShare.release();
+    m_responseShare.release();
     error_code ignored; // the caller may have closed it already
     m_socket.close(ignored);
     if (const auto exchange = std::exchange(m_exchange, nullptr)) {
--- a/packages/callers/src/callerconnection.h
+++ b/packages/callers/src/callerconnection.h
@@ -43,7 +43,7 @@
 
     void respond(CallerResponse response) override;
     void startStream(unsigned status, const boost::beast::http::fields &fields) override;
-    void sendBytes(std::string bytes) override;
+    bool sendBytes(std::string bytes) override;
     void finishStream() override;
     void abort() override;
 
@@ -62,12 +62,23 @@
     void startIdleTimer();
     void readHeader();
     void onHeaderRead();
+    /// Reads the body as far as the account of memory has room for it.
     void readBody();
+    /// @return bytes to be held for the body before more of it is read
+    std::size_t bytesToHold() const;
+    void awaitMemory();
+    void refuseForMemory();
+    /// Counts the bytes that are waiting to be written beside those of the request.
+    void countPendingBytes();
     void onRequestRead();
     void onReadFailed(const boost::system::error_code &ec);
     void respondWithError(unsigned status, const std::string &reason);
     void watchForDisconnect();
     void onReadable();
+    /// Looks for the end of the connection while bytes that are not read yet hide it.
+    void pollForDisconnect();
+    /// @return whether the caller has closed the connection, whatever is still unread
+    bool hasDisconnected();
     void onBytesWritten(const boost::system::error_code &ec);
     void onResponseWritten();
     void startTimer(Duration timeout, std::function<void()> onTimeout);
@@ -95,6 +106,12 @@
     bool m_keepAlive = false; // the connection may serve another request
     unsigned m_httpVersion = 11; // 10 or 11, as in Beast
     bool m_isHead = false;
+    MemoryShare m_requestShare; // of the body that is read, until the final response
+    MemoryShare m_responseShare; // of what is written
+    boost::asio::steady_timer m_memoryTimer; // while the body waits for memory
+    std::optional<TimePoint> m_waitsSince; // for memory
+    bool m_isReadingBody = false;
+    bool m_isPipelined = false; // the request's first bytes arrived during the one before
     std::shared_ptr<CallerExchange> m_exchange;
     bool m_isWriting = false;
     bool m_isFinishPending = false; // finishStream() was called during a write
--- a/packages/callers/src/socketoptions.cpp
+++ b/packages/callers/src/socketoptions.cpp
@@ -12,6 +12,7 @@
 constexpr int keepAliveIdleSeconds = 1; // the kernel's minimum
 constexpr int keepAliveIntervalSeconds = 1;
 constexpr int keepAliveProbes = 2;
+constexpr int receiveBufferBytes = 64 * 1024; // what is received and not yet read counts toward the process's memory
 
 void setOption(int socket, int level, int name, int value)
 {
@@ -25,6 +26,7 @@
 {
     const int handle = socket.native_handle();
     setOption(handle, IPPROTO_TCP, TCP_NODELAY, 1);
+    setOption(handle, SOL_SOCKET, SO_RCVBUF, receiveBufferBytes);
     setOption(handle, SOL_SOCKET, SO_KEEPALIVE, 1);
     setOption(handle, IPPROTO_TCP, TCP_KEEPIDLE, keepAliveIdleSeconds);
     setOption(handle, IPPROTO_TCP, TCP_KEEPINTVL, keepAliveIntervalSeconds);
--- a/packages/gateway/src/enginecall.h
+++ b/packages/gateway/src/enginecall.h
@@ -45,13 +45,19 @@
     virtual void callEnded(AttemptOutcome outcome, const std::string &reason) = 0;
 };
 
+/// @brief A request to an engine. It refers to the body of the caller's request.
+struct EngineRequest : boost::beast::http::request<boost::beast::http::span_body<const char>>
+{
+    std::shared_ptr<const void> bodyOwner;
+};
+
 /// @brief Sends one request to one engine and reads the response. Late responses to earlier requests on a reused
 /// connection are recognized by their request ID and discarded. On a connection that was used before, a response
 /// without a request ID may be such a late one, so nothing is concluded from it.
 class EngineCall : public std::enable_shared_from_this<EngineCall>
 {
 public:
-    using Request = boost::beast::http::request<boost::beast::http::string_body>;
+    using Request = EngineRequest;
 
     /// @param request complete, including its request ID
     /// @param handler must outlive the call, or cancel() must be called before it ends
@@ -103,7 +109,7 @@
     std::shared_ptr<const Request> m_request;
     EngineCallHandler *m_handler; // null once the call has ended
     std::unique_ptr<EngineConnection> m_connection;
-    std::optional<boost::beast::http::request_serializer<boost::beast::http::string_body>> m_serializer;
+    std::optional<boost::beast::http::request_serializer<boost::beast::http::span_body<const char>>> m_serializer;
     std::optional<Parser> m_parser;
     std::array<char, 8192> m_bodyBuffer {};
     boost::asio::steady_timer m_timer; // while connecting, and while the body of a rejection is read
--- a/packages/gateway/src/exchange.cpp
+++ b/packages/gateway/src/exchange.cpp
@@ -71,20 +71,21 @@
 
 Exchange::Exchange(GatewayCore &core, Request request, TimePoint arrivedAt, ResponseSink &sink)
     : m_core(core)
-    , m_request(std::move(request))
+    , m_requestOwner(std::make_shared<const Request>(std::move(request)))
+    , m_request(*m_requestOwner)
     , m_arrivedAt(arrivedAt)
     , m_sink(&sink)
     , m_configuration(core.activeConfiguration)
     , m_timer(core.io)
+    , m_responseShare(&core.memory)
+    , m_memoryTimer(core.io)
 {
     ++m_core.openRequests;
-    m_core.openBodyBytes += m_request.body().size();
 }
 
 Exchange::~Exchange()
 {
     --m_core.openRequests;
-    m_core.openBodyBytes -= m_request.body().size();
 }
 
 void Exchange::start()
@@ -263,10 +264,12 @@
     m_core.crashSuspects.engineRefusedConnection(runOf(m_call->engine()), m_core.clock.now());
 }
 
-std::shared_ptr<const Exchange::Request> Exchange::makeEngineRequest(const EngineRecord &engine, Duration timeout) const
+std::shared_ptr<const EngineCall::Request> Exchange::makeEngineRequest(const EngineRecord &engine,
+                                                                       Duration timeout) const
 {
     const auto &dialect = m_core.adapter.dialect();
-    auto request = std::make_shared<Request>();
+    auto request = std::make_shared<EngineCall::Request>();
+    request->bodyOwner = m_requestOwner;
     static_cast<http::fields &>(request->base()) = endToEndFields(m_request.base());
     request->method_string(m_request.method_string());
     request->target(m_request.target());
@@ -285,9 +288,9 @@
     if (const auto last = m_eventSplitter.lastId()) {
         request->set(dialect.lastEventId, std::to_string(*last));
     }
-    request->body() = m_request.body();
-    if (m_request.has_content_length() || !request->body().empty()) {
-        request->content_length(request->body().size());
+    request->body() = {m_request.body().data(), m_request.body().size()};
+    if (m_request.has_content_length() || !m_request.body().empty()) {
+        request->content_length(m_request.body().size());
     }
     return request;
 }
@@ -388,6 +391,8 @@
         return false;
     }
     m_responseBody.clear();
+    m_responseShare.release();
+    m_isHeldBack = false;
     if (m_responseStarted) {
         m_eventSplitter.restart();
     } else {
--- a/packages/gateway/src/exchange.h
+++ b/packages/gateway/src/exchange.h
@@ -13,7 +13,7 @@
 class Exchange : public CallerExchange, public EngineCallHandler, public std::enable_shared_from_this<Exchange>
 {
 public:
-    using Request = EngineCall::Request;
+    using Request = CallerRequest;
 
     /// @param arrivedAt when the request's header was read
     /// @param sink must stay valid until the final response or callerDisconnected()
@@ -52,6 +52,8 @@
     bool findRoute();
     bool findCustomer();
     bool applyRateLimit();
+    /// @return the tokens that the request states; nothing if it states none, or what can't be read
+    std::optional<double> statedTokens() const;
     /// Ends the request if it has a trait that crashes engines.
     /// @return whether it was ended
     bool refusedAsSuspect();
@@ -74,13 +76,15 @@
     bool isStreamDoubtful() const;
     void attempt();
     void send(const Placement &placement);
-    std::shared_ptr<const Request> makeEngineRequest(const EngineRecord &engine, Duration timeout) const;
+    std::shared_ptr<const EngineCall::Request> makeEngineRequest(const EngineRecord &engine, Duration timeout) const;
     PlacementRequest placementRequest() const;
     AttemptState attemptStateAfter(AttemptOutcome outcome) const;
     bool retry(const AttemptState &state);
     void finishWith(NextStep step, const std::string &reason);
     void finishResponse();
     void forwardFailure();
+    /// Reads more of the engine's response when there is memory for it.
+    void resumeWithMemory();
     /// Ends the attempt because of what the engine has sent.
     void breakOff(const std::string &reason);
     void recordFirstBytes();
@@ -100,7 +104,8 @@
     std::string_view promptParts() const;
 
     GatewayCore &m_core;
-    Request m_request;
+    const std::shared_ptr<const Request> m_requestOwner; // requests to engines refer to its body
+    const Request &m_request;
     TimePoint m_arrivedAt;
     ResponseSink *m_sink; // null after the final response, and once the caller has disconnected
     ActiveConfigurationPtr m_configuration;
@@ -131,6 +136,9 @@
     bool m_responseStarted = false; // the caller was sent the response headers
     EventSplitter m_eventSplitter;
     std::string m_responseBody; // of a response that is no stream
+    MemoryShare m_responseShare; // of m_responseBody
+    boost::asio::steady_timer m_memoryTimer; // while the response waits for memory
+    bool m_isHeldBack = false; // the engine's response is read on when the caller has taken what it was sent
     TimePoint m_firstBytesAt;
     TimePoint m_lastEventAt;
     Duration m_maxEventGap {}; // longest time between two forwarded events
--- a/packages/gateway/src/exchangeadmission.cpp
+++ b/packages/gateway/src/exchangeadmission.cpp
@@ -20,8 +20,7 @@
     std::chrono::milliseconds(100); // the response and the next request are in transit for that long anyway
 constexpr Duration defaultTimeLimit = std::chrono::seconds(30); // if neither caller nor route sets a limit
 constexpr Duration maxCallerDeadline = std::chrono::hours(1); // a caller that states more is taken to give up earlier
-constexpr std::size_t mebibyte = std::size_t {1024} * 1024;
-constexpr std::size_t bodyMemoryDivisor = 3; // request bodies may take a third of the memory
+constexpr double maxTokens = 1e9; // of a request; engines hold under a millionth of it
 
 /// @return the tier that orders requests first by their customer's tier, then by their route's
 Tier combinedTier(Tier customer, Tier route)
@@ -69,10 +68,6 @@
         return false;
     }
     m_core.retryBudget.recordRequest(m_service, m_arrivedAt);
-    if (m_core.openBodyBytes > m_core.settings.maxMemoryMegabytes * mebibyte / bodyMemoryDivisor) {
-        refuse(unavailable, "memory", defaultRetryAfter, "open bytes " + std::to_string(m_core.openBodyBytes));
-        return false;
-    }
     return applyRateLimit();
 }
 
@@ -105,6 +100,30 @@
     return true;
 }
 
+std::optional<double> Exchange::statedTokens() const
+{
+    const auto stated = viewOf(m_request[m_core.adapter.dialect().tokenCounts]);
+    if (stated.empty()) {
+        return std::nullopt;
+    }
+    const auto tokens = sumOfList(stated);
+    if (tokens && *tokens <= maxTokens) {
+        return tokens;
+    }
+    const std::string reason = tokens ? "token-count-out-of-range" : "token-count-no-number";
+    m_core.metrics.tokenCountMalformed();
+    if (const auto count = m_core.callerFaults.add(reason, m_core.clock.now())) {
+        m_core.log.write(Event::TokenCountMalformed,
+                         Severity::Warning,
+                         "token-count-malformed",
+                         {{"request", requestId()},
+                          {"customer", std::string_view(m_customer->name.text())},
+                          {"reason", std::string_view(reason)},
+                          {"count", static_cast<std::int64_t>(*count)}});
+    }
+    return std::nullopt;
+}
+
 bool Exchange::applyRateLimit()
 {
     if (m_customer == nullptr) {
@@ -112,8 +131,7 @@
     }
     const auto now = m_core.clock.now();
     const auto &name = m_customer->name;
-    const auto stated = viewOf(m_request[m_core.adapter.dialect().tokenCounts]);
-    const auto tokens = stated.empty() ? std::nullopt : sumOfList(stated);
+    const auto tokens = statedTokens();
     const auto units = m_customer->countsTokens ? tokens.value_or(m_customer->defaultRequestUnits) : 1.0;
     const auto demand = m_core.rateLimiter.demand(name, now) + units;
     const RateLimitShare share {m_core.fleet.reportingFraction(now),
--- a/packages/gateway/src/exchangeresponse.cpp
+++ b/packages/gateway/src/exchangeresponse.cpp
@@ -17,6 +17,7 @@
 namespace
 {
 
+constexpr Duration memoryRetryInterval = std::chrono::milliseconds(10);
 constexpr std::size_t maxBufferedBodyBytes = std::size_t {8} * 1024 * 1024; // body size of a response that is no stream
 
 } // namespace
@@ -58,7 +59,8 @@
             breakOff("the response is larger than " + std::to_string(maxBufferedBodyBytes) + " bytes");
             return;
         }
-        m_call->resume();
+        m_responseShare.hold(m_responseBody.size());
+        resumeWithMemory();
         return;
     }
     auto events = m_eventSplitter.push(bytes);
@@ -82,7 +84,25 @@
         m_maxEventGap = std::max(m_maxEventGap, now - m_lastEventAt);
     }
     m_lastEventAt = now;
-    m_sink->sendBytes(std::move(events));
+    m_isHeldBack = !m_sink->sendBytes(std::move(events));
+    if (!m_isHeldBack) {
+        m_call->resume();
+    }
+}
+
+void Exchange::resumeWithMemory()
+{
+    const auto size = m_responseBody.size();
+    if (size <= MemoryAccount::shortBytes || m_responseShare.hasRoomFor(size + MemoryAccount::shortBytes)) {
+        m_call->resume();
+        return;
+    }
+    m_memoryTimer.expires_after(memoryRetryInterval);
+    m_memoryTimer.async_wait([self = shared_from_this(), call = m_call](const boost::system::error_code &ec) {
+        if (!ec && self->m_call == call && self->m_sink != nullptr) {
+            self->resumeWithMemory();
+        }
+    });
 }
 
 void Exchange::breakOff(const std::string &reason)
@@ -94,7 +114,7 @@
 
 void Exchange::bytesSent()
 {
-    if (m_call) {
+    if (m_call && std::exchange(m_isHeldBack, false)) {
         m_call->resume();
     }
 }
@@ -106,6 +126,7 @@
         return;
     }
     auto *sink = std::exchange(m_sink, nullptr);
+    m_responseShare.release(); // the connection counts what it writes
     if (m_responseStarted) {
         sink->finishStream();
     } else {
@@ -116,6 +137,7 @@
 
 void Exchange::forwardFailure()
 {
+    m_responseShare.release(); // the connection counts what it writes
     if (impliesNotRun(m_responseHead.status)) { // the engine may have run the request, so the caller gets 502
         sendGatewayResponse(badGateway, "may-have-run", Duration::zero());
     } else {
--- a/packages/gateway/src/gatewaycallers.cpp
+++ b/packages/gateway/src/gatewaycallers.cpp
@@ -1,12 +1,22 @@
 #include "gatewaycallers.h"
 
 #include "exchange.h"
+#include "headervalues.h"
+#include "httpstatus.h"
 
 #include <algorithm>
 
 namespace monsoonward
 {
 
+namespace
+{
+
+constexpr std::string_view memoryReason = "memory";
+constexpr Duration refusalRetryAfter = std::chrono::milliseconds(500); // by then requests have ended
+
+} // namespace
+
 GatewayCallerService::GatewayCallerService(GatewayCore &core)
     : m_core(core)
 {
@@ -30,12 +40,22 @@
 
 CallerResponse GatewayCallerService::errorResponse(unsigned status, const std::string &reason)
 {
-    m_core.log.write(Event::CallerRefused,
-                     Severity::Info,
-                     "caller-refused",
-                     {{"status", static_cast<std::int64_t>(status)}, {"reason", std::string_view(reason)}});
+    m_core.metrics.callerRefused(status, reason);
+    if (const auto count = m_core.callerFaults.add(reason, m_core.clock.now())) {
+        const bool isMemory = reason == memoryReason;
+        m_core.log.write(isMemory ? Event::MemoryShort : Event::CallerRefused,
+                         isMemory ? Severity::Warning : Severity::Info,
+                         isMemory ? "memory-short" : "caller-refused",
+                         {{"status", static_cast<std::int64_t>(status)},
+                          {"reason", std::string_view(reason)},
+                          {"count", static_cast<std::int64_t>(*count)},
+                          {"held_bytes", static_cast<std::int64_t>(m_core.memory.held())}});
+    }
     CallerResponse response;
     response.status = status;
+    if (status == httpstatus::unavailable) {
+        response.fields.set(boost::beast::http::field::retry_after, retryAfterText(refusalRetryAfter));
+    }
     response.fields.set("Monsoonward-Verdict", "not-run");
     response.body = reason + "\n";
     return response;
@@ -49,6 +69,11 @@
                      {{"bytes", static_cast<std::int64_t>(bytes)}, {"stopping", m_core.isStopping}});
 }
 
+MemoryAccount *GatewayCallerService::memory()
+{
+    return &m_core.memory;
+}
+
 std::size_t maxCallerConnections(std::uint32_t maxDescriptors)
 {
     constexpr std::uint32_t reservedDescriptors =
--- a/packages/gateway/src/gatewaycallers.h
+++ b/packages/gateway/src/gatewaycallers.h
@@ -19,6 +19,7 @@
     makeExchange(CallerRequest request, TimePoint arrivedAt, ResponseSink &sink) override;
     CallerResponse errorResponse(unsigned status, const std::string &reason) override;
     void inputDiscarded(std::size_t bytes) override;
+    MemoryAccount *memory() override;
 
 private:
     GatewayCore &m_core;
--- a/packages/gateway/src/gatewaycore.cpp
+++ b/packages/gateway/src/gatewaycore.cpp
@@ -3,6 +3,13 @@
 namespace monsoonward
 {
 
+std::size_t memoryBound(const GatewaySettings &settings)
+{
+    constexpr std::size_t mebibyte = std::size_t {1024} * 1024;
+    constexpr std::size_t divisor = 3; // the rest is for the program, its connections and what the kernel holds unread
+    return settings.maxMemoryMegabytes * mebibyte / divisor;
+}
+
 GatewayCore::GatewayCore(boost::asio::io_context &io,
                          const Clock &clock,
                          const GatewaySettings &settings,
@@ -26,6 +33,7 @@
     , pool(io, clock, connectionDivision)
     , peers(io)
     , streams(io, clock, fleet, peers, metrics)
+    , memory(memoryBound(settings))
 {
     pool.onExtraBytes = [this](const EngineName &engine) {
         this->log.write(
--- a/packages/gateway/src/gatewaycore.h
+++ b/packages/gateway/src/gatewaycore.h
@@ -27,6 +27,9 @@
 
 using ActiveConfigurationPtr = std::shared_ptr<const ActiveConfiguration>;
 
+/// @return bytes that may be held for callers and engines
+std::size_t memoryBound(const GatewaySettings &settings);
+
 /// @brief State that the components of a gateway share. Used on the event loop's thread only.
 struct GatewayCore
 {
@@ -61,7 +64,8 @@
     SharedStreams streams;
     StoreKnowledge knowledge; ///< what this gateway has read from the store, for its load reports
     std::size_t openRequests = 0;
-    std::size_t openBodyBytes = 0; ///< bytes of request bodies in memory
+    MemoryAccount memory; ///< bytes held for callers and engines
+    PacedRecords callerFaults; ///< for the log
     bool isStopping = false;
     TimePoint lateRequestsFrom; ///< during shutdown: requests that arrive later must have a deadline before abortAt
     TimePoint abortAt; ///< during shutdown: when the requests in progress are aborted
--- a/packages/gateway/src/gatewaymetrics.cpp
+++ b/packages/gateway/src/gatewaymetrics.cpp
@@ -86,6 +86,16 @@
                prometheus::BuildCounter(),
                "monsoonward_gateway_engine_limit_malformed_total",
                "Engines' responses whose rate limit can't be read");
+    prometheus::Family<prometheus::Counter> &callerRefusals =
+        family(registry,
+               prometheus::BuildCounter(),
+               "monsoonward_gateway_caller_refusals_total",
+               "Callers' bytes that were refused before they were a request, by status and reason");
+    prometheus::Family<prometheus::Counter> &malformedTokenCounts =
+        family(registry,
+               prometheus::BuildCounter(),
+               "monsoonward_gateway_token_count_malformed_total",
+               "Requests whose token counts can't be read");
     prometheus::Family<prometheus::Counter> &streamMessages =
         family(registry,
                prometheus::BuildCounter(),
@@ -147,6 +157,22 @@
     m_impl->malformedLimits.Add({}).Increment();
 }
 
+void GatewayMetrics::callerRefused(unsigned status, const std::string &reason)
+{
+    m_impl->callerRefusals.Add({{"status", std::to_string(status)}, {"reason", reason}}).Increment();
+}
+
+void GatewayMetrics::tokenCountMalformed()
+{
+    m_impl->malformedTokenCounts.Add({}).Increment();
+}
+
+void GatewayMetrics::setMemory(std::size_t held, std::size_t waiting)
+{
+    m_impl->gauges.Add({{"name", "held_bytes"}}).Set(static_cast<double>(held));
+    m_impl->gauges.Add({{"name", "bodies_waiting"}}).Set(static_cast<double>(waiting));
+}
+
 void GatewayMetrics::streamMessageSent(const char *kind)
 {
     m_impl->streamMessages.Add({{"kind", kind}}).Increment();
--- a/packages/gateway/src/gatewaymetrics.h
+++ b/packages/gateway/src/gatewaymetrics.h
@@ -33,6 +33,13 @@
     /// An answer of the store stated an era that is no number.
     void storeEraMalformed();
     void engineLimitMalformed();
+    /// A caller's bytes were refused before they were a request.
+    /// @param reason one of a fixed set of texts
+    void callerRefused(unsigned status, const std::string &reason);
+    void tokenCountMalformed();
+    /// @param held bytes held for callers and engines
+    /// @param waiting number of bodies that wait for memory
+    void setMemory(std::size_t held, std::size_t waiting);
     /// @param kind of message about streams to another gateway, one of a fixed set of words
     void streamMessageSent(const char *kind);
     /// A caller asked to take up a stream.
--- a/packages/gateway/src/gatewayprocess.cpp
+++ b/packages/gateway/src/gatewayprocess.cpp
@@ -347,6 +347,7 @@
             // Only these settings are read again. The others, such as addresses to listen on, need a restart.
             m_core.settings.shutdownGrace = outcome.settings.shutdownGrace;
             m_core.settings.maxMemoryMegabytes = outcome.settings.maxMemoryMegabytes;
+            m_core.memory.setBound(memoryBound(m_core.settings));
             m_core.settings.maxDescriptors = outcome.settings.maxDescriptors;
             m_log.write(Event::SettingsReloaded, Severity::Info, "settings-reloaded", {});
         }
--- a/packages/gateway/src/gatewaysettings.cpp
+++ b/packages/gateway/src/gatewaysettings.cpp
@@ -195,7 +195,7 @@
          "128",
          "MB",
          "16 to 1048576",
-         "Memory of the process. Request bodies may take a third of it.",
+         "Memory of the process. What is held for callers and engines may take a third of it.",
          readNumber(&GatewaySettings::maxMemoryMegabytes, 16, 1024U * 1024U)},
         {"limits",
          "descriptors",
--- a/packages/gateway/src/gatewaystatus.cpp
+++ b/packages/gateway/src/gatewaystatus.cpp
@@ -22,6 +22,7 @@
 {
     const auto now = m_core.clock.now();
     m_core.metrics.setEngines(m_core.engines.size(), m_core.fleet.size());
+    m_core.metrics.setMemory(m_core.memory.held(), m_core.memory.waiting());
     m_core.metrics.setOpenRequests(m_core.openRequests, m_callers.connections());
     m_core.metrics.setLogRecordsDropped(m_core.log.dropped());
     m_core.metrics.setStoreEra(m_store.era());
--- a/packages/gateway/src/headervalues.cpp
+++ b/packages/gateway/src/headervalues.cpp
@@ -20,7 +20,7 @@
     while (!text.empty()) {
         double n = 0;
         const auto [rest, ec] = std::from_chars(text.data(), text.data() + text.size(), n);
-        if (ec != std::errc() || n < 0) {
+        if (ec != std::errc() || !std::isfinite(n) || n < 0) {
             return std::nullopt;
         }
         sum += n;
@@ -30,7 +30,7 @@
         }
         text.remove_prefix(text.empty() ? 0 : 1);
     }
-    return sum;
+    return std::isfinite(sum) ? std::optional<double>(sum) : std::nullopt;
 }
 
 Duration keepAliveTimeoutOf(const http::fields &fields)
--- a/packages/gateway/src/headervalues_test.cpp
+++ b/packages/gateway/src/headervalues_test.cpp
@@ -57,7 +57,7 @@
 {
     CHECK(sumOfList("1460,80") == 1540.0);
     CHECK(sumOfList("0.5") == 0.5);
-    for (const char *it : {"a", "1;2", "-1", "1,-2"}) {
+    for (const char *it : {"a", "1;2", "-1", "1,-2", "nan", "nan,1", "1,inf", "-nan", "1e308,1e308"}) {
         CAPTURE(it);
         CHECK_FALSE(sumOfList(it));
     }
--- a/packages/gateway/src/requestframing_test.cpp
+++ b/packages/gateway/src/requestframing_test.cpp
@@ -178,3 +178,37 @@
     });
     CHECK(passed);
 }
+
+TEST_CASE_FIXTURE(GatewayFixture, "requests that a caller sent in advance are not passed on once it has left")
+{
+    ScriptedEngine engine([](const std::string &it) {
+        std::this_thread::sleep_for(std::chrono::milliseconds(300));
+        return ScriptedResponse {responseTo(it, "ok")};
+    });
+    addEngine("e1", engine.address());
+    start();
+    {
+        tcp::socket socket(m_callerIo);
+        connect(socket);
+        std::string requests;
+        for (const auto *const it : {"id1", "id2", "id3"}) {
+            requests += "POST /once/x HTTP/1.1\r\nHost: h\r\nKey: k\r\nRequest-Id: " + std::string(it)
+                + "\r\nContent-Length: 0\r\n\r\n";
+        }
+        asio::write(socket, asio::buffer(requests));
+        CHECK(eventually([&] { return engine.requests().size() == 1; }));
+    }
+    std::this_thread::sleep_for(std::chrono::seconds(1));
+    CHECK(engine.requests().size() == 1);
+}
+
+TEST_CASE_FIXTURE(GatewayFixture, "a token count that is no number, negative, infinite or absurd counts as not stated")
+{
+    ScriptedEngine engine([](const std::string &it) { return ScriptedResponse {responseTo(it, "ok")}; });
+    addEngine("e1", engine.address());
+    start();
+    for (const auto *const it : {"nan,1", "inf", "-inf,1", "-1", "1e300", "1e308,1e308", "x", "1,,2"}) {
+        CHECK(statusOf(exchange(request("/once/x", "Tokens: " + std::string(it) + "\r\n"))) == 200);
+    }
+    CHECK(m_metrics.text().find("monsoonward_gateway_token_count_malformed_total 8") != std::string::npos);
+}
--- a/packages/values/include/monsoonward/values/eventlog.h
+++ b/packages/values/include/monsoonward/values/eventlog.h
@@ -64,6 +64,8 @@
     AttemptFailed = 6003,
     CallerRefused = 6004,
     CallerInputDiscarded = 6005,
+    TokenCountMalformed = 6006,
+    MemoryShort = 6007,
     EnginePaused = 6101,
     EngineListed = 6102,
     EngineGone = 6103,
