--- a/packages/callers/src/callerconnection.cpp
+++ b/packages/callers/src/callerconnection.cpp
@@ -4,9 +4,6 @@
 
 #include <boost/asio/write.hpp>
 
-#include <netinet/in.h>
-#include <netinet/tcp.h>
-
 #include <algorithm>
 
 namespace monsoonward
@@ -28,11 +25,6 @@
     30); // for the caller to read the rest of a complete response; it may be large and the link slow
 constexpr std::size_t maxLineBytes =
     std::size_t {64} * 1024; // of a line between two chunks, and of what follows the last chunk
-constexpr Duration disconnectPollInterval =
-    std::chrono::milliseconds(100); // while unread bytes hide the end of the connection
-constexpr Duration maxMemoryWait = std::chrono::milliseconds(500); // by then the caller hears when to come back
-constexpr Duration memoryRetryInterval = std::chrono::milliseconds(10);
-constexpr std::size_t growthFactor = 2; // of a string that grows
 constexpr std::size_t maxPendingBytes =
     std::size_t {256} * 1024; // for a caller that reads slowly, so that the engine doesn't cut its response off
 constexpr unsigned badRequest = 400;
@@ -181,81 +173,6 @@
         });
 }
 
-void CallerConnection::readBody()
-{
-    if (m_parser->is_done()) {
-        onRequestRead();
-        return;
-    }
-    switch (m_requestShare.ask(bytesToHold())) {
-    case MemoryShare::Answer::Refused:
-        refuseForMemory();
-        return;
-    case MemoryShare::Answer::Wait:
-        awaitMemory();
-        return;
-    case MemoryShare::Answer::Granted:
-        break;
-    }
-    m_waitsSince.reset();
-    m_isReadingBody = true;
-    http::async_read_some(
-        m_socket, m_buffer, *m_parser, [self = shared_from_this()](const error_code &ec, std::size_t) {
-            self->m_isReadingBody = false;
-            if (self->m_phase != Phase::Reading) {
-                self->m_parser.reset(); // the request was refused meanwhile
-                return;
-            }
-            if (ec) {
-                self->onReadFailed(ec);
-            } else {
-                self->readBody();
-            }
-        });
-}
-
-std::size_t CallerConnection::bytesToHold() const
-{
-    const auto length = m_parser->content_length();
-    if (length) {
-        return static_cast<std::size_t>(*length);
-    }
-    const auto read = m_parser->get().body().size() + MemoryAccount::shortBytes / growthFactor;
-    auto bytes = MemoryAccount::shortBytes;
-    while (bytes < growthFactor * read) {
-        bytes *= growthFactor;
-    }
-    return std::min<std::size_t>(bytes, growthFactor * m_service.limits().maxBodyBytes);
-}
-
-void CallerConnection::awaitMemory()
-{
-    const auto now = m_clock.now();
-    m_waitsSince = m_waitsSince.value_or(now);
-    if (now - *m_waitsSince >= maxMemoryWait) {
-        refuseForMemory();
-        return;
-    }
-    m_memoryTimer.expires_after(memoryRetryInterval);
-    m_memoryTimer.async_wait([self = shared_from_this()](const error_code &ec) {
-        if (!ec && self->m_phase == Phase::Reading) {
-            self->readBody();
-        }
-    });
-}
-
-void CallerConnection::refuseForMemory()
-{
-    m_requestShare.release();
-    if (m_isReadingBody) {
-        error_code ignored; // the caller may have closed the connection already
-        m_socket.cancel(ignored);
-    } else {
-        m_parser.reset();
-    }
-    respondWithError(unavailable, "memory");
-}
-
 void CallerConnection::onReadFailed(const error_code &ec)
 {
     if (ec == http::error::header_limit) {
@@ -300,57 +217,6 @@
     exchange->start();
 }
 
-void CallerConnection::watchForDisconnect()
-{
-    if (m_buffer.size() != 0) { // a pipelined request was already received
-        pollForDisconnect();
-        return;
-    }
-    m_socket.async_wait(tcp::socket::wait_read, [self = shared_from_this()](const error_code &ec) {
-        if (!ec) {
-            self->onReadable();
-        }
-    });
-}
-
-void CallerConnection::onReadable()
-{
-    if (!m_exchange || !m_socket.is_open()) {
-        return;
-    }
-    char byte = 0;
-    const auto n = ::recv(m_socket.native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
-    const bool hasDisconnected = n == 0 || (n < 0 && errno != EAGAIN && errno != EWOULDBLOCK && errno != EINTR);
-    if (hasDisconnected) {
-        close();
-    } else if (n < 0) {
-        watchForDisconnect();
-    } else {
-        pollForDisconnect();
-    }
-}
-
-void CallerConnection::pollForDisconnect()
-{
-    startTimer(disconnectPollInterval, [this] {
-        if (m_exchange && hasDisconnected()) {
-            close();
-        } else if (m_exchange) {
-            pollForDisconnect();
-        }
-    });
-}
-
-bool CallerConnection::hasDisconnected()
-{
-    tcp_info info {};
-    socklen_t size = sizeof info;
-    if (::getsockopt(m_socket.native_handle(), IPPROTO_TCP, TCP_INFO, &info, &size) != 0) {
-        return false; // a read or write tells later
-    }
-    return info.tcpi_state == TCP_CLOSE_WAIT || info.tcpi_state == TCP_CLOSE;
-}
-
 // ---- responding
 
 void CallerConnection::setConnectionHeader(http::fields &fields)
@@ -411,6 +277,8 @@
                 self->close();
             } else if (!self->m_pendingBytes.empty()) {
                 self->sendBytes(std::exchange(self->m_pendingBytes, {}));
+            } else if (self->m_isAbortPending) {
+                self->close();
             }
         });
 }
@@ -451,7 +319,11 @@
     if (!m_pendingBytes.empty()) {
         sendBytes(std::exchange(m_pendingBytes, {}));
     }
-    if (m_isWriting && m_isFinishPending) {
+    if (m_isWriting && (m_isFinishPending || m_isAbortPending)) {
+        return;
+    }
+    if (m_isAbortPending) {
+        close();
         return;
     }
     countPendingBytes();
@@ -494,6 +366,12 @@
 void CallerConnection::abort()
 {
     m_exchange.reset();
+    m_requestShare.release();
+    if (m_isWriting) { // the caller gets what was received before the response ended
+        m_isAbortPending = true;
+        startTimer(finalWriteTimeout, [this] { close(); });
+        return;
+    }
     close();
 }
 
--- a/packages/callers/src/callerconnection.h
+++ b/packages/callers/src/callerconnection.h
@@ -115,6 +115,7 @@
     std::shared_ptr<CallerExchange> m_exchange;
     bool m_isWriting = false;
     bool m_isFinishPending = false; // finishStream() was called during a write
+    bool m_isAbortPending = false; // abort() was called during a write
     std::optional<boost::beast::http::response<boost::beast::http::string_body>> m_response;
     std::optional<boost::beast::http::response<boost::beast::http::empty_body>> m_responseHead;
     std::optional<boost::beast::http::response_serializer<boost::beast::http::empty_body>> m_headSerializer;
