--- a/packages/callers/src/callerconnection.cpp
+++ b/packages/callers/src/callerconnection.cpp
@@ -25,6 +25,8 @@
     30); // for the caller to read the rest of a complete response; it may be large and the link slow
 constexpr std::size_t maxLineBytes =
     std::size_t {64} * 1024; // of a line between two chunks, and of what follows the last chunk
+constexpr std::size_t maxPendingBytes =
+    std::size_t {256} * 1024; // for a caller that reads slowly, so that the engine doesn't cut its response off
 constexpr unsigned badRequest = 400;
 constexpr unsigned requestTimeout = 408;
 constexpr unsigned bodyTooLarge = 413;
@@ -43,6 +45,9 @@
     , m_socket(std::move(socket))
     , m_onClosed(std::move(onClosed))
     , m_timer(m_socket.get_executor())
+    , m_requestShare(service.memory())
+    , m_responseShare(service.memory())
+    , m_memoryTimer(m_socket.get_executor())
 {
 }
 
@@ -77,7 +82,8 @@
 void CallerConnection::awaitRequest()
 {
     m_phase = Phase::Idle;
-    if (m_buffer.size() != 0) {
+    m_isPipelined = m_buffer.size() != 0;
+    if (m_isPipelined) {
         readHeader();
         return;
     }
@@ -136,10 +142,22 @@
     m_keepAlive = message.keep_alive();
     m_httpVersion = message.version();
     m_isHead = message.method() == http::verb::head;
-    if (message.count(http::field::content_length) != 0 && message.count(http::field::transfer_encoding) != 0) {
-        respondWithError(badRequest, "two-lengths");
+    const auto framing = framingOf(message, m_httpVersion);
+    if (const auto *const fault = std::get_if<FramingFault>(&framing)) {
+        respondWithError(fault->status, fault->reason);
         return;
     }
+    m_framing = std::get<BodyFraming>(framing);
+    if ((m_framing == BodyFraming::Chunked) != m_parser->chunked()) {
+        respondWithError(badRequest, "framing-unclear"); // the parser would look for the body's end elsewhere
+        return;
+    }
+    if (m_framing == BodyFraming::Chunked) {
+        m_fieldsBeforeBody = message; // the parser adds trailers to the headers
+    }
+    if (!m_parser->is_done()) {
+        m_requestShare.setDisplaceable([this] { refuseForMemory(); });
+    }
     startTimer(bodyTimeout, [this] { respondWithError(requestTimeout, "body-time"); });
     if (!boost::beast::iequals(message[http::field::expect], "100-continue")) {
         readBody();
@@ -155,24 +173,6 @@
         });
 }
 
-void CallerConnection::readBody()
-{
-    if (m_parser->is_done()) {
-        onRequestRead();
-        return;
-    }
-    http::async_read(m_socket, m_buffer, *m_parser, [self = shared_from_this()](const error_code &ec, std::size_t) {
-        if (self->m_phase != Phase::Reading) {
-            return;
-        }
-        if (ec) {
-            self->onReadFailed(ec);
-        } else {
-            self->onRequestRead();
-        }
-    });
-}
-
 void CallerConnection::onReadFailed(const error_code &ec)
 {
     if (ec == http::error::header_limit) {
@@ -197,41 +197,26 @@
 {
     m_phase = Phase::Responding;
     stopTimer();
-    m_exchange = m_service.makeExchange(m_parser->release(), m_arrivedAt, *this);
+    m_requestShare.setDisplaceable({});
+    m_requestShare.hold(m_parser->get().body().capacity());
+    if (m_isPipelined && hasDisconnected()) {
+        m_parser.reset();
+        close();
+        return;
+    }
+    auto request = m_parser->release();
     m_parser.reset();
+    if (m_framing == BodyFraming::Chunked) {
+        static_cast<http::fields &>(request) = std::move(m_fieldsBeforeBody);
+    }
+    frameAnew(request, m_framing, request.body().size());
+    m_exchange = m_service.makeExchange(std::move(request), m_arrivedAt, *this);
     watchForDisconnect();
     const auto exchange =
         m_exchange; // keeps the exchange alive: start() may send the final response, which resets m_exchange
     exchange->start();
 }
 
-void CallerConnection::watchForDisconnect()
-{
-    if (m_buffer.size() != 0) {
-        return; // a pipelined request was already received
-    }
-    m_socket.async_wait(tcp::socket::wait_read, [self = shared_from_this()](const error_code &ec) {
-        if (!ec) {
-            self->onReadable();
-        }
-    });
-}
-
-void CallerConnection::onReadable()
-{
-    if (!m_exchange || !m_socket.is_open()) {
-        return;
-    }
-    char byte = 0;
-    const auto n = ::recv(m_socket.native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
-    const bool hasDisconnected = n == 0 || (n < 0 && errno != EAGAIN && errno != EWOULDBLOCK && errno != EINTR);
-    if (hasDisconnected) {
-        close();
-    } else if (n < 0) {
-        watchForDisconnect();
-    }
-}
-
 // ---- responding
 
 void CallerConnection::setConnectionHeader(http::fields &fields)
@@ -245,6 +230,8 @@
 void CallerConnection::respond(CallerResponse response)
 {
     m_exchange.reset();
+    m_requestShare.release();
+    m_responseShare.hold(response.body.size());
     m_phase = Phase::Responding;
     startTimer(finalWriteTimeout, [this] { close(); });
     m_response.emplace();
@@ -290,17 +277,27 @@
                 self->close();
             } else if (!self->m_pendingBytes.empty()) {
                 self->sendBytes(std::exchange(self->m_pendingBytes, {}));
+            } else if (self->m_isAbortPending) {
+                self->close();
             }
         });
 }
 
-void CallerConnection::sendBytes(std::string bytes)
+void CallerConnection::countPendingBytes()
+{
+    m_responseShare.hold(m_writeBuffer.size() + m_pendingBytes.size());
+}
+
+bool CallerConnection::sendBytes(std::string bytes)
 {
     if (m_isWriting) {
         m_pendingBytes += bytes;
-        return;
+        countPendingBytes();
+        const auto held = m_responseShare.bytes();
+        return held < maxPendingBytes && m_responseShare.hasRoomFor(held + MemoryAccount::shortBytes);
     }
     m_writeBuffer = std::move(bytes);
+    countPendingBytes();
     m_isWriting = true;
     auto done = [self = shared_from_this()](const error_code &ec, std::size_t /*n*/) { self->onBytesWritten(ec); };
     if (m_httpVersion >= 11) {
@@ -308,14 +305,29 @@
     } else {
         asio::async_write(m_socket, asio::buffer(m_writeBuffer), std::move(done));
     }
+    return true;
 }
 
 void CallerConnection::onBytesWritten(const error_code &ec)
 {
     m_isWriting = false;
+    m_writeBuffer.clear();
     if (ec) {
         close();
-    } else if (m_isFinishPending) {
+        return;
+    }
+    if (!m_pendingBytes.empty()) {
+        sendBytes(std::exchange(m_pendingBytes, {}));
+    }
+    if (m_isWriting && (m_isFinishPending || m_isAbortPending)) {
+        return;
+    }
+    if (m_isAbortPending) {
+        close();
+        return;
+    }
+    countPendingBytes();
+    if (m_isFinishPending) {
         finishStream();
     } else if (m_exchange) {
         const auto exchange = m_exchange;
@@ -326,6 +338,7 @@
 void CallerConnection::finishStream()
 {
     m_exchange.reset();
+    m_requestShare.release();
     if (!m_isFinishPending) {
         startTimer(finalWriteTimeout, [this] { close(); });
     }
@@ -353,6 +366,12 @@
 void CallerConnection::abort()
 {
     m_exchange.reset();
+    m_requestShare.release();
+    if (m_isWriting) { // the caller gets what was received before the response ended
+        m_isAbortPending = true;
+        startTimer(finalWriteTimeout, [this] { close(); });
+        return;
+    }
     close();
 }
 
@@ -361,6 +380,8 @@
     if (m_phase != Phase::Responding) {
         return;
     }
+    m_response.reset();
+    m_responseShare.release();
     if (!m_keepAlive) {
         linger();
         return;
@@ -423,6 +444,9 @@
 {
     m_phase = Phase::Closing;
     stopTimer();
+    m_memoryTimer.cancel();
+    m_requestShare.release();
+    m_responseShare.release();
     error_code ignored; // the caller may have closed it already
     m_socket.close(ignored);
     if (const auto exchange = std::exchange(m_exchange, nullptr)) {
--- a/packages/callers/src/callerconnection.h
+++ b/packages/callers/src/callerconnection.h
@@ -2,6 +2,7 @@
 
 #include "monsoonward/callers/callerservice.h"
 #include "monsoonward/callers/chunklimit.h"
+#include "monsoonward/callers/requestframing.h"
 
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/steady_timer.hpp>
@@ -42,7 +43,7 @@
 
     void respond(CallerResponse response) override;
     void startStream(unsigned status, const boost::beast::http::fields &fields) override;
-    void sendBytes(std::string bytes) override;
+    bool sendBytes(std::string bytes) override;
     void finishStream() override;
     void abort() override;
 
@@ -61,12 +62,23 @@
     void startIdleTimer();
     void readHeader();
     void onHeaderRead();
+    /// Reads the body as far as the account of memory has room for it.
     void readBody();
+    /// @return bytes to be held for the body before more of it is read
+    std::size_t bytesToHold() const;
+    void awaitMemory();
+    void refuseForMemory();
+    /// Counts the bytes that are waiting to be written beside those of the request.
+    void countPendingBytes();
     void onRequestRead();
     void onReadFailed(const boost::system::error_code &ec);
     void respondWithError(unsigned status, const std::string &reason);
     void watchForDisconnect();
     void onReadable();
+    /// Looks for the end of the connection while bytes that are not read yet hide it.
+    void pollForDisconnect();
+    /// @return whether the caller has closed the connection, whatever is still unread
+    bool hasDisconnected();
     void onBytesWritten(const boost::system::error_code &ec);
     void onResponseWritten();
     void startTimer(Duration timeout, std::function<void()> onTimeout);
@@ -86,15 +98,24 @@
     boost::beast::flat_buffer m_buffer;
     ChunkLimit m_chunkLimit;
     std::optional<Parser> m_parser;
+    BodyFraming m_framing = BodyFraming::None; // of the request that is read
+    boost::beast::http::fields m_fieldsBeforeBody; // of a chunked request
     Phase m_phase = Phase::Idle;
     TimePoint m_idleSince;
     TimePoint m_arrivedAt;
     bool m_keepAlive = false; // the connection may serve another request
     unsigned m_httpVersion = 11; // 10 or 11, as in Beast
     bool m_isHead = false;
+    MemoryShare m_requestShare; // of the body that is read, until the final response
+    MemoryShare m_responseShare; // of what is written
+    boost::asio::steady_timer m_memoryTimer; // while the body waits for memory
+    std::optional<TimePoint> m_waitsSince; // for memory
+    bool m_isReadingBody = false;
+    bool m_isPipelined = false; // the request's first bytes arrived during the one before
     std::shared_ptr<CallerExchange> m_exchange;
     bool m_isWriting = false;
     bool m_isFinishPending = false; // finishStream() was called during a write
+    bool m_isAbortPending = false; // abort() was called during a write
     std::optional<boost::beast::http::response<boost::beast::http::string_body>> m_response;
     std::optional<boost::beast::http::response<boost::beast::http::empty_body>> m_responseHead;
     std::optional<boost::beast::http::response_serializer<boost::beast::http::empty_body>> m_headSerializer;
