--- a/packages/dispatch/include/monsoonward/dispatch/fleetview.h
+++ b/packages/dispatch/include/monsoonward/dispatch/fleetview.h
@@ -2,6 +2,7 @@
 
 #include "monsoonward/dispatch/crashsuspects.h"
 #include "monsoonward/dispatch/enginelimits.h"
+#include "monsoonward/dispatch/rolloutcounts.h"
 #include "monsoonward/dispatch/storeknowledge.h"
 
 #include <cstdint>
@@ -31,6 +32,7 @@
     CrashReport crashes {}; ///< what this daemon knows about crashes of engines, if it is due
     std::vector<EngineLimitStatement> limits {}; ///< what engines have stated in responses to this daemon
     std::map<ServiceName, double> serviceDemand {}; ///< callers' requests per second, while some engine states a limit
+    std::vector<RolloutReport> rollouts {}; ///< of services that are being moved to another version
     MONSOONWARD_FIELDS(host,
                        incarnation,
                        sequenceNumber,
@@ -44,7 +46,8 @@
                        uptime,
                        crashes,
                        limits,
-                       serviceDemand)
+                       serviceDemand,
+                       rollouts)
 };
 
 /// @param reported demand by service as a daemon reports it
@@ -81,6 +84,8 @@
     std::optional<ReportChanges> addReport(const LoadReport &report, TimePoint now);
     /// @return whether a full report of the member arrived within the silence timeout
     bool isReporting(const HostName &member, TimePoint now) const;
+    /// @return number of members, without this daemon, that isReporting()
+    std::size_t reportingCount(TimePoint now) const;
     /// @return number of daemons that share the limits: this one, the members, and those that report but aren't in the
     /// list of members yet
     std::size_t size() const;
--- a/packages/dispatch/src/fleetview.cpp
+++ b/packages/dispatch/src/fleetview.cpp
@@ -136,6 +136,12 @@
     m_silenceTimeout = timeout;
 }
 
+std::size_t FleetView::reportingCount(TimePoint now) const
+{
+    return static_cast<std::size_t>(std::count_if(
+        m_members.begin(), m_members.end(), [&](const auto &it) { return isReporting(it.first, now); }));
+}
+
 std::size_t FleetView::size() const
 {
     return m_members.size() + m_unregistered.size() + 1;
