Wire roll-outs into the gateway, partial: not built as a whole yet

Change: exchanges choose the version, record answers; RolloutControl reads orders, writes states; load reports carry the counts; settings rollout-share, rollout-slack, rollout-rollback; platform decodes orders; process tests. The build of this commit wasn't complete when it was made.

--- a/packages/dispatch/include/monsoonward/dispatch/rollout.h
+++ b/packages/dispatch/include/monsoonward/dispatch/rollout.h
@@ -51,26 +51,30 @@
 
     /// @param orderedAt when the order was given, as far as it is known
     /// @param drainTime how long requests in progress may take
-    /// @param slackPart see TrialAllowance
-    Rollout(RolloutOrder order, const RolloutLimits &limits, TimePoint orderedAt, Duration drainTime, double slackPart);
+    /// @param slackPart, offset see TrialAllowance
+    Rollout(RolloutOrder order,
+            const RolloutLimits &limits,
+            TimePoint orderedAt,
+            Duration drainTime,
+            double slackPart,
+            double offset);
 
     const RolloutOrder &order() const;
     RolloutPhase phase() const;
     /// A request arrived that isn't a further attempt.
-    void requestReceived(RouteKey route);
+    void requestReceived();
     /// @param isFirstAttempt of the request
     /// @param isRepeatable whether the request may be run again after a failure
     /// @param uniformHash 0 to 1, of the request
-    VersionChoice
-    choose(RouteKey route, bool isFirstAttempt, bool isRepeatable, double uniformHash, TimePoint now) const;
+    VersionChoice choose(bool isFirstAttempt, bool isRepeatable, double uniformHash, TimePoint now) const;
     /// A request was sent to the new version while it was on trial.
-    void trialSent(RouteKey route);
-    void trialNotSent(RouteKey route);
+    void trialSent();
+    void trialNotSent();
     /// An answer to this gateway ended, or failed to come.
     /// @param timeToFirstBytes nothing if it was bad
-    void answered(RouteKey route, bool isNewVersion, std::optional<Duration> timeToFirstBytes, TimePoint now);
+    void answered(RouteKey route, bool isNewVersion, std::optional<Duration> timeToFirstBytes);
     /// Another gateway has reported.
-    void addReport(const HostName &host, const RolloutReport &report, TimePoint now);
+    void addReport(const HostName &host, const RolloutReport &report);
     /// @return what this gateway tells the others
     RolloutReport report() const;
     /// A state was stored for this order.
@@ -104,7 +108,7 @@
     std::map<RouteKey, RouteCounts> m_own;
     std::map<RouteKey, RouteCounts> m_ownJudged; // part of m_own that was given to m_judge
     std::map<HostName, RolloutReport> m_reports;
-    std::uint32_t m_repeatableGood = 0; // good answers to repeatable requests at this gateway
+    bool m_hasAnotherMoved = false; // a gateway that hears enough has found the version tried enough
     TimePoint m_forgottenAt;
 };
 
--- a/packages/dispatch/include/monsoonward/dispatch/rolloutjudge.h
+++ b/packages/dispatch/include/monsoonward/dispatch/rolloutjudge.h
@@ -13,17 +13,19 @@
 class ShareTest
 {
 public:
-    /// The mean number of answers until a false verdict is at least e to this power: 1.2 million.
-    static constexpr double threshold = 14;
-
+    /// @param threshold the mean number of answers until a false verdict is at least e to this power, where the share
+    /// of a sound version is the reference; more where it is smaller
+    explicit ShareTest(double threshold);
     /// Adds answers.
     /// @param reference share of bad ones in sound operation
     /// @param excess by which the share of a bad version is larger at least
     void add(std::uint32_t bad, std::uint32_t good, double reference, double excess);
     bool isBad() const;
+    /// @return 1 and more is a verdict
     double evidence() const;
 
 private:
+    double m_threshold;
     double m_sum = 0;
 };
 
@@ -43,14 +45,14 @@
     std::uint32_t answersOf(RouteKey route) const;
     /// @return fraction of the old version's answers that are of the route
     double shareOf(RouteKey route) const;
-    /// @return the largest evidence of a test; ShareTest::threshold proves the version bad
+    /// @return the largest evidence of a test; 1 and more proves the version bad
     double evidence() const;
 
 private:
     struct Tests
     {
-        ShareTest failures;
-        ShareTest slow;
+        ShareTest failures {8}; // the reference is five times the usual share
+        ShareTest slow {13}; // the reference is the share itself: 440,000 answers
     };
     struct PerRoute
     {
--- a/packages/dispatch/include/monsoonward/dispatch/rollouts.h
+++ b/packages/dispatch/include/monsoonward/dispatch/rollouts.h
@@ -25,7 +25,7 @@
     static constexpr Duration completedMemory = std::chrono::seconds(15);
 
     /// @param directory, fleet must outlive this object
-    Rollouts(const RolloutLimits &limits, const EngineDirectory &directory, const FleetView &fleet);
+    Rollouts(const RolloutLimits &limits, HostName own, const EngineDirectory &directory, const FleetView &fleet);
 
     bool isEnabled() const;
     /// An order was read, or one that is known already.
@@ -43,14 +43,19 @@
     /// All orders given before @p at have been read.
     void ordersRead(TimePoint at);
 
+    /// @return whether versions wait for ordersRead()
+    bool hasPendingVersions() const;
+    /// @return versions of the service that streams mustn't go on at, either
+    std::vector<EngineBuild> badBuilds(const ServiceName &service) const;
+
     /// @return null if the service has none
     Rollout *find(const ServiceName &service);
     const std::map<ServiceName, Rollout> &all() const;
     /// @return whether the engine has the version that is being rolled out
     bool isOfNewVersion(const EngineRecord &engine) const;
-    RolloutChoice choose(
-        const ServiceName &service, RouteKey route, bool isFirstAttempt, bool isRepeatable, double hash, TimePoint now);
-    void addReports(const HostName &host, const std::vector<RolloutReport> &reports, TimePoint now);
+    RolloutChoice
+    choose(const ServiceName &service, bool isFirstAttempt, bool isRepeatable, double hash, TimePoint now);
+    void addReports(const HostName &host, const std::vector<RolloutReport> &reports);
     /// @return of roll-outs that aren't stored as ended
     std::vector<RolloutReport> reports() const;
     RolloutSurroundings surroundings(const ServiceName &service,
@@ -62,6 +67,7 @@
     std::vector<EngineName> enginesLeftOut(const Rollout &rollout) const;
 
     RolloutLimits m_limits;
+    HostName m_own;
     const EngineDirectory &m_directory;
     const FleetView &m_fleet;
     std::map<ServiceName, Rollout> m_rollouts;
--- a/packages/dispatch/include/monsoonward/dispatch/trialallowance.h
+++ b/packages/dispatch/include/monsoonward/dispatch/trialallowance.h
@@ -1,6 +1,5 @@
 #pragma once
 
-#include "monsoonward/dispatch/rolloutcounts.h"
 #include "monsoonward/dispatch/rolloutorder.h"
 
 namespace monsoonward
@@ -15,22 +14,22 @@
     static constexpr double usedPart = 0.4;
 
     /// @param slackPart fraction of the slack that is this gateway's; 0 if it started after the order
-    TrialAllowance(const RolloutLimits &limits, double slackPart);
+    /// @param offset 0 to 1, uniformly distributed over gateways, so that fractions of a request add up over them
+    TrialAllowance(const RolloutLimits &limits, double slackPart, double offset);
 
     /// The gateway got a request for the service.
-    void requestReceived(RouteKey route);
-    /// @return whether a request of the route may be sent to the version
-    bool mayTry(RouteKey route) const;
-    void requestTried(RouteKey route);
+    void requestReceived();
+    /// @return whether a request may be sent to the version
+    bool mayTry() const;
+    void requestTried();
     /// A request that counts as tried wasn't sent.
-    void requestNotSent(RouteKey route);
+    void requestNotSent();
     /// @return fraction of requests that may be tried
     double share() const;
 
 private:
     double m_share;
-    double m_slack;
-    std::map<RouteKey, double> m_left; // by route, so that each one is tried in proportion to its requests
+    double m_left; // requests that may be tried now
 };
 
 } // namespace monsoonward
--- a/packages/dispatch/src/rollout.cpp
+++ b/packages/dispatch/src/rollout.cpp
@@ -14,11 +14,11 @@
 constexpr double earliestMove =
     0.6; // of the time limit: until then a version that fails late gets its trial share only
 constexpr Duration reportTime = std::chrono::seconds(2); // until all gateways have said that they stopped
-constexpr std::uint32_t answersBeforeOnce = 30; // from routes that may be repeated, before others are tried
+constexpr std::uint32_t answersBeforeOnce = 15; // from routes that may be repeated, before others are tried
 constexpr std::uint32_t minAnswers = 20; // of the new version, before requests move
-constexpr std::uint32_t minAnswersOfRoute = 5; // the same for each route that gets requests
+constexpr double maxAnswersOfRoute = 5; // the same for a route; at light load an eighth of its share of all answers
 constexpr double minRouteShare = 0.02; // a route with less isn't waited for
-constexpr double maxEvidence = ShareTest::threshold / 2; // requests don't move while a test is on its way to a verdict
+constexpr double maxEvidence = 0.6; // of a verdict; requests don't move while a test is on its way to a verdict
 constexpr double capacityReserve = 1.2; // slots of the new engines for each request in progress
 
 } // namespace
@@ -42,11 +42,15 @@
     return "rolled-back";
 }
 
-Rollout::Rollout(
-    RolloutOrder order, const RolloutLimits &limits, TimePoint orderedAt, Duration drainTime, double slackPart)
+Rollout::Rollout(RolloutOrder order,
+                 const RolloutLimits &limits,
+                 TimePoint orderedAt,
+                 Duration drainTime,
+                 double slackPart,
+                 double offset)
     : m_order(std::move(order))
     , m_orderedAt(orderedAt)
-    , m_allowance(limits, slackPart)
+    , m_allowance(limits, slackPart, offset)
     , m_forgottenAt(orderedAt)
 {
     const auto earliest = std::chrono::duration_cast<Duration>(m_order.timeLimit * earliestMove);
@@ -83,18 +87,17 @@
     return m_orderedAt + m_order.timeLimit;
 }
 
-void Rollout::requestReceived(RouteKey route)
+void Rollout::requestReceived()
 {
-    m_allowance.requestReceived(route);
+    m_allowance.requestReceived();
 }
 
-VersionChoice
-Rollout::choose(RouteKey route, bool isFirstAttempt, bool isRepeatable, double uniformHash, TimePoint now) const
+VersionChoice Rollout::choose(bool isFirstAttempt, bool isRepeatable, double uniformHash, TimePoint now) const
 {
     switch (m_phase) {
     case RolloutPhase::Trial: {
         const bool isTurn = isRepeatable || m_judge.answers() >= answersBeforeOnce;
-        return isFirstAttempt && isTurn && m_allowance.mayTry(route) ? VersionChoice::Trial : VersionChoice::Old;
+        return isFirstAttempt && isTurn && m_allowance.mayTry() ? VersionChoice::Trial : VersionChoice::Old;
     }
     case RolloutPhase::Moving: {
         using Seconds = std::chrono::duration<double>;
@@ -111,17 +114,17 @@
     return VersionChoice::Old;
 }
 
-void Rollout::trialSent(RouteKey route)
+void Rollout::trialSent()
 {
-    m_allowance.requestTried(route);
+    m_allowance.requestTried();
 }
 
-void Rollout::trialNotSent(RouteKey route)
+void Rollout::trialNotSent()
 {
-    m_allowance.requestNotSent(route);
+    m_allowance.requestNotSent();
 }
 
-void Rollout::answered(RouteKey route, bool isNewVersion, std::optional<Duration> timeToFirstBytes, TimePoint /*now*/)
+void Rollout::answered(RouteKey route, bool isNewVersion, std::optional<Duration> timeToFirstBytes)
 {
     auto &counts = isNewVersion ? m_own[route].newVersion : m_own[route].oldVersion;
     if (timeToFirstBytes) {
@@ -154,7 +157,7 @@
     }
 }
 
-void Rollout::addReport(const HostName &host, const RolloutReport &report, TimePoint /*now*/)
+void Rollout::addReport(const HostName &host, const RolloutReport &report)
 {
     if (report.orderId != m_order.id || report.serviceHash != hashOf(m_order.service.text())) {
         return;
@@ -165,6 +168,7 @@
         m_judge.add(route, {counts.newVersion.since(former.newVersion), counts.oldVersion.since(former.oldVersion)});
     }
     last = report;
+    m_hasAnotherMoved = m_hasAnotherMoved || report.hasStoppedOld;
     if (report.isBad) {
         setBad("reported by " + host.text());
     } else if (const auto bad = m_judge.badReason()) {
@@ -193,11 +197,14 @@
 
 bool Rollout::isTriedEnough() const
 {
-    const auto &routes = m_own; // those without requests here are the concern of other gateways
+    const auto isTried = [&](RouteKey route) {
+        const auto share = m_judge.shareOf(route);
+        const auto expected = std::min(maxAnswersOfRoute, std::max(1.0, share * m_judge.answers() / 8));
+        return share < minRouteShare || m_judge.answersOf(route) >= expected;
+    };
+    // Routes without requests at this gateway are the concern of others.
     return m_judge.answers() >= minAnswers && m_judge.evidence() < maxEvidence
-        && std::all_of(routes.begin(), routes.end(), [&](const auto &it) {
-               return m_judge.shareOf(it.first) < minRouteShare || m_judge.answersOf(it.first) >= minAnswersOfRoute;
-           });
+        && std::all_of(m_own.begin(), m_own.end(), [&](const auto &it) { return isTried(it.first); });
 }
 
 void Rollout::advance(const RolloutSurroundings &around, TimePoint now)
@@ -212,10 +219,10 @@
         const bool hearsFleet = around.reportingGateways * 2 >= around.otherGateways;
         const auto needed = std::min<double>(around.oldSlots, around.serviceRequests * capacityReserve);
         const bool canCarry = around.newSlots > 0 && around.newSlots >= needed;
-        m_reason = !hearsFleet ? "hears too few gateways"
-            : !canCarry        ? "new engines have too few slots"
-            : !isTriedEnough() ? "not tried enough"
-                               : "";
+        m_reason = !hearsFleet                       ? "hears too few gateways"
+            : !canCarry                              ? "new engines have too few slots"
+            : !isTriedEnough() && !m_hasAnotherMoved ? "not tried enough"
+                                                     : "";
         if (m_reason.empty()) {
             m_phase = RolloutPhase::Moving;
             m_movingSince = now;
--- a/packages/dispatch/src/rolloutcounts.cpp
+++ b/packages/dispatch/src/rolloutcounts.cpp
@@ -66,7 +66,7 @@
 
 void AnswerCounts::decay(double factor)
 {
-    const auto reduced = [&](std::uint32_t n) { return static_cast<std::uint32_t>(n * factor); };
+    const auto reduced = [&](std::uint32_t n) { return static_cast<std::uint32_t>(std::lround(n * factor)); };
     failures = reduced(failures);
     std::transform(times.begin(), times.end(), times.begin(), reduced);
 }
--- a/packages/dispatch/src/rolloutfleet_test.cpp
+++ b/packages/dispatch/src/rolloutfleet_test.cpp
@@ -76,7 +76,8 @@
                            RolloutLimits {0.1, 50, 5s},
                            begin,
                            scenario.drainTime,
-                           1.0 / static_cast<double>(scenario.gateways));
+                           1.0 / static_cast<double>(scenario.gateways),
+                           uniform(random));
     }
     std::priority_queue<Answer, std::vector<Answer>, std::greater<>> answers;
     std::queue<std::pair<TimePoint, std::pair<std::size_t, RolloutReport>>> reports;
@@ -94,11 +95,11 @@
             const auto pick = uniform(random);
             const std::size_t route = pick < 0.5 ? 0 : pick < 0.85 ? 1 : 2;
             auto &rollout = fleet[gateway];
-            rollout.requestReceived(route);
-            const auto choice = rollout.choose(route, true, route != 2, uniform(random), now);
+            rollout.requestReceived();
+            const auto choice = rollout.choose(true, route != 2, uniform(random), now);
             const bool isNew = choice == VersionChoice::Trial || choice == VersionChoice::New;
             if (choice == VersionChoice::Trial) {
-                rollout.trialSent(route);
+                rollout.trialSent();
             }
             ++played.requests;
             played.tried += isNew ? 1 : 0;
@@ -119,7 +120,7 @@
         }
         for (; !answers.empty() && answers.top().at <= now; answers.pop()) {
             const auto &it = answers.top();
-            fleet[it.gateway].answered(it.route, it.isNew, it.time, now);
+            fleet[it.gateway].answered(it.route, it.isNew, it.time);
             oldInProgress -= it.isNew ? 0 : 1;
         }
         for (std::size_t it = scenario.cutOff; it < scenario.gateways; ++it) {
@@ -132,7 +133,7 @@
             const auto &[from, report] = reports.front().second;
             for (std::size_t it = scenario.cutOff; it < scenario.gateways; ++it) {
                 if (it != from) {
-                    fleet[it].addReport(HostName("g" + std::to_string(from)), report, now);
+                    fleet[it].addReport(HostName("g" + std::to_string(from)), report);
                 }
             }
         }
--- a/packages/dispatch/src/rolloutjudge.cpp
+++ b/packages/dispatch/src/rolloutjudge.cpp
@@ -16,7 +16,7 @@
 constexpr double slowExcess = 0.18; // a version whose answers come late now and then under load isn't found
 constexpr double maxShare = 0.95; // keeps the logarithms finite
 constexpr std::uint32_t minReference = 30; // answers of the old version that tell its times
-constexpr double perSecondDecay = 0.8; // answers of the last few seconds are compared
+constexpr double perSecondDecay = 0.9; // answers of the last few seconds are compared
 
 /// @return an upper estimate of the share, by two standard errors
 double upperShare(double bad, double all, double least)
@@ -28,6 +28,11 @@
 
 } // namespace
 
+ShareTest::ShareTest(double threshold)
+    : m_threshold(threshold)
+{
+}
+
 void ShareTest::add(std::uint32_t bad, std::uint32_t good, double reference, double excess)
 {
     const double p0 = std::min(reference, maxShare - excess);
@@ -38,12 +43,12 @@
 
 bool ShareTest::isBad() const
 {
-    return m_sum >= threshold;
+    return m_sum >= m_threshold;
 }
 
 double ShareTest::evidence() const
 {
-    return m_sum;
+    return m_sum / m_threshold;
 }
 
 void RolloutJudge::add(RouteKey route, const RouteCounts &answers)
--- a/packages/dispatch/src/rollouts.cpp
+++ b/packages/dispatch/src/rollouts.cpp
@@ -30,8 +30,9 @@
 
 } // namespace
 
-Rollouts::Rollouts(const RolloutLimits &limits, const EngineDirectory &directory, const FleetView &fleet)
+Rollouts::Rollouts(const RolloutLimits &limits, HostName own, const EngineDirectory &directory, const FleetView &fleet)
     : m_limits(limits)
+    , m_own(std::move(own))
     , m_directory(directory)
     , m_fleet(fleet)
 {
@@ -58,7 +59,8 @@
     }
     m_distrusted[order.service].erase(order.to);
     const double slackPart = wasRunning ? 1 / static_cast<double>(m_fleet.size()) : 0;
-    m_rollouts.emplace(order.service, Rollout(order, m_limits, orderedAt, drainTime, slackPart));
+    const double offset = uniformOf(hashOf(m_own.text(), order.id));
+    m_rollouts.emplace(order.service, Rollout(order, m_limits, orderedAt, drainTime, slackPart, offset));
     return true;
 }
 
@@ -101,6 +103,19 @@
     }
 }
 
+bool Rollouts::hasPendingVersions() const
+{
+    return !m_pending.empty();
+}
+
+std::vector<EngineBuild> Rollouts::badBuilds(const ServiceName &service) const
+{
+    const auto it = m_rollouts.find(service);
+    const bool isBad = it != m_rollouts.end()
+        && (it->second.phase() == RolloutPhase::Bad || it->second.phase() == RolloutPhase::RolledBack);
+    return isBad ? std::vector<EngineBuild> {buildNamed(service, it->second.order().to)} : std::vector<EngineBuild> {};
+}
+
 Rollout *Rollouts::find(const ServiceName &service)
 {
     const auto it = m_rollouts.find(service);
@@ -154,8 +169,8 @@
     return names;
 }
 
-RolloutChoice Rollouts::choose(
-    const ServiceName &service, RouteKey route, bool isFirstAttempt, bool isRepeatable, double hash, TimePoint now)
+RolloutChoice
+Rollouts::choose(const ServiceName &service, bool isFirstAttempt, bool isRepeatable, double hash, TimePoint now)
 {
     RolloutChoice choice;
     choice.excludedBuilds = withheld(service);
@@ -168,7 +183,7 @@
     if (completedAt != m_completedAt.end() && now - completedAt->second > completedMemory) {
         return choice;
     }
-    choice.version = rollout->choose(route, isFirstAttempt, isRepeatable, hash, now);
+    choice.version = rollout->choose(isFirstAttempt, isRepeatable, hash, now);
     const auto ordered = buildNamed(service, rollout->order().to);
     if (choice.version == VersionChoice::Old) {
         choice.excludedBuilds.push_back(ordered);
@@ -188,12 +203,12 @@
     return choice;
 }
 
-void Rollouts::addReports(const HostName &host, const std::vector<RolloutReport> &reports, TimePoint now)
+void Rollouts::addReports(const HostName &host, const std::vector<RolloutReport> &reports)
 {
     for (const auto &report : reports) {
         for (auto &[service, rollout] : m_rollouts) {
             if (report.orderId == rollout.order().id && report.serviceHash == hashOf(service.text())) {
-                rollout.addReport(host, report, now);
+                rollout.addReport(host, report);
                 m_heard[service][host] = report;
             }
         }
--- a/packages/dispatch/src/trialallowance.cpp
+++ b/packages/dispatch/src/trialallowance.cpp
@@ -3,36 +3,30 @@
 namespace monsoonward
 {
 
-TrialAllowance::TrialAllowance(const RolloutLimits &limits, double slackPart)
+TrialAllowance::TrialAllowance(const RolloutLimits &limits, double slackPart, double offset)
     : m_share(limits.exposureShare * usedPart)
-    , m_slack(limits.exposureSlack * usedPart * slackPart)
+    , m_left(limits.exposureSlack * usedPart * slackPart + offset)
 {
 }
 
-void TrialAllowance::requestReceived(RouteKey route)
+void TrialAllowance::requestReceived()
 {
-    m_left[route] += m_share;
+    m_left += m_share;
 }
 
-bool TrialAllowance::mayTry(RouteKey route) const
+bool TrialAllowance::mayTry() const
 {
-    const auto it = m_left.find(route);
-    return (it == m_left.end() ? 0 : it->second) + m_slack >= 1;
+    return m_left >= 1;
 }
 
-void TrialAllowance::requestTried(RouteKey route)
+void TrialAllowance::requestTried()
 {
-    auto &left = m_left[route];
-    left -= 1;
-    if (left < 0) {
-        m_slack += left;
-        left = 0;
-    }
+    m_left -= 1;
 }
 
-void TrialAllowance::requestNotSent(RouteKey route)
+void TrialAllowance::requestNotSent()
 {
-    m_left[route] += 1;
+    m_left += 1;
 }
 
 double TrialAllowance::share() const
--- a/packages/gateway/include/monsoonward/gateway/gatewaysettings.h
+++ b/packages/gateway/include/monsoonward/gateway/gatewaysettings.h
@@ -31,6 +31,7 @@
     FreshnessLimits freshness;
     RetryBudgetLimits retryBudget;
     RateLimitTolerance rateLimitTolerance;
+    RolloutLimits rollouts;
     // [log]
     std::string logLevel;
     std::uint32_t logKilobytesPerSecond = 0;
@@ -48,6 +49,7 @@
                        freshness,
                        retryBudget,
                        rateLimitTolerance,
+                       rollouts,
                        logLevel,
                        logKilobytesPerSecond)
 };
--- a/packages/gateway/src/exchange.cpp
+++ b/packages/gateway/src/exchange.cpp
@@ -92,6 +92,9 @@
     if (!admit()) {
         return;
     }
+    if (auto *rollout = m_core.rollouts.find(m_service)) {
+        rollout->requestReceived();
+    }
     if (isTakeUp()) {
         findStream();
     } else {
@@ -169,7 +172,7 @@
     if (refusedAsSuspect()) {
         return;
     }
-    const auto placement = m_core.placer->place(placementRequest(), now);
+    const auto placement = place(now);
     if (placement.outcome == PlacementOutcome::Placed) {
         send(placement);
         return;
@@ -201,6 +204,8 @@
     m_loadAtPlacement = placement.load;
     m_allowanceAtPlacement = placement.allowance;
     m_hasLostConnection = false;
+    m_timeToFirstBytes.reset();
+    recordTrial(true);
     ++m_attempts;
     m_call = std::make_shared<EngineCall>(
         m_core.pool, m_core.adapter.dialect(), engine, makeEngineRequest(engine, timeLeft()), *this);
@@ -323,6 +328,7 @@
     m_core.metrics.attemptEnded(m_service, std::string(textOf(finalOutcome)));
     if (finalOutcome == AttemptOutcome::Complete) {
         m_core.health.recordSuccess(engine);
+        recordVersionAnswer(engineRecord, m_timeToFirstBytes.value_or(now - m_sentAt));
         if (m_responseHead.status < firstRedirect && !m_core.crashSuspects.isEmpty()) {
             m_core.crashSuspects.requestCompleted(traits(), now);
         }
@@ -353,10 +359,14 @@
     if (m_hasLostConnection) {
         recordCrash(engineRecord);
     }
+    if (finalOutcome == AttemptOutcome::Failed || (finalOutcome == AttemptOutcome::Broken && !m_hasLostConnection)) {
+        recordVersionAnswer(engineRecord, std::nullopt);
+    }
     const auto state = attemptStateAfter(finalOutcome);
     m_mayHaveRun = m_mayHaveRun || finalOutcome == AttemptOutcome::Broken || finalOutcome == AttemptOutcome::Failed;
     if (finalOutcome == AttemptOutcome::NotSent) {
         --m_attempts;
+        recordTrial(false);
         m_core.engineLimiter.requestNotSent(engineRecord);
     }
     const bool mayRetry = !m_hasLostConnection || m_core.crashSuspects.mayRetry(traits(), now);
@@ -377,7 +387,7 @@
         return false;
     }
     const auto now = m_core.clock.now();
-    const auto placement = m_core.placer->place(placementRequest(), now);
+    const auto placement = place(now);
     if (placement.outcome != PlacementOutcome::Placed) {
         m_lastFailure += ", " + std::string(reasonOf(placement.outcome)) + " " + detailOf(placement);
         return false;
--- a/packages/gateway/src/exchange.h
+++ b/packages/gateway/src/exchange.h
@@ -73,6 +73,12 @@
     /// @return whether it isn't certain which version wrote the events that the caller has
     bool isStreamDoubtful() const;
     void attempt();
+    /// Places the request at an engine of a version that it may be sent to.
+    Placement place(TimePoint now);
+    /// The request was sent to the version on trial that place() has chosen, or couldn't be sent.
+    void recordTrial(bool isSent);
+    /// @param time to the first bytes, or of the whole response; nothing if the answer was bad
+    void recordVersionAnswer(const EngineRecord &engine, std::optional<Duration> time);
     void send(const Placement &placement);
     std::shared_ptr<const Request> makeEngineRequest(const EngineRecord &engine, Duration timeout) const;
     PlacementRequest placementRequest() const;
@@ -123,6 +129,8 @@
     std::string m_streamSource; // who knew the stream that the request takes up, for the log
     std::string m_lastVersion; // of the software of the engine tried last, for the log
     std::uint32_t m_attempts = 0;
+    bool m_isTrial = false; // the last placement is a trial of a new version
+    std::optional<Duration> m_timeToFirstBytes; // of the last attempt, if it began a stream
     bool m_mayHaveRun = false;
     bool m_hasLostConnection = false; // the engine of the last attempt ended the connection early
     std::string m_lastFailure; // why the last attempt failed, for the log
--- a/packages/gateway/src/exchangeresponse.cpp
+++ b/packages/gateway/src/exchangeresponse.cpp
@@ -74,6 +74,7 @@
         m_responseStarted = true;
         recordStreamStart();
         recordFirstBytes();
+        m_timeToFirstBytes = m_core.clock.now() - m_sentAt;
         m_core.metrics.firstBytesSent(m_service, m_tier, m_core.clock.now() - m_arrivedAt);
         m_sink->startStream(m_responseHead.status, endToEndFields(m_responseHead.fields));
     }
@@ -133,6 +134,7 @@
     const auto now = m_core.clock.now();
     if (m_call && !m_responseStarted && now - m_sentAt > m_route->latencyObjective) {
         m_core.health.recordFailure(m_call->engine().name, now);
+        recordVersionAnswer(m_call->engine(), std::nullopt);
     }
     giveUp(gatewayTimeout, "time-limit", Duration::zero());
 }
--- a/packages/gateway/src/gatewaycore.cpp
+++ b/packages/gateway/src/gatewaycore.cpp
@@ -26,6 +26,7 @@
     , pool(io, clock, connectionDivision)
     , peers(io)
     , streams(io, clock, fleet, peers, metrics)
+    , rollouts(settings.rollouts, settings.host, engines, fleet)
 {
     pool.onExtraBytes = [this](const EngineName &engine) {
         this->log.write(
--- a/packages/gateway/src/gatewaycore.h
+++ b/packages/gateway/src/gatewaycore.h
@@ -8,6 +8,8 @@
 #include "monsoonward/gateway/adapter.h"
 #include "monsoonward/gateway/gatewaysettings.h"
 
+#include <functional>
+
 namespace monsoonward
 {
 
@@ -59,6 +61,8 @@
     EnginePool pool;
     PeerSocket peers;
     SharedStreams streams;
+    Rollouts rollouts;
+    std::function<void(const ServiceName &)> onVersionBad; ///< called when this gateway finds a version bad
     StoreKnowledge knowledge; ///< what this gateway has read from the store, for its load reports
     std::size_t openRequests = 0;
     std::size_t openBodyBytes = 0; ///< bytes of request bodies in memory
--- a/packages/gateway/src/gatewayprocess.cpp
+++ b/packages/gateway/src/gatewayprocess.cpp
@@ -5,6 +5,7 @@
 #include "gatewaystatus.h"
 #include "loadreports.h"
 #include "memberlist.h"
+#include "rolloutcontrol.h"
 #include "statusserver.h"
 #include "storechanges.h"
 #include "storewatch.h"
@@ -68,9 +69,11 @@
         , m_signals(m_io, SIGTERM, SIGINT, SIGHUP)
         , m_tickTimer(m_io)
         , m_store(m_core, *this, m_random, [this] { m_reports.sendFullReport(); })
-        , m_changes(m_core, m_store, m_random.next())
+        , m_rollouts(m_core, m_store, [this] { m_reports.sendFullReport(); })
+        , m_changes(m_core, m_store, m_random.next(), [this](const EngineRecord &it) { m_rollouts.engineSeen(it); })
         , m_status(m_core, m_store, m_callers, m_incarnation)
     {
+        m_core.onVersionBad = [this](const ServiceName &it) { m_rollouts.versionFoundBad(it); };
     }
 
     int run()
@@ -114,8 +117,11 @@
         const auto &layout = m_core.adapter.storeLayout();
         if (table == layout.configurationTable) {
             m_changes.configurationRows(rows);
+            m_rollouts.ordersListed(rows, cause);
         } else if (table == layout.gatewayTable) {
             m_members.rowsListed(rows);
+        } else if (table == layout.stateTable) {
+            m_rollouts.statesListed(rows);
         } else {
             m_changes.enginesListed(rows, cause);
         }
@@ -126,8 +132,11 @@
         const auto &layout = m_core.adapter.storeLayout();
         if (table == layout.configurationTable) {
             m_changes.configurationRows(rows);
+            m_rollouts.ordersChanged(rows);
         } else if (table == layout.gatewayTable) {
             m_members.rowsChanged(rows);
+        } else if (table == layout.stateTable) {
+            m_rollouts.statesChanged(rows);
         } else {
             m_changes.enginesChanged(rows);
         }
@@ -136,6 +145,9 @@
     void upToDate(const std::string &table, const ReadTime &read) override
     {
         m_store.upToDate(table, read);
+        if (table == m_core.adapter.storeLayout().configurationTable) {
+            m_rollouts.ordersRead(read);
+        }
         if (isReady()) {
             m_callers.startAccepting();
         }
@@ -223,6 +235,7 @@
         }
         m_core.fleet.setMembers(hosts, m_clock.now());
         m_core.limitDivision.setMembers(std::move(locations));
+        m_rollouts.setHosts(hosts);
         m_core.connectionDivision.setMembers(std::move(hosts));
         m_reports.setPeers(peers);
         m_core.streams.setPeers(std::move(streamPeers));
@@ -303,6 +316,7 @@
         m_core.streams.expire();
         m_members.tick();
         m_store.pollIfDue(now);
+        m_rollouts.tick(now);
         if (now - m_startedAt >= maxStartupDelay) {
             m_callers.startAccepting();
         }
@@ -413,6 +427,7 @@
     boost::asio::signal_set m_signals;
     boost::asio::steady_timer m_tickTimer;
     StoreWatch m_store;
+    RolloutControl m_rollouts;
     StoreChanges m_changes;
     GatewayStatus m_status;
     std::set<std::string> m_unavailableTables; // tables whose last call failed
--- a/packages/gateway/src/gatewaytesting.h
+++ b/packages/gateway/src/gatewaytesting.h
@@ -60,6 +60,20 @@
     {
         return Error {ErrorCode::Invalid, "no engine"};
     }
+    Result<RolloutOrder> decodeRolloutOrder(const ServiceName & /*service*/,
+                                            const std::string & /*text*/) const override
+    {
+        return Error {ErrorCode::Invalid, "no order"};
+    }
+    Result<RolloutStatus> decodeRolloutStatus(const ServiceName & /*service*/,
+                                              const std::string & /*text*/) const override
+    {
+        return Error {ErrorCode::Invalid, "no state"};
+    }
+    std::string encodeRolloutStatus(const RolloutStatus & /*status*/) const override
+    {
+        return "";
+    }
     std::unique_ptr<RowStore> makeRowStore(boost::asio::io_context & /*io*/, const Address & /*store*/) const override
     {
         return nullptr;
--- a/packages/gateway/src/loadreports.cpp
+++ b/packages/gateway/src/loadreports.cpp
@@ -89,6 +89,7 @@
     }
     m_core.crashSuspects.addReport(report.value().crashes, now);
     recordReportedRateLimits(m_core, report.value().limits, report.value().host);
+    m_core.rollouts.addReports(report.value().host, report.value().rollouts);
     m_onKnowledge(report.value().knowledge);
     if (update->wasSilent) {
         m_core.log.write(Event::GatewayHeard,
@@ -147,6 +148,7 @@
     if (!m_core.engineLimits.isEmpty()) {
         report.serviceDemand = m_core.placer->demand(now);
     }
+    report.rollouts = m_core.rollouts.reports();
     m_core.limitDivision.setOwnDemand(report.serviceDemand);
     sendTo(m_localPeers, report);
     if (m_remotePeers.size() <= maxDirectRemotePeers) {
--- a/packages/gateway/src/reportcodec.cpp
+++ b/packages/gateway/src/reportcodec.cpp
@@ -1,5 +1,7 @@
 #include "reportcodec.h"
 
+#include "rolloutcodec.h"
+
 #include <nlohmann/json.hpp>
 
 #include <algorithm>
@@ -36,6 +38,8 @@
 constexpr const char *limitsField = "m"; // limitNumbers for each: run, age in milliseconds, limit
 constexpr const char *serviceDemandField = "w"; // thousandths of a request per second
 
+constexpr const char *rolloutsField = "ro"; // see rolloutcodec.h
+
 constexpr double limitUnitsPerRequest = 1000; // a limit is sent as thousandths plus one; 0: no limit any more
 constexpr std::size_t limitNumbers = 3;
 constexpr std::size_t crashNumbers = 4;
@@ -148,7 +152,8 @@
                                          crashesField,
                                          soundField,
                                          limitsField,
-                                         serviceDemandField};
+                                         serviceDemandField,
+                                         rolloutsField};
 
 /// Builds a report from the events of a parser. Fields of later versions are skipped. Anything else that a report can't
 /// hold ends the parsing, before nested data can exhaust the stack.
@@ -169,6 +174,11 @@
         if (!limits) {
             return std::nullopt;
         }
+        auto rollouts = rolloutReports(m_numbers[rolloutsField]);
+        if (!rollouts) {
+            return std::nullopt;
+        }
+        m_report.rollouts = std::move(*rollouts);
         m_report.crashes = std::move(*crashes);
         m_report.limits = std::move(*limits);
         m_report.isLoadOnly = !m_hasDemand;
@@ -248,7 +258,7 @@
         m_isArray = ++m_depth == 2;
         return m_isArray
             && (m_isUnknownField || m_field == leavingField || m_field == crashesField || m_field == soundField
-                || m_field == limitsField);
+                || m_field == limitsField || m_field == rolloutsField);
     }
     bool end_array() override
     {
@@ -285,7 +295,7 @@
         } else if (m_field == gatewayVersionField) {
             m_report.knowledge.gatewayVersion = value;
         }
-        return m_field != crashesField && m_field != soundField && m_field != limitsField;
+        return m_field != crashesField && m_field != soundField && m_field != limitsField && m_field != rolloutsField;
     }
 
     bool entry(std::uint64_t value)
@@ -380,6 +390,9 @@
     if (!report.limits.empty()) {
         json[limitsField] = limitNumbersOf(report.limits);
     }
+    if (!report.rollouts.empty()) {
+        json[rolloutsField] = numbersOf(report.rollouts);
+    }
     if (!report.serviceDemand.empty()) {
         Json serviceDemand = Json::object();
         for (const auto &[service, perSecond] : report.serviceDemand) {
--- a/packages/gateway/src/storechanges.cpp
+++ b/packages/gateway/src/storechanges.cpp
@@ -3,10 +3,14 @@
 namespace monsoonward
 {
 
-StoreChanges::StoreChanges(GatewayCore &core, StoreWatch &store, std::uint64_t hashSeed)
+StoreChanges::StoreChanges(GatewayCore &core,
+                           StoreWatch &store,
+                           std::uint64_t hashSeed,
+                           std::function<void(const EngineRecord &)> engineSeen)
     : m_core(core)
     , m_store(store)
     , m_hashSeed(hashSeed)
+    , m_engineSeen(std::move(engineSeen))
 {
 }
 
@@ -87,6 +91,7 @@
 /// To be called with a registration before it replaces the one that is known.
 void StoreChanges::noteVersion(const EngineRecord &engine)
 {
+    m_engineSeen(engine);
     const auto *former = m_core.engines.find(engine.name);
     if (former == nullptr || buildOf(*former) == buildOf(engine)) {
         return;
--- a/packages/gateway/src/storechanges.h
+++ b/packages/gateway/src/storechanges.h
@@ -12,7 +12,11 @@
 public:
     /// @param core, store must outlive this object
     /// @param hashSeed of the lookup tables that are built from configurations
-    StoreChanges(GatewayCore &core, StoreWatch &store, std::uint64_t hashSeed);
+    /// @param engineSeen called with each registration before it is applied
+    StoreChanges(GatewayCore &core,
+                 StoreWatch &store,
+                 std::uint64_t hashSeed,
+                 std::function<void(const EngineRecord &)> engineSeen);
 
     /// Applies the newest configuration among rows of its table, unless the active one is as new.
     void configurationRows(const std::vector<TableRow> &rows);
@@ -34,6 +38,7 @@
     GatewayCore &m_core;
     StoreWatch &m_store;
     std::uint64_t m_hashSeed;
+    std::function<void(const EngineRecord &)> m_engineSeen;
     bool m_haveEnginesBeenListed = false;
 };
 
--- a/packages/gateway/src/storewatch.cpp
+++ b/packages/gateway/src/storewatch.cpp
@@ -35,6 +35,9 @@
     m_configurationFeed = makeFeed(layout.configurationTable, configurationPollPause, handler);
     m_engineFeed = makeFeed(layout.engineTable, registrationPollPause, handler);
     m_gatewayFeed = makeFeed(layout.gatewayTable, registrationPollPause, handler);
+    if (core.settings.rollouts.isEnabled() && !layout.stateTable.empty()) {
+        m_stateFeed = makeFeed(layout.stateTable, configurationPollPause, handler);
+    }
 }
 
 std::unique_ptr<TableFeed>
@@ -51,6 +54,9 @@
     m_configurationFeed->start();
     m_engineFeed->start();
     m_gatewayFeed->start();
+    if (m_stateFeed) {
+        m_stateFeed->start();
+    }
 }
 
 void StoreWatch::setRegionHosts(std::vector<HostName> hosts)
@@ -124,6 +130,24 @@
     m_configurationFeed->pollNow();
     m_engineFeed->pollNow();
     m_gatewayFeed->pollNow();
+    pollStates();
+}
+
+void StoreWatch::pollOrders()
+{
+    m_configurationFeed->pollNow();
+}
+
+void StoreWatch::pollStates()
+{
+    if (m_stateFeed) {
+        m_stateFeed->pollNow();
+    }
+}
+
+std::optional<TimePoint> StoreWatch::localTime(std::int64_t storeTimeMs, TimePoint now) const
+{
+    return storeTimeMs <= 0 ? std::nullopt : m_storeClock.earliest(m_eras.current(), storeTimeMs, now);
 }
 
 void StoreWatch::learnFromPeer(const StoreKnowledge &reported)
--- a/packages/gateway/src/storewatch.h
+++ b/packages/gateway/src/storewatch.h
@@ -35,6 +35,12 @@
     /// Asks the store for a proof if it is this gateway's turn, and for changes that others have seen for some time. To
     /// be called several times a second.
     void pollIfDue(TimePoint now);
+    /// Polls the table of the configuration and of orders now.
+    void pollOrders();
+    /// Polls the table of states that gateways write, if it is followed.
+    void pollStates();
+    /// @return the earliest time at which the store's clock can have shown @p storeTimeMs; nothing if that isn't known
+    std::optional<TimePoint> localTime(std::int64_t storeTimeMs, TimePoint now) const;
     StoreEra era() const;
     /// @return number of gateways of the region that ask before this one
     std::size_t proofRank(TimePoint now) const;
@@ -53,6 +59,7 @@
     std::unique_ptr<TableFeed> m_configurationFeed;
     std::unique_ptr<TableFeed> m_engineFeed;
     std::unique_ptr<TableFeed> m_gatewayFeed;
+    std::unique_ptr<TableFeed> m_stateFeed; // null without roll-outs
     Revision m_storedRevision = 0;
     std::vector<HostName> m_regionHosts;
     std::optional<TimePoint> m_enginesBehindSince; // another gateway has seen a newer row since then
--- a/packages/values/include/monsoonward/values/eventlog.h
+++ b/packages/values/include/monsoonward/values/eventlog.h
@@ -80,6 +80,13 @@
     GatewayReportRejected = 6204,
     GatewayRegistrationFailed = 6205,
     UnexpectedError = 6301,
+    RolloutOrdered = 6401,
+    RolloutOrderRejected = 6402,
+    RolloutPhaseChanged = 6403,
+    RolloutVersionBad = 6404,
+    RolloutStateWritten = 6405,
+    RolloutStateNotWritten = 6406,
+    RolloutStateRead = 6407,
 };
 
 enum class Severity { Info, Warning, Error };
