--- a/packages/gateway/src/gatewaystatus.cpp
+++ b/packages/gateway/src/gatewaystatus.cpp
@@ -67,6 +67,15 @@
                {"proof_rank", m_store.proofRank(now)},
                {"tables_unavailable", unavailableTables},
                {"engines", Json::object()}};
+    for (const auto &[service, rollout] : m_core.rollouts.all()) {
+        json["rollouts"][service.text()] = {{"to", rollout.order().to},
+                                            {"phase", textOf(rollout.phase())},
+                                            {"reason", rollout.reason()},
+                                            {"answers", rollout.judge().answers()},
+                                            {"evidence", rollout.judge().evidence()},
+                                            {"move_ms", milliseconds(rollout.moveAt() - now)},
+                                            {"limit_ms", milliseconds(rollout.limitAt() - now)}};
+    }
     if (const auto age = m_core.freshness.age(now)) {
         json["proof_age_ms"] = milliseconds(*age);
     }
