Log and report a verdict that the sums of other gateways gave

Cause: a version proven bad by another gateway's report wasn't logged as such; the process test of the verdict that outlives its gateway never ended. Change: every way to the phase logs 6404 and reports at once.

--- a/packages/gateway/src/rolloutcontrol.cpp
+++ b/packages/gateway/src/rolloutcontrol.cpp
@@ -238,14 +238,8 @@
                      {{"service", std::string_view(service.text())}, {"reason", std::string_view(reason)}});
 }
 
-void RolloutControl::versionFoundBad(const ServiceName &service)
+void RolloutControl::versionFoundBad(const ServiceName & /*service: tick() looks at all*/)
 {
-    m_reportNow();
-    m_core.log.write(Event::RolloutVersionBad,
-                     Severity::Warning,
-                     "rollout-version-bad",
-                     {{"service", std::string_view(service.text())},
-                      {"reason", std::string_view(m_core.rollouts.find(service)->reason())}});
     tick(m_core.clock.now());
 }
 
@@ -290,9 +284,10 @@
                 known.first->second = phase;
                 const auto text = monsoonward::textOf(phase);
                 m_reportNow();
-                m_core.log.write(Event::RolloutPhaseChanged,
-                                 Severity::Info,
-                                 "rollout-phase",
+                const bool isBad = phase == RolloutPhase::Bad;
+                m_core.log.write(isBad ? Event::RolloutVersionBad : Event::RolloutPhaseChanged,
+                                 isBad ? Severity::Warning : Severity::Info,
+                                 isBad ? "rollout-version-bad" : "rollout-phase",
                                  {{"service", std::string_view(service.text())},
                                   {"phase", std::string_view(text)},
                                   {"reason", std::string_view(rollout->reason())},
