--- a/packages/gateway/src/gatewaycore.cpp
+++ b/packages/gateway/src/gatewaycore.cpp
@@ -34,6 +34,7 @@
     , pool(io, clock, connectionDivision, continuity)
     , peers(io)
     , streams(io, clock, fleet, peers, metrics)
+    , rollouts(settings.rollouts, settings.host, engines, fleet)
     , memory(memoryBound(settings))
 {
     pool.onExtraBytes = [this](const EngineName &engine) {
--- a/packages/gateway/src/gatewaycore.h
+++ b/packages/gateway/src/gatewaycore.h
@@ -8,6 +8,8 @@
 #include "monsoonward/gateway/adapter.h"
 #include "monsoonward/gateway/gatewaysettings.h"
 
+#include <functional>
+
 namespace monsoonward
 {
 
@@ -64,6 +66,8 @@
     EnginePool pool;
     PeerSocket peers;
     SharedStreams streams;
+    Rollouts rollouts;
+    std::function<void(const ServiceName &)> onVersionBad; ///< called when this gateway finds a version bad
     StoreKnowledge knowledge; ///< what this gateway has read from the store, for its load reports
     std::size_t openRequests = 0;
     MemoryAccount memory; ///< bytes held for callers and engines
--- a/packages/gateway/src/loadreports.cpp
+++ b/packages/gateway/src/loadreports.cpp
@@ -94,6 +94,7 @@
     }
     m_core.crashSuspects.addReport(report.value().crashes, now);
     recordReportedRateLimits(m_core, report.value().limits, report.value().host);
+    m_core.rollouts.addReports(report.value().host, report.value().rollouts);
     m_onKnowledge(report.value().knowledge);
     if (update->wasSilent) {
         m_core.log.write(Event::GatewayHeard,
@@ -174,6 +175,7 @@
     if (!m_core.engineLimits.isEmpty()) {
         report.serviceDemand = m_core.placer->demand(now);
     }
+    report.rollouts = m_core.rollouts.reports();
 }
 
 void LoadReports::sendTo(const std::vector<Address> &peers, const LoadReport &report)
