Split the codec of load reports by what it encodes

reportcodec.cpp (408 lines) held every part of a report, so each new part changed its parser. A part is now one entry (reportentries.h): its field, how its numbers are written and how they are read back, either a list of numbers or numbers by name. Crashes and limits are entries in files of their own; a new part adds a file and a line in numberListEntries() or namedNumbersEntries(). Datagrams are unchanged bit for bit; the codec's tests pass unchanged.

--- a/packages/gateway/src/reportcodec.cpp
+++ b/packages/gateway/src/reportcodec.cpp
@@ -1,9 +1,10 @@
 #include "reportcodec.h"
 
+#include "reportentries.h"
+
 #include <nlohmann/json.hpp>
 
 #include <algorithm>
-#include <cmath>
 #include <limits>
 #include <set>
 
@@ -30,108 +31,10 @@
 constexpr const char *engineVersionField = "ve";
 constexpr const char *gatewayVersionField = "vg";
 constexpr const char *uptimeField = "u"; // milliseconds
-constexpr const char *crashesField = "x"; // crashNumbers for each: trait, run, age in milliseconds, flags
-constexpr const char *soundField = "o"; // soundNumbers for each: trait, age in milliseconds
-
-constexpr const char *limitsField = "m"; // limitNumbers for each: run, age in milliseconds, limit
-constexpr const char *serviceDemandField = "w"; // thousandths of a request per second
-
-constexpr double limitUnitsPerRequest = 1000; // a limit is sent as thousandths plus one; 0: no limit any more
-constexpr std::size_t limitNumbers = 3;
-constexpr std::size_t crashNumbers = 4;
-constexpr std::size_t soundNumbers = 2;
-constexpr std::uint64_t refutedFlag = 1;
-constexpr std::uint64_t confirmedFlag = 2;
-constexpr std::uint64_t ofRefusedFlag = 4;
-
 constexpr auto maxMilliseconds =
     static_cast<std::uint64_t>(std::numeric_limits<std::int64_t>::max() / 1'000'000); // fits into Duration
 
-std::uint64_t milliseconds(Duration age)
-{
-    return static_cast<std::uint64_t>(
-        std::max<std::int64_t>(0, std::chrono::duration_cast<std::chrono::milliseconds>(age).count()));
-}
-
-std::vector<std::uint64_t> crashNumbersOf(const CrashReport &report)
-{
-    std::vector<std::uint64_t> numbers;
-    for (const auto &it : report.crashes) {
-        const auto flags = (it.isRefuted ? refutedFlag : 0) | (it.isConfirmed ? confirmedFlag : 0)
-            | (it.isOfRefused ? ofRefusedFlag : 0);
-        numbers.insert(numbers.end(), {it.trait, it.run, milliseconds(it.age), flags});
-    }
-    return numbers;
-}
-
-std::vector<std::uint64_t> soundNumbersOf(const CrashReport &report)
-{
-    std::vector<std::uint64_t> numbers;
-    for (const auto &it : report.sound) {
-        numbers.insert(numbers.end(), {it.trait, milliseconds(it.age)});
-    }
-    return numbers;
-}
-
-/// @return nothing if the numbers aren't whole observations or an age is out of range
-std::optional<CrashReport> crashReport(const std::vector<std::uint64_t> &crashes,
-                                       const std::vector<std::uint64_t> &sound)
-{
-    CrashReport report;
-    if (crashes.size() % crashNumbers != 0 || sound.size() % soundNumbers != 0) {
-        return std::nullopt;
-    }
-    for (auto it = crashes.begin(); it != crashes.end(); it += crashNumbers) {
-        if (it[2] > maxMilliseconds) {
-            return std::nullopt;
-        }
-        report.crashes.push_back({it[0],
-                                  it[1],
-                                  std::chrono::milliseconds(it[2]),
-                                  (it[3] & refutedFlag) != 0,
-                                  (it[3] & confirmedFlag) != 0,
-                                  (it[3] & ofRefusedFlag) != 0});
-    }
-    for (auto it = sound.begin(); it != sound.end(); it += soundNumbers) {
-        if (it[1] > maxMilliseconds) {
-            return std::nullopt;
-        }
-        report.sound.push_back({it[0], std::chrono::milliseconds(it[1])});
-    }
-    return report;
-}
-
-std::vector<std::uint64_t> limitNumbersOf(const std::vector<EngineLimitStatement> &limits)
-{
-    std::vector<std::uint64_t> numbers;
-    for (const auto &it : limits) {
-        const auto limit =
-            it.perSecond ? static_cast<std::uint64_t>(std::llround(*it.perSecond * limitUnitsPerRequest)) + 1 : 0;
-        numbers.insert(numbers.end(), {it.run, milliseconds(it.age), limit});
-    }
-    return numbers;
-}
-
-/// @return nothing if the numbers aren't whole statements or one is out of range
-std::optional<std::vector<EngineLimitStatement>> limitStatements(const std::vector<std::uint64_t> &numbers)
-{
-    std::vector<EngineLimitStatement> limits;
-    if (numbers.size() % limitNumbers != 0) {
-        return std::nullopt;
-    }
-    for (auto it = numbers.begin(); it != numbers.end(); it += limitNumbers) {
-        const auto limit = static_cast<double>(it[2]) - 1;
-        if (it[1] > maxMilliseconds || limit > EngineLimits::maxPerSecond * limitUnitsPerRequest) {
-            return std::nullopt;
-        }
-        limits.push_back({it[0],
-                          limit < 0 ? std::nullopt : std::optional<double>(limit / limitUnitsPerRequest),
-                          std::chrono::milliseconds(it[1])});
-    }
-    return limits;
-}
-
-const std::set<std::string> knownFields {hostField,
+const std::set<std::string> fixedFields {hostField,
                                          incarnationField,
                                          sequenceField,
                                          requestsField,
@@ -144,11 +47,15 @@
                                          provenField,
                                          engineVersionField,
                                          gatewayVersionField,
-                                         uptimeField,
-                                         crashesField,
-                                         soundField,
-                                         limitsField,
-                                         serviceDemandField};
+                                         uptimeField};
+
+/// @return the entry with the field's name; nullptr if there is none
+template<class Entry>
+const Entry *findEntry(const std::vector<Entry> &entries, const std::string &field)
+{
+    const auto it = std::find_if(entries.begin(), entries.end(), [&](const Entry &n) { return field == n.field; });
+    return it == entries.end() ? nullptr : &*it;
+}
 
 /// Builds a report from the events of a parser. Fields of later versions are skipped. Anything else that a report can't
 /// hold ends the parsing, before nested data can exhaust the stack.
@@ -161,16 +68,16 @@
         if (!m_hasHost || !m_hasIncarnation || !m_hasSequence || !m_hasRequests || m_hasDemand != m_hasSpent) {
             return std::nullopt;
         }
-        auto crashes = crashReport(m_numbers[crashesField], m_numbers[soundField]);
-        if (!crashes) {
-            return std::nullopt;
+        for (const auto &it : numberListEntries()) {
+            if (!it.read(m_lists[it.field], m_report)) {
+                return std::nullopt;
+            }
         }
-        auto limits = limitStatements(m_numbers[limitsField]);
-        if (!limits) {
-            return std::nullopt;
+        for (const auto &it : namedNumbersEntries()) {
+            if (!it.read(m_named[it.field], m_report)) {
+                return std::nullopt;
+            }
         }
-        m_report.crashes = std::move(*crashes);
-        m_report.limits = std::move(*limits);
         m_report.isLoadOnly = !m_hasDemand;
         if (!m_hasUptime && m_hasDemand) {
             m_report.uptime = Duration::max(); // an earlier version doesn't state it
@@ -226,13 +133,15 @@
         m_hasSpent = m_hasSpent || m_field == spentField;
         return m_depth == 2
             && (m_isUnknownField || m_field == requestsField || m_field == demandField || m_field == spentField
-                || m_field == serviceDemandField);
+                || m_isNamedNumbers);
     }
     bool key(std::string &value) override
     {
         if (m_depth == 1) {
             m_field = value;
-            m_isUnknownField = knownFields.count(value) == 0;
+            m_isNumberList = findEntry(numberListEntries(), value) != nullptr;
+            m_isNamedNumbers = findEntry(namedNumbersEntries(), value) != nullptr;
+            m_isUnknownField = !m_isNumberList && !m_isNamedNumbers && fixedFields.count(value) == 0;
         } else {
             m_entry = value;
         }
@@ -246,9 +155,7 @@
     bool start_array(std::size_t /*size*/) override
     {
         m_isArray = ++m_depth == 2;
-        return m_isArray
-            && (m_isUnknownField || m_field == leavingField || m_field == crashesField || m_field == soundField
-                || m_field == limitsField);
+        return m_isArray && (m_isUnknownField || m_field == leavingField || m_isNumberList);
     }
     bool end_array() override
     {
@@ -285,13 +192,13 @@
         } else if (m_field == gatewayVersionField) {
             m_report.knowledge.gatewayVersion = value;
         }
-        return m_field != crashesField && m_field != soundField && m_field != limitsField;
+        return !m_isNumberList;
     }
 
     bool entry(std::uint64_t value)
     {
         if (m_isArray) {
-            m_numbers[m_field].push_back(value);
+            m_lists[m_field].push_back(value);
             return m_field != leavingField;
         }
         if (m_field == requestsField) {
@@ -302,9 +209,9 @@
             m_report.demand[CustomerName(m_entry)] = static_cast<double>(value);
             return true;
         }
-        if (m_field == serviceDemandField) {
-            m_report.serviceDemand[ServiceName(m_entry)] = static_cast<double>(value) / limitUnitsPerRequest;
-            return value <= std::numeric_limits<std::uint32_t>::max();
+        if (m_isNamedNumbers) {
+            m_named[m_field][m_entry] = value;
+            return true;
         }
         return spent(static_cast<double>(value));
     }
@@ -323,9 +230,12 @@
     LoadReport m_report;
     std::string m_field;
     std::string m_entry;
-    std::map<std::string, std::vector<std::uint64_t>> m_numbers; // by field
+    std::map<std::string, std::vector<std::uint64_t>> m_lists; // by field
+    std::map<std::string, NamedNumbers> m_named; // by field
     unsigned m_depth = 0;
     bool m_isArray = false;
+    bool m_isNumberList = false;
+    bool m_isNamedNumbers = false;
     bool m_isUnknownField = false; // of a later version
     bool m_hasHost = false;
     bool m_hasIncarnation = false;
@@ -371,21 +281,15 @@
     for (const auto &it : report.leavingEngines) {
         json[leavingField].push_back(it.text());
     }
-    if (!report.crashes.crashes.empty()) {
-        json[crashesField] = crashNumbersOf(report.crashes);
-    }
-    if (!report.crashes.sound.empty()) {
-        json[soundField] = soundNumbersOf(report.crashes);
-    }
-    if (!report.limits.empty()) {
-        json[limitsField] = limitNumbersOf(report.limits);
+    for (const auto &it : numberListEntries()) {
+        if (auto numbers = it.numbersOf(report); !numbers.empty()) {
+            json[it.field] = std::move(numbers);
+        }
     }
-    if (!report.serviceDemand.empty()) {
-        Json serviceDemand = Json::object();
-        for (const auto &[service, perSecond] : report.serviceDemand) {
-            serviceDemand[service.text()] = static_cast<std::uint64_t>(perSecond * limitUnitsPerRequest);
+    for (const auto &it : namedNumbersEntries()) {
+        if (auto numbers = it.numbersOf(report); !numbers.empty()) {
+            json[it.field] = std::move(numbers);
         }
-        json[serviceDemandField] = std::move(serviceDemand);
     }
     if (report.shouldForward) {
         json[forwardField] = true;
