Collect the load reports of a data centre into one, as decisions without I/O

CentreCollector makes one report of a data centre's: sums of what only matters as a sum (requests in progress, leaving engines, demand), and for each gateway its sequence number, incarnation, age and the counters that changed, so that limits of customers and the liveness of gateways hold as now. ReportRoutes says who collects (the first two by rendezvous hashing that are heard; more only cost bytes) and who sends what to whom. FleetView takes centre reports beside direct ones: counters by sequence number, one collector's sums for each data centre, less what this gateway contributed. An additive part of a report has add() and subtract() and is a member of ReportSums.

Tests at 3, 30 and 304 gateways: complete after 8 intervals, two collectors in each data centre, collectors killed, frozen, restarted, cut one way, 10 % of the messages lost: sums at most two intervals old, each grant counted once. Nothing sends centre reports yet.

--- a/packages/dispatch/include/monsoonward/dispatch/fleetview.h
+++ b/packages/dispatch/include/monsoonward/dispatch/fleetview.h
@@ -1,10 +1,9 @@
 #pragma once
 
-#include "monsoonward/dispatch/crashsuspects.h"
-#include "monsoonward/dispatch/enginelimits.h"
-#include "monsoonward/dispatch/storeknowledge.h"
+#include "monsoonward/dispatch/centrereport.h"
 
 #include <cstdint>
+#include <deque>
 #include <map>
 #include <optional>
 #include <set>
@@ -14,39 +13,6 @@
 namespace monsoonward
 {
 
-/// @brief The report that each daemon sends to the others several times a second.
-struct LoadReport
-{
-    HostName host;
-    std::uint64_t incarnation = 0; ///< of the process; increases with each start
-    std::uint64_t sequenceNumber = 0; ///< increases within an incarnation
-    std::map<EngineName, std::uint32_t> requests; ///< in progress at each engine, sent by this daemon
-    std::map<CustomerName, double> demand; ///< units per second requested from this daemon
-    std::map<CustomerName, double> spent; ///< units granted by this daemon since it started
-    bool isLoadOnly = false; ///< holds request counts only; the other fields are left out
-    bool shouldForward = false; ///< the receiver forwards it to the daemons of its region
-    std::set<EngineName> leavingEngines {}; ///< engines whose own answers to this daemon said that they are leaving
-    StoreKnowledge knowledge {}; ///< what this daemon has read from the store
-    Duration uptime {}; ///< since the process started
-    CrashReport crashes {}; ///< what this daemon knows about crashes of engines, if it is due
-    std::vector<EngineLimitStatement> limits {}; ///< what engines have stated in responses to this daemon
-    std::map<ServiceName, double> serviceDemand {}; ///< callers' requests per second, while some engine states a limit
-    MONSOONWARD_FIELDS(host,
-                       incarnation,
-                       sequenceNumber,
-                       requests,
-                       demand,
-                       spent,
-                       isLoadOnly,
-                       shouldForward,
-                       leavingEngines,
-                       knowledge,
-                       uptime,
-                       crashes,
-                       limits,
-                       serviceDemand)
-};
-
 /// @param reported demand by service as a daemon reports it
 /// @return the demand for the service: 0 if only that for other services is stated, nothing if none is
 std::optional<double> demandFor(const ServiceName &service, const std::map<ServiceName, double> &reported);
@@ -59,6 +25,23 @@
     MONSOONWARD_FIELDS(wasSilent, spent)
 };
 
+/// @brief What a centre report changes.
+struct CentreChanges
+{
+    std::vector<HostName> heardAgain; ///< members that were silent
+    std::map<CustomerName, double> spent; ///< units granted by all its members since their last reports
+    MONSOONWARD_FIELDS(heardAgain, spent)
+};
+
+/// @brief Where a data centre's sums come from.
+struct CentreState
+{
+    HostName collector;
+    Duration age {}; ///< since the centre report arrived
+    std::size_t members = 0; ///< gateways in the sums
+    MONSOONWARD_FIELDS(collector, age, members)
+};
+
 /// @brief The state of the other daemons according to their latest load reports.
 class FleetView
 {
@@ -79,6 +62,18 @@
     /// nor are those granted before the first report of a daemon that arrives here, unless it has just started. A
     /// load-only report doesn't end a silence.
     std::optional<ReportChanges> addReport(const LoadReport &report, TimePoint now);
+    /// Replaces the locations of the registered daemons.
+    void setDataCentres(std::map<HostName, DataCentreName> dataCentres);
+    /// This daemon has sent a full report to its data centre's collectors. Sums that contain it are reduced by it.
+    void ownReportSent(const LoadReport &report);
+    /// Stores the collected reports of a data centre. Counters of each member are taken once, whoever passes them on.
+    /// Of several collectors' sums one is used: that of the last collector while it is heard, or of one that hears more
+    /// members.
+    /// @return the changes; nothing if the collector's report is repeated or was overtaken. Errors: Invalid if the
+    /// collector isn't registered in the data centre, or the report is of an earlier run of it.
+    Result<std::optional<CentreChanges>> addCentreReport(const CentreReport &report, TimePoint now);
+    /// @return where the sums of each data centre come from
+    std::map<DataCentreName, CentreState> centres(TimePoint now) const;
     /// @return whether a full report of the member arrived within the silence timeout
     bool isReporting(const HostName &member, TimePoint now) const;
     /// @return number of daemons that share the limits: this one, the members, and those that report but aren't in the
@@ -125,7 +120,27 @@
         TimePoint lastReportAt;
         bool hasCurrentReport = false;
         LoadReport report;
+        std::optional<TimePoint> inSumsAt {}; // when its data centre's sums last contained what it reports
+    };
+    struct Centre
+    {
+        HostName collector;
+        TimePoint receivedAt;
+        std::size_t currentMembers = 0; // with a recent report
+        std::size_t members = 0;
+        ReportSums sums; // without this daemon
+        StoreKnowledge knowledge;
     };
+    struct Run
+    {
+        std::uint64_t incarnation = 0;
+        std::uint64_t sequenceNumber = 0;
+    };
+
+    bool isInSums(const Member &member, TimePoint now) const;
+    void addRow(const MemberRow &row, TimePoint now, CentreChanges &changes);
+    void replaceSums(const CentreReport &report, TimePoint now);
+    void expireCentres(TimePoint now);
 
     double reportedDemand(const CustomerName &customer, TimePoint now) const;
     void addToSums(const LoadReport &report);
@@ -137,6 +152,12 @@
     std::map<EngineName, std::uint32_t> m_leaving; // number of daemons that the engine told that it is leaving
     Duration m_silenceTimeout = silenceTimeout;
     Duration m_reportInterval {};
+    std::map<DataCentreName, Centre> m_centres;
+    ReportSums m_centreSums; // of all m_centres
+    std::map<HostName, Run> m_collectors; // the newest centre report of each
+    std::map<HostName, DataCentreName> m_dataCentres;
+    std::map<std::uint64_t, HostName> m_hostsByHash; // of members
+    std::deque<LoadReport> m_ownReports; // the newest last
     std::map<HostName, TimePoint> m_unregistered; // last reports of daemons that aren't members yet
 };
 
--- a/packages/dispatch/src/fleetview.cpp
+++ b/packages/dispatch/src/fleetview.cpp
@@ -1,5 +1,7 @@
 #include "monsoonward/dispatch/fleetview.h"
 
+#include "clearsummed.h"
+
 #include "monsoonward/dispatch/texthash.h"
 
 #include <algorithm>
@@ -49,7 +51,7 @@
     for (const auto &it : members) {
         if (it != m_own) {
             const auto known = m_members.find(it);
-            kept[it] = known == m_members.end() ? Member {now, false, {}} : known->second;
+            kept[it] = known == m_members.end() ? Member {now, false, {}, {}} : known->second;
             m_members.erase(it);
         }
     }
@@ -57,8 +59,10 @@
         removeFromSums(it.second.report);
     }
     m_members = std::move(kept);
+    m_hostsByHash.clear();
     for (const auto &it : members) {
         m_unregistered.erase(it);
+        m_hostsByHash[hashOf(it.text())] = it;
     }
 }
 
@@ -103,7 +107,9 @@
         if (member.hasCurrentReport && last.incarnation == report.incarnation) {
             removeFromSums(last);
             member.report.sequenceNumber = report.sequenceNumber;
-            member.report.requests = report.requests;
+            if (!isInSums(member, now)) {
+                member.report.requests = report.requests;
+            }
             addToSums(member.report);
         }
         return std::nullopt;
@@ -120,8 +126,11 @@
         }
     }
     removeFromSums(last);
-    member = {now, true, report};
-    addToSums(report);
+    member = {now, true, report, member.inSumsAt};
+    if (isInSums(member, now)) {
+        clearSummed(member.report);
+    }
+    addToSums(member.report);
     return changes;
 }
 
@@ -155,12 +164,18 @@
 std::uint32_t FleetView::requestsAt(const EngineName &engine) const
 {
     const auto it = m_requests.find(engine);
-    return it == m_requests.end() ? 0 : it->second;
+    const auto own = it == m_requests.end() ? 0 : it->second;
+    if (m_centreSums.requests.empty()) {
+        return own;
+    }
+    const auto summed = m_centreSums.requests.find(keyOf(engine));
+    return own + (summed == m_centreSums.requests.end() ? 0 : summed->second);
 }
 
 bool FleetView::isReportedLeaving(const EngineName &engine) const
 {
-    return m_leaving.count(engine) != 0;
+    return m_leaving.count(engine) != 0
+        || (!m_centreSums.leaving.empty() && m_centreSums.leaving.count(keyOf(engine)) != 0);
 }
 
 Revision FleetView::highestRevision(TimePoint now) const
@@ -171,6 +186,9 @@
             highest = std::max(highest, member.report.knowledge.revision);
         }
     }
+    for (const auto &it : m_centres) {
+        highest = std::max(highest, it.second.knowledge.revision);
+    }
     return highest;
 }
 
@@ -199,7 +217,8 @@
 
 double FleetView::reportedDemand(const CustomerName &customer, TimePoint now) const
 {
-    double demand = 0;
+    const auto summed = m_centreSums.demand.find(customer);
+    double demand = summed == m_centreSums.demand.end() ? 0 : summed->second;
     for (const auto &[host, member] : m_members) {
         const auto reported = member.report.demand.find(customer);
         demand += isReporting(host, now) && reported != member.report.demand.end() ? reported->second : 0;
@@ -237,6 +256,7 @@
 
 void FleetView::expire(TimePoint now)
 {
+    expireCentres(now);
     for (auto it = m_unregistered.begin(); it != m_unregistered.end();) {
         it = now - it->second > m_silenceTimeout ? m_unregistered.erase(it) : std::next(it);
     }
