Send load reports through collectors in fleets of more than 40 gateways

CentreReports connects the decisions with the socket: each gateway sends its full report to two collectors of its data centre; a centre report goes to the data centre's gateways and to one collector of each other data centre. Setting [peer] sums = auto | yes | no; auto: more than 40 gateways. It also needs each gateway's row in the store to state the format, so a fleet with one earlier version keeps reports to all. Malformed, foreign and earlier messages are counted and logged once a minute for each sender and reason; before, the log line had no limit. /state and metrics show who collects and the age of each data centre's sums.

--- a/packages/dispatch/src/centrefleet_test.cpp
+++ b/packages/dispatch/src/centrefleet_test.cpp
@@ -48,6 +48,7 @@
         for (std::size_t n = 0; n < size; ++n) {
             const HostName host("g" + std::to_string(n));
             m_locations[host] = DataCentreName("dc" + std::to_string(n % 3));
+            m_indices[host] = n;
             m_hosts.push_back(host);
         }
         for (const auto &it : m_hosts) {
@@ -124,7 +125,7 @@
 private:
     Gateway &find(const HostName &host)
     {
-        return *std::find_if(gateways.begin(), gateways.end(), [&](const Gateway &it) { return it.host == host; });
+        return gateways[m_indices.at(host)];
     }
 
     void tick(Gateway &gateway)
@@ -195,6 +196,7 @@
 
     std::map<HostName, DataCentreName> m_locations;
     std::vector<HostName> m_hosts;
+    std::map<HostName, std::size_t> m_indices;
     int m_steps = 0;
 };
 
--- a/packages/gateway/include/monsoonward/gateway/gatewaysettings.h
+++ b/packages/gateway/include/monsoonward/gateway/gatewaysettings.h
@@ -22,6 +22,7 @@
     Address healthListen;
     Address adminListen; ///< serves metrics and state
     Address peerListen; ///< UDP, for load reports between gateways
+    SumsMode reportSums = SumsMode::Auto;
     Address store;
     Duration storePollTime {}; ///< how long a long poll of the configuration waits for a change
     // [limits]
@@ -41,6 +42,7 @@
                        healthListen,
                        adminListen,
                        peerListen,
+                       reportSums,
                        store,
                        storePollTime,
                        maxMemoryMegabytes,
--- a/packages/gateway/src/gatewaymetrics.cpp
+++ b/packages/gateway/src/gatewaymetrics.cpp
@@ -86,6 +86,15 @@
                prometheus::BuildCounter(),
                "monsoonward_gateway_engine_limit_malformed_total",
                "Engines' responses whose rate limit can't be read");
+    prometheus::Family<prometheus::Counter> &rejectedMessages =
+        family(registry,
+               prometheus::BuildCounter(),
+               "monsoonward_gateway_peer_messages_rejected_total",
+               "Messages between gateways that were dropped as malformed or foreign");
+    prometheus::Family<prometheus::Gauge> &sumAges = family(registry,
+                                                            prometheus::BuildGauge(),
+                                                            "monsoonward_gateway_centre_sum_age_seconds",
+                                                            "Time since the sums of a data centre arrived");
     prometheus::Family<prometheus::Counter> &streamMessages =
         family(registry,
                prometheus::BuildCounter(),
@@ -147,6 +156,19 @@
     m_impl->malformedLimits.Add({}).Increment();
 }
 
+void GatewayMetrics::peerMessageRejected()
+{
+    m_impl->rejectedMessages.Add({}).Increment();
+}
+
+void GatewayMetrics::setCentres(const std::map<DataCentreName, Duration> &ages, bool isCollecting)
+{
+    m_impl->gauges.Add({{"name", "collecting"}}).Set(isCollecting ? 1 : 0);
+    for (const auto &[dataCentre, age] : ages) {
+        m_impl->sumAges.Add({{"data_centre", dataCentre.text()}}).Set(seconds(age));
+    }
+}
+
 void GatewayMetrics::streamMessageSent(const char *kind)
 {
     m_impl->streamMessages.Add({{"kind", kind}}).Increment();
--- a/packages/gateway/src/gatewaymetrics.h
+++ b/packages/gateway/src/gatewaymetrics.h
@@ -2,6 +2,7 @@
 
 #include <monsoonward/values/values.h>
 
+#include <map>
 #include <memory>
 #include <string>
 
@@ -33,6 +34,10 @@
     /// An answer of the store stated an era that is no number.
     void storeEraMalformed();
     void engineLimitMalformed();
+    /// A message of another host was dropped because it is malformed, foreign or of an earlier run.
+    void peerMessageRejected();
+    /// @param ages of the sums in use, by data centre
+    void setCentres(const std::map<DataCentreName, Duration> &ages, bool isCollecting);
     /// @param kind of message about streams to another gateway, one of a fixed set of words
     void streamMessageSent(const char *kind);
     /// A caller asked to take up a stream.
--- a/packages/gateway/src/gatewayprocess.cpp
+++ b/packages/gateway/src/gatewayprocess.cpp
@@ -69,7 +69,7 @@
         , m_tickTimer(m_io)
         , m_store(m_core, *this, m_random, [this] { m_reports.sendFullReport(); })
         , m_changes(m_core, m_store, m_random.next())
-        , m_status(m_core, m_store, m_callers, m_incarnation)
+        , m_status(m_core, m_store, m_callers, m_reports.centreReports(), m_incarnation)
     {
     }
 
@@ -193,10 +193,7 @@
         if (!isStreamMessage(datagram.bytes, datagram.size)) {
             m_reports.receive(datagram);
         } else if (const auto received = m_core.streams.receive(datagram); !received) {
-            m_log.write(Event::GatewayReportRejected,
-                        Severity::Warning,
-                        "stream-message-rejected",
-                        {{"reason", std::string_view(received.error().message)}});
+            m_reports.reject("stream-message-rejected", datagram.sender, received.error().message);
         }
     }
 
@@ -205,7 +202,6 @@
     void membersChanged(const std::vector<MemberRecord> &members)
     {
         std::vector<HostName> hosts;
-        std::vector<ReportPeer> peers;
         std::vector<StreamPeer> streamPeers;
         std::vector<HostName> regionHosts;
         std::map<HostName, DataCentreName> locations;
@@ -214,7 +210,6 @@
             locations[it.host] = it.dataCentre;
             if (it.host != m_core.settings.host) {
                 const bool isSameRegion = m_core.settings.topology.distanceTo(it.dataCentre) != Distance::OtherRegion;
-                peers.push_back({it.peerAddress, isSameRegion});
                 streamPeers.push_back({it.host, it.peerAddress});
                 if (isSameRegion) {
                     regionHosts.push_back(it.host);
@@ -224,7 +219,7 @@
         m_core.fleet.setMembers(hosts, m_clock.now());
         m_core.limitDivision.setMembers(std::move(locations));
         m_core.connectionDivision.setMembers(std::move(hosts));
-        m_reports.setPeers(peers);
+        m_reports.setMembers(members);
         m_core.streams.setPeers(std::move(streamPeers));
         m_store.setRegionHosts(std::move(regionHosts));
         m_log.write(Event::GatewaysChanged,
--- a/packages/gateway/src/gatewaysettings.cpp
+++ b/packages/gateway/src/gatewaysettings.cpp
@@ -115,6 +115,18 @@
     return boost::outcome_v2::success();
 }
 
+Result<void> readSums(const std::string &text, GatewaySettings &settings)
+{
+    static const std::map<std::string, SumsMode> modes {
+        {"auto", SumsMode::Auto}, {"yes", SumsMode::Always}, {"no", SumsMode::Never}};
+    const auto it = modes.find(text);
+    if (it == modes.end()) {
+        return invalidValue(text);
+    }
+    settings.reportSums = it->second;
+    return boost::outcome_v2::success();
+}
+
 std::vector<Setting> makeSettings()
 {
     using std::chrono::milliseconds;
@@ -182,6 +194,13 @@
          address,
          "Load reports between gateways, over UDP.",
          readAddress(&GatewaySettings::peerListen)},
+        {"peer",
+         "sums",
+         "auto",
+         "",
+         "auto, yes or no",
+         "Whether load reports go through collectors of each data centre: auto in fleets of more than 40 gateways.",
+         readSums},
         {"store", "address", required, "", address, "The fleet's table store.", readAddress(&GatewaySettings::store)},
         {"store",
          "wait",
--- a/packages/gateway/src/gatewaystatus.cpp
+++ b/packages/gateway/src/gatewaystatus.cpp
@@ -10,10 +10,12 @@
 GatewayStatus::GatewayStatus(GatewayCore &core,
                              const StoreWatch &store,
                              const CallerListener &callers,
+                             const CentreReports &centreReports,
                              std::uint64_t incarnation)
     : m_core(core)
     , m_store(store)
     , m_callers(callers)
+    , m_centreReports(centreReports)
     , m_incarnation(incarnation)
 {
 }
@@ -27,6 +29,11 @@
     m_core.metrics.setStoreEra(m_store.era());
     m_core.metrics.setCrashSuspects(m_core.crashSuspects.refusedCount(now));
     m_core.metrics.setStreams(m_core.streams.directory().size(), m_core.streams.directory().dropped());
+    std::map<DataCentreName, Duration> ages;
+    for (const auto &[dataCentre, it] : m_core.fleet.centres(now)) {
+        ages[dataCentre] = it.age;
+    }
+    m_core.metrics.setCentres(ages, m_centreReports.position().has_value());
     updateLimitMetrics(now);
     if (m_core.activeConfiguration) {
         const auto &configuration = *m_core.activeConfiguration->configuration;
@@ -67,6 +74,13 @@
                {"proof_rank", m_store.proofRank(now)},
                {"tables_unavailable", unavailableTables},
                {"engines", Json::object()}};
+    json["report_sums"] = {{"in_use", m_centreReports.isInUse()},
+                           {"collecting", m_centreReports.position().has_value()},
+                           {"data_centres", Json::object()}};
+    for (const auto &[dataCentre, it] : m_core.fleet.centres(now)) {
+        json["report_sums"]["data_centres"][dataCentre.text()] = {
+            {"collector", it.collector.text()}, {"age_ms", milliseconds(it.age)}, {"gateways", it.members}};
+    }
     if (const auto age = m_core.freshness.age(now)) {
         json["proof_age_ms"] = milliseconds(*age);
     }
--- a/packages/gateway/src/gatewaystatus.h
+++ b/packages/gateway/src/gatewaystatus.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "gatewaycore.h"
+#include "centrereports.h"
 #include "storewatch.h"
 
 #include <monsoonward/callers/callers.h>
@@ -16,8 +16,12 @@
 {
 public:
     /// @param incarnation identifies this run of the process
-    /// @param core, store, callers must outlive this object
-    GatewayStatus(GatewayCore &core, const StoreWatch &store, const CallerListener &callers, std::uint64_t incarnation);
+    /// @param core, store, callers, centreReports must outlive this object
+    GatewayStatus(GatewayCore &core,
+                  const StoreWatch &store,
+                  const CallerListener &callers,
+                  const CentreReports &centreReports,
+                  std::uint64_t incarnation);
 
     /// @param unavailableTables tables of the store whose last call failed
     std::string stateJson(bool isReady, const std::set<std::string> &unavailableTables);
@@ -30,6 +34,7 @@
     GatewayCore &m_core;
     const StoreWatch &m_store;
     const CallerListener &m_callers;
+    const CentreReports &m_centreReports;
     std::uint64_t m_incarnation;
 };
 
--- a/packages/gateway/src/loadreports.cpp
+++ b/packages/gateway/src/loadreports.cpp
@@ -38,6 +38,8 @@
     : m_core(core)
     , m_incarnation(incarnation)
     , m_onKnowledge(std::move(onKnowledge))
+    , m_rejected(core)
+    , m_centreReports(core, incarnation, m_rejected, m_onKnowledge)
     , m_timer(core.io)
 {
 }
@@ -48,29 +50,49 @@
     tick();
 }
 
-void LoadReports::setPeers(const std::vector<ReportPeer> &peers)
+void LoadReports::setMembers(const std::vector<MemberRecord> &members)
 {
     m_localPeers.clear();
     m_remotePeers.clear();
-    for (const auto &it : peers) {
-        (it.isSameRegion ? m_localPeers : m_remotePeers).push_back(it.address);
+    for (const auto &it : members) {
+        if (it.host != m_core.settings.host) {
+            const bool isSameRegion = m_core.settings.topology.distanceTo(it.dataCentre) != Distance::OtherRegion;
+            (isSameRegion ? m_localPeers : m_remotePeers).push_back(it.peerAddress);
+        }
+    }
+    m_centreReports.setMembers(members);
+    if (m_centreReports.isInUse()) {
+        m_core.fleet.setReportInterval(m_centreReports.interval() * 2); // to the collector and on from there
+        m_core.fleet.setSilenceTimeout(m_centreReports.silenceTimeout());
+        return;
     }
     // In large fleets the silence timeout grows with the interval: at least as many reports fit into it as at
     // maxInterval.
-    const auto interval = intervalFor(peers.size(), peersAtMinInterval);
+    const auto interval = intervalFor(m_localPeers.size() + m_remotePeers.size(), peersAtMinInterval);
     m_core.fleet.setReportInterval(interval);
     m_core.fleet.setSilenceTimeout(
         std::max<Duration>(FleetView::silenceTimeout, interval * (FleetView::silenceTimeout / maxInterval + 1)));
 }
 
+const CentreReports &LoadReports::centreReports() const
+{
+    return m_centreReports;
+}
+
+void LoadReports::reject(std::string_view what, const Address &sender, const std::string &reason)
+{
+    m_rejected.reject(what, sender, reason);
+}
+
 void LoadReports::receive(const PeerSocket::Datagram &datagram)
 {
+    if (isCentreMessage(datagram.bytes, datagram.size)) {
+        m_centreReports.receive(datagram);
+        return;
+    }
     const auto report = decodeReport(datagram.bytes, datagram.size);
     if (!report) {
-        m_core.log.write(Event::GatewayReportRejected,
-                         Severity::Warning,
-                         "report-rejected",
-                         {{"reason", std::string_view(report.error().message)}});
+        reject("report-rejected", datagram.sender, report.error().message);
         return;
     }
     if (report.value().shouldForward) {
@@ -78,8 +100,14 @@
         forwarded.shouldForward = false;
         sendTo(m_localPeers, forwarded);
     }
+    apply(report.value());
+    m_centreReports.addReport(report.value());
+}
+
+void LoadReports::apply(const LoadReport &report)
+{
     const auto now = m_core.clock.now();
-    const auto update = m_core.fleet.addReport(report.value(), now);
+    const auto update = m_core.fleet.addReport(report, now);
     if (!update) {
         return;
     }
@@ -87,14 +115,12 @@
     for (const auto &[customer, units] : update->spent) {
         m_core.rateLimiter.recordRemoteSpending(customer, units, reportingFraction, now);
     }
-    m_core.crashSuspects.addReport(report.value().crashes, now);
-    recordReportedRateLimits(m_core, report.value().limits, report.value().host);
-    m_onKnowledge(report.value().knowledge);
+    m_core.crashSuspects.addReport(report.crashes, now);
+    recordReportedRateLimits(m_core, report.limits, report.host);
+    m_onKnowledge(report.knowledge);
     if (update->wasSilent) {
-        m_core.log.write(Event::GatewayHeard,
-                         Severity::Info,
-                         "gateway-heard",
-                         {{"peer", std::string_view(report.value().host.text())}});
+        m_core.log.write(
+            Event::GatewayHeard, Severity::Info, "gateway-heard", {{"peer", std::string_view(report.host.text())}});
     }
 }
 
@@ -105,8 +131,12 @@
     const auto loadOnlyInterval = std::min(fullInterval, intervalFor(m_localPeers.size(), localPeersAtMinLoadInterval));
     const bool isFullReportDue = now - m_lastFullReportAt + loadOnlyInterval / 2 >= fullInterval;
     m_core.fleet.expire(now);
-    send(!isFullReportDue);
-    m_timer.expires_after(loadOnlyInterval);
+    if (m_centreReports.isInUse()) {
+        sendFullReport();
+    } else {
+        send(!isFullReportDue);
+    }
+    m_timer.expires_after(m_centreReports.isInUse() ? m_centreReports.interval() : loadOnlyInterval);
     m_timer.async_wait([this](const error_code &ec) {
         if (!ec) {
             tick();
@@ -116,7 +146,11 @@
 
 void LoadReports::sendFullReport()
 {
-    send(false);
+    if (m_centreReports.isInUse()) {
+        m_centreReports.send(fullReport(m_core.clock.now()));
+    } else {
+        send(false);
+    }
 }
 
 void LoadReports::send(bool isLoadOnly)
@@ -125,36 +159,49 @@
         return;
     }
     const auto now = m_core.clock.now();
+    if (isLoadOnly) {
+        sendTo(m_localPeers, loadOnlyReport(now));
+        return;
+    }
+    auto report = fullReport(now);
+    report.crashes = m_core.crashSuspects.reportIfDue(now).value_or(CrashReport());
+    sendTo(m_localPeers, report);
+    if (m_remotePeers.size() <= maxDirectRemotePeers) {
+        sendTo(m_remotePeers, report);
+        return;
+    }
+    report.shouldForward = true;
+    sendTo({m_remotePeers[m_lastSequenceNumber % m_remotePeers.size()]}, report);
+}
+
+LoadReport LoadReports::loadOnlyReport(TimePoint now)
+{
     LoadReport report;
     report.host = m_core.settings.host;
     report.incarnation = m_incarnation;
     report.sequenceNumber = ++m_lastSequenceNumber;
     report.requests = m_core.placer->ownRequests();
-    report.isLoadOnly = isLoadOnly;
+    report.isLoadOnly = true;
     m_core.placer->loadReported(now);
-    if (isLoadOnly) {
-        sendTo(m_localPeers, report);
-        return;
-    }
+    return report;
+}
+
+LoadReport LoadReports::fullReport(TimePoint now)
+{
+    auto report = loadOnlyReport(now);
+    report.isLoadOnly = false;
     m_lastFullReportAt = now;
     report.demand = m_core.rateLimiter.demands(now);
     report.spent = m_core.rateLimiter.spent();
     report.leavingEngines = m_core.engines.selfReportedLeaving();
     report.knowledge = m_core.knowledge;
     report.uptime = now - m_startedAt;
-    report.crashes = m_core.crashSuspects.reportIfDue(now).value_or(CrashReport());
     report.limits = m_core.engineLimits.report(now);
     if (!m_core.engineLimits.isEmpty()) {
         report.serviceDemand = m_core.placer->demand(now);
     }
     m_core.limitDivision.setOwnDemand(report.serviceDemand);
-    sendTo(m_localPeers, report);
-    if (m_remotePeers.size() <= maxDirectRemotePeers) {
-        sendTo(m_remotePeers, report);
-        return;
-    }
-    report.shouldForward = true;
-    sendTo({m_remotePeers[m_lastSequenceNumber % m_remotePeers.size()]}, report);
+    return report;
 }
 
 void LoadReports::sendTo(const std::vector<Address> &peers, const LoadReport &report)
--- a/packages/gateway/src/memberlist.cpp
+++ b/packages/gateway/src/memberlist.cpp
@@ -1,9 +1,13 @@
 #include "memberlist.h"
 
+#include "centrereports.h"
+
 #include <monsoonward/ini/ini.h>
 
 #include <nlohmann/json.hpp>
 
+#include <limits>
+
 namespace monsoonward
 {
 
@@ -20,10 +24,13 @@
 std::string encodeMember(const MemberRecord &member)
 {
     const auto &address = member.peerAddress;
-    return Json {{"peer-address", address.ip + ":" + std::to_string(address.port)},
-                 {"life", member.incarnation},
-                 {"data-centre", member.dataCentre.text()}}
-        .dump();
+    Json json {{"peer-address", address.ip + ":" + std::to_string(address.port)},
+               {"life", member.incarnation},
+               {"data-centre", member.dataCentre.text()}};
+    if (member.centreReportFormat > 0) {
+        json["centre-reports"] = member.centreReportFormat;
+    }
+    return json.dump();
 }
 
 Result<MemberRecord> decodeMember(const std::string &key, const std::string &text)
@@ -36,15 +43,23 @@
     BOOST_OUTCOME_TRY(address, parseAddress(json["peer-address"].get<std::string>()));
     const auto dataCentre = json.find("data-centre");
     const bool hasDataCentre = dataCentre != json.end() && dataCentre->is_string();
+    const auto format = json.find("centre-reports");
+    const bool hasFormat = format != json.end() && format->is_number_unsigned()
+        && format->get<std::uint64_t>() <= std::numeric_limits<std::uint32_t>::max();
     return MemberRecord {HostName(key),
                          address,
                          json["life"].get<std::uint64_t>(),
-                         DataCentreName(hasDataCentre ? dataCentre->get<std::string>() : std::string())};
+                         DataCentreName(hasDataCentre ? dataCentre->get<std::string>() : std::string()),
+                         hasFormat ? format->get<std::uint32_t>() : 0};
 }
 
 MemberList::MemberList(GatewayCore &core, std::uint64_t incarnation, ChangedCallback changed)
     : m_core(core)
-    , m_own {core.settings.host, core.settings.peerListen, incarnation, core.settings.topology.ownDataCentre}
+    , m_own {core.settings.host,
+             core.settings.peerListen,
+             incarnation,
+             core.settings.topology.ownDataCentre,
+             core.settings.reportSums == SumsMode::Never ? 0 : centreReportFormat}
     , m_changed(std::move(changed))
     , m_store(core.adapter.makeRowStore(core.io, core.settings.store))
 {
--- a/packages/gateway/src/memberlist.h
+++ b/packages/gateway/src/memberlist.h
@@ -12,7 +12,8 @@
     Address peerAddress; ///< receives load reports
     std::uint64_t incarnation = 0; ///< identifies one run of the process
     DataCentreName dataCentre; ///< empty if written by a version that did not store it
-    MONSOONWARD_FIELDS(host, peerAddress, incarnation, dataCentre)
+    std::uint32_t centreReportFormat = 0; ///< newest format of centre reports that it understands; 0 if none
+    MONSOONWARD_FIELDS(host, peerAddress, incarnation, dataCentre, centreReportFormat)
 };
 
 std::string encodeMember(const MemberRecord &member);
