--- a/packages/gateway/src/centrereports.cpp
+++ b/packages/gateway/src/centrereports.cpp
@@ -148,6 +148,9 @@
         m_rejected.reject("report-rejected", datagram.sender, message.error().message);
         return;
     }
+    if (m_addresses.empty()) {
+        return; // the registrations haven't been read yet, so the sender can't be checked
+    }
     apply(message.value().report, datagram.sender, false);
     if (message.value().shouldForward && m_isInUse) {
         message.value().shouldForward = false;
