--- a/packages/gateway/src/gatewaymetrics.h
+++ b/packages/gateway/src/gatewaymetrics.h
@@ -2,6 +2,7 @@
 
 #include <monsoonward/values/values.h>
 
+#include <map>
 #include <memory>
 #include <string>
 
@@ -40,6 +41,10 @@
     /// @param held bytes held for callers and engines
     /// @param waiting number of bodies that wait for memory
     void setMemory(std::size_t held, std::size_t waiting);
+    /// A message of another host was dropped because it is malformed, foreign or of an earlier run.
+    void peerMessageRejected();
+    /// @param ages of the sums in use, by data centre
+    void setCentres(const std::map<DataCentreName, Duration> &ages, bool isCollecting);
     /// @param kind of message about streams to another gateway, one of a fixed set of words
     void streamMessageSent(const char *kind);
     /// A caller asked to take up a stream.
--- a/packages/gateway/src/gatewayprocess.cpp
+++ b/packages/gateway/src/gatewayprocess.cpp
@@ -71,7 +71,7 @@
         , m_store(m_core, *this, m_random, [this] { m_reports.sendFullReport(); })
         , m_rollouts(m_core, m_store, [this] { m_reports.sendFullReport(); })
         , m_changes(m_core, m_store, m_random.next(), [this](const EngineRecord &it) { m_rollouts.engineSeen(it); })
-        , m_status(m_core, m_store, m_callers, m_incarnation)
+        , m_status(m_core, m_store, m_callers, m_reports.centreReports(), m_incarnation)
     {
         m_core.onVersionBad = [this](const ServiceName &it) { m_rollouts.versionFoundBad(it); };
     }
@@ -209,10 +209,7 @@
         if (!isStreamMessage(datagram.bytes, datagram.size)) {
             m_reports.receive(datagram);
         } else if (const auto received = m_core.streams.receive(datagram); !received) {
-            m_log.write(Event::GatewayReportRejected,
-                        Severity::Warning,
-                        "stream-message-rejected",
-                        {{"reason", std::string_view(received.error().message)}});
+            m_reports.reject("stream-message-rejected", datagram.sender, received.error().message);
         }
     }
 
@@ -237,7 +234,6 @@
     void membersChanged(const std::vector<MemberRecord> &members)
     {
         std::vector<HostName> hosts;
-        std::vector<ReportPeer> peers;
         std::vector<StreamPeer> streamPeers;
         std::vector<HostName> regionHosts;
         std::map<HostName, DataCentreName> locations;
@@ -246,7 +242,6 @@
             locations[it.host] = it.dataCentre;
             if (it.host != m_core.settings.host) {
                 const bool isSameRegion = m_core.settings.topology.distanceTo(it.dataCentre) != Distance::OtherRegion;
-                peers.push_back({it.peerAddress, isSameRegion});
                 streamPeers.push_back({it.host, it.peerAddress});
                 if (isSameRegion) {
                     regionHosts.push_back(it.host);
@@ -258,7 +253,7 @@
         m_core.limitDivision.setMembers(std::move(locations));
         m_rollouts.setHosts(hosts);
         m_core.connectionDivision.setMembers(std::move(hosts));
-        m_reports.setPeers(peers);
+        m_reports.setMembers(members);
         if (!m_core.peerSurvey.isComplete(m_core.fleet, m_clock.now())) {
             m_reports.sendFullReport(); // asks the peers what they hold
         }
--- a/packages/gateway/src/rolloutcodec.cpp
+++ b/packages/gateway/src/rolloutcodec.cpp
@@ -1,5 +1,7 @@
 #include "rolloutcodec.h"
 
+#include "reportentries.h"
+
 #include <limits>
 
 namespace monsoonward
@@ -79,4 +81,15 @@
     return reports;
 }
 
+NumberListEntry rolloutsEntry()
+{
+    return {"ro",
+            [](const LoadReport &report) { return numbersOf(report.rollouts); },
+            [](const NumberList &numbers, LoadReport &report) {
+                auto rollouts = rolloutReports(numbers);
+                report.rollouts = std::move(rollouts).value_or(std::vector<RolloutReport>());
+                return rollouts.has_value();
+            }};
+}
+
 } // namespace monsoonward
