--- a/packages/dispatch/include/monsoonward/dispatch/servingconfiguration.h
+++ b/packages/dispatch/include/monsoonward/dispatch/servingconfiguration.h
@@ -60,7 +60,8 @@
     ServiceName name;
     std::uint32_t maxConnections = 0; ///< that one engine accepts from all daemons together; 0: unknown
     bool isModel = false; ///< its engines process tokens in batches
-    MONSOONWARD_FIELDS(name, maxConnections, isModel)
+    double memoryTokens = 0; ///< of one engine, for running requests and kept prompts together; 0: unknown
+    MONSOONWARD_FIELDS(name, maxConnections, isModel, memoryTokens)
 };
 
 /// @brief A customer's keys and its rate limit over all daemons.
--- a/packages/gateway/include/monsoonward/gateway/gatewaysettings.h
+++ b/packages/gateway/include/monsoonward/gateway/gatewaysettings.h
@@ -31,6 +31,8 @@
     FreshnessLimits freshness;
     RetryBudgetLimits retryBudget;
     RateLimitTolerance rateLimitTolerance;
+    // [placement]
+    Duration promptReuseWindow {}; ///< see HeldPrompts; 0: placement doesn't consider held prompts
     // [log]
     std::string logLevel;
     std::uint32_t logKilobytesPerSecond = 0;
@@ -48,6 +50,7 @@
                        freshness,
                        retryBudget,
                        rateLimitTolerance,
+                       promptReuseWindow,
                        logLevel,
                        logKilobytesPerSecond)
 };
--- a/packages/gateway/include/monsoonward/gateway/httpdialect.h
+++ b/packages/gateway/include/monsoonward/gateway/httpdialect.h
@@ -23,6 +23,7 @@
     std::string tokenCounts; ///< "prompt tokens,maximum output tokens" of a model request
     /// Parts of a model request's prompt in order, as "ID:tokens,ID:tokens"; the last one belongs to the request alone.
     std::string promptParts;
+    std::string model; ///< name of the model that a request is for
     std::string lastEventId; ///< ID of the last event received, to resume a stream after it
     std::string resumes; ///< ID of the request that brought the first event of the stream that this one resumes
     std::vector<std::string> reservedHeaders; ///< removed from callers' requests
@@ -38,6 +39,7 @@
                        engineRateLimit,
                        tokenCounts,
                        promptParts,
+                       model,
                        lastEventId,
                        resumes,
                        reservedHeaders,
--- a/packages/gateway/src/gatewaysettings.cpp
+++ b/packages/gateway/src/gatewaysettings.cpp
@@ -249,6 +249,15 @@
          "0 to 1e12",
          "Units by which a customer may exceed that in a window of a few seconds.",
          readDecimal(1e12, [](GatewaySettings &it, double n) { it.rateLimitTolerance.units = n; })},
+        {"placement",
+         "prompt-reuse-window",
+         "0 s",
+         "time",
+         "0 s to 1 h",
+         "Time after its last use during which an engine may still hold the beginning of a prompt. 0 s: placement "
+         "doesn't consider it.",
+         readDuration(
+             seconds(0), std::chrono::hours(1), [](GatewaySettings &it, Duration n) { it.promptReuseWindow = n; })},
         {"log", "level", "info", "", "info, warning or error", "Minimum severity that is logged.", readLevel},
         {"log",
          "kilobytes-per-second",
--- a/packages/gateway/src/gatewaytesting.h
+++ b/packages/gateway/src/gatewaytesting.h
@@ -24,6 +24,7 @@
     dialect.engineRateLimit = "Limit";
     dialect.tokenCounts = "Tokens";
     dialect.promptParts = "Parts";
+    dialect.model = "Model";
     dialect.lastEventId = "Last-Event-Id";
     dialect.resumes = "Resumed-Request";
     dialect.reservedHeaders = {"Reserved"};
