--- a/packages/callers/src/callerconnection.cpp
+++ b/packages/callers/src/callerconnection.cpp
@@ -56,6 +56,7 @@
 void CallerConnection::start()
 {
     setSocketOptions(m_socket, callerTimeout);
+    limitReceiveBuffer(m_socket);
     awaitRequest();
 }
 
@@ -311,7 +312,7 @@
 void CallerConnection::onBytesWritten(const error_code &ec)
 {
     m_isWriting = false;
-    m_writeBuffer.clear();
+    m_writeBuffer = {}; // the capacity after a slow reader would stay with the connection, uncounted
     if (ec) {
         close();
         return;
--- a/packages/callers/src/socketoptions.cpp
+++ b/packages/callers/src/socketoptions.cpp
@@ -26,7 +26,6 @@
 {
     const int handle = socket.native_handle();
     setOption(handle, IPPROTO_TCP, TCP_NODELAY, 1);
-    setOption(handle, SOL_SOCKET, SO_RCVBUF, receiveBufferBytes);
     setOption(handle, SOL_SOCKET, SO_KEEPALIVE, 1);
     setOption(handle, IPPROTO_TCP, TCP_KEEPIDLE, keepAliveIdleSeconds);
     setOption(handle, IPPROTO_TCP, TCP_KEEPINTVL, keepAliveIntervalSeconds);
@@ -37,4 +36,9 @@
               static_cast<int>(std::chrono::duration_cast<std::chrono::milliseconds>(ackTimeout).count()));
 }
 
+void limitReceiveBuffer(boost::asio::ip::tcp::socket &socket)
+{
+    setOption(socket.native_handle(), SOL_SOCKET, SO_RCVBUF, receiveBufferBytes);
+}
+
 } // namespace monsoonward
--- a/packages/dispatch/include/monsoonward/dispatch/fleetview.h
+++ b/packages/dispatch/include/monsoonward/dispatch/fleetview.h
@@ -144,7 +144,7 @@
     void replaceSums(const CentreReport &report, TimePoint now);
     void expireCentres(TimePoint now);
 
-    static bool isNewer(const Member &member, const LoadReport &report, TimePoint now);
+    bool isNewer(const Member &member, const LoadReport &report, TimePoint now) const;
     double reportedDemand(const CustomerName &customer, TimePoint now) const;
     void addToSums(const LoadReport &report);
     void removeFromSums(const LoadReport &report);
--- a/packages/dispatch/include/monsoonward/dispatch/peersurvey.h
+++ b/packages/dispatch/include/monsoonward/dispatch/peersurvey.h
@@ -16,6 +16,8 @@
 public:
     /// Three questions 200 ms apart at most, and a round trip between regions after the last one, are shorter.
     static constexpr Duration answerTimeout = std::chrono::milliseconds(600);
+    /// A daemon that can read the configuration and not the list of daemons serves after this time.
+    static constexpr Duration maxWait = std::chrono::seconds(2);
 
     /// @param own this daemon, which isn't waited for
     explicit PeerSurvey(HostName own);
@@ -24,6 +26,9 @@
     void membersListed(const std::vector<HostName> &members, TimePoint now);
     /// @param fleet what the peers have reported
     bool isComplete(const FleetView &fleet, TimePoint now);
+    /// @return whether an answer of the store may be taken as a proof: the survey is complete, or no list of daemons
+    /// could be read for maxWait since the first call
+    bool mayProve(const FleetView &fleet, TimePoint now);
     /// @return whether isComplete() has returned true
     bool hasEnded() const;
 
@@ -31,6 +36,7 @@
     HostName m_own;
     std::vector<HostName> m_awaited;
     std::optional<TimePoint> m_startedAt;
+    std::optional<TimePoint> m_waitingSince; // for a proof
     bool m_hasEnded = false;
 };
 
--- a/packages/dispatch/include/monsoonward/dispatch/placement.h
+++ b/packages/dispatch/include/monsoonward/dispatch/placement.h
@@ -6,6 +6,7 @@
 #include "monsoonward/dispatch/enginelimiter.h"
 #include "monsoonward/dispatch/firstbytesmodel.h"
 #include "monsoonward/dispatch/fleetview.h"
+#include "monsoonward/dispatch/promptsavings.h"
 #include "monsoonward/dispatch/topology.h"
 
 #include <memory>
@@ -31,6 +32,7 @@
     /// 0 to 1, uniformly distributed over requests; a pseudorandom number for the choice of engine and retry time.
     double uniformHash = 0;
     std::vector<EngineBuild> excludedBuilds {}; ///< engines of these builds get no new requests
+    PromptBeginnings prompt {}; ///< empty if the request states no parts
     MONSOONWARD_FIELDS(service,
                        tier,
                        latencyObjective,
@@ -41,7 +43,8 @@
                        mayHaveRun,
                        timeLeft,
                        uniformHash,
-                       excludedBuilds)
+                       excludedBuilds,
+                       prompt)
 };
 
 /// @brief The result of a placement.
@@ -63,7 +66,10 @@
     Duration limit {}; ///< the request is admitted up to this expected time
     Duration retryAfter {}; ///< when refused
     std::optional<EngineAllowance> allowance {}; ///< of the engine, if it states a limit on requests per second
-    MONSOONWARD_FIELDS(outcome, engine, inProgress, load, expected, limit, retryAfter, allowance)
+    double heldTokens = 0; ///< of the prompt, which the engine probably holds
+    bool isForHeldPrompt = false; ///< the engine wouldn't be the cheapest without them
+    MONSOONWARD_FIELDS(
+        outcome, engine, inProgress, load, expected, limit, retryAfter, allowance, heldTokens, isForHeldPrompt)
 };
 
 /// @brief Chooses an engine for each request, or refuses it. The owner reports each request's progress to it.
@@ -101,11 +107,13 @@
 ///
 /// An engine that states a limit gets no more requests than this daemon's share of it. The less urgent a request is,
 /// the more of the share it leaves to others.
-/// @param directory, health, fleet, limiter must outlive the placer
+/// @param directory, health, fleet, limiter, savings must outlive the placer
+/// @param savings of engines that hold the beginning of a prompt; null: not considered
 std::unique_ptr<Placer> makeFirstBytesPlacer(const Topology &topology,
                                              const EngineDirectory &directory,
                                              const EngineHealth &health,
                                              const FleetView &fleet,
-                                             EngineLimiter &limiter);
+                                             EngineLimiter &limiter,
+                                             const PromptSavings *savings = nullptr);
 
 } // namespace monsoonward
--- a/packages/dispatch/include/monsoonward/dispatch/rollouts.h
+++ b/packages/dispatch/include/monsoonward/dispatch/rollouts.h
@@ -25,7 +25,12 @@
     static constexpr Duration completedMemory = std::chrono::seconds(15);
 
     /// @param directory, fleet must outlive this object
-    Rollouts(const RolloutLimits &limits, HostName own, const EngineDirectory &directory, const FleetView &fleet);
+    /// @param topology trials go to engines of the own region, if it has any of the version
+    Rollouts(const RolloutLimits &limits,
+             HostName own,
+             const EngineDirectory &directory,
+             const FleetView &fleet,
+             Topology topology = {});
 
     bool isEnabled() const;
     /// An order was read, or one that is known already.
@@ -33,6 +38,8 @@
     /// @param wasRunning whether this gateway was running then
     /// @return whether it is new
     bool orderRead(const RolloutOrder &order, TimePoint orderedAt, Duration drainTime, bool wasRunning);
+    /// Ends the service's roll-out because another order came. Its version gets nothing more unless it was completed.
+    void abandon(const ServiceName &service);
     /// The order for the service is gone.
     void orderRemoved(const ServiceName &service);
     /// @return whether the row names a known order
@@ -70,6 +77,7 @@
     HostName m_own;
     const EngineDirectory &m_directory;
     const FleetView &m_fleet;
+    Topology m_topology;
     std::map<ServiceName, Rollout> m_rollouts;
     std::map<ServiceName, std::map<HostName, RolloutReport>> m_heard;
     std::map<ServiceName, TimePoint> m_completedAt;
--- a/packages/dispatch/src/fleetview.cpp
+++ b/packages/dispatch/src/fleetview.cpp
@@ -90,7 +90,8 @@
 
 /// Runs are ordered by their starts on this daemon's clock where they contradict the incarnations, since the time of
 /// day of the sender may have been set back between two of them. A delay in transit makes a start look later.
-bool FleetView::isNewer(const Member &member, const LoadReport &report, TimePoint now)
+/// A member that was silent may have started again any number of times, and its last report may have been delayed.
+bool FleetView::isNewer(const Member &member, const LoadReport &report, TimePoint now) const
 {
     const auto &last = member.report;
     if (last.host != report.host) {
@@ -102,6 +103,9 @@
     if (report.isLoadOnly) {
         return false;
     }
+    if (now - member.lastReportAt > m_silenceTimeout) {
+        return true;
+    }
     const auto startedAt = now - report.uptime;
     const auto lastStartedAt = member.lastReportAt - last.uptime;
     return report.incarnation > last.incarnation ? startedAt + maxReportDelay >= lastStartedAt
@@ -171,8 +175,8 @@
 
 std::size_t FleetView::reportingCount(TimePoint now) const
 {
-    return static_cast<std::size_t>(std::count_if(
-        m_members.begin(), m_members.end(), [&](const auto &it) { return isReporting(it.first, now); }));
+    return static_cast<std::size_t>(
+        std::count_if(m_members.begin(), m_members.end(), [&](const auto &it) { return isReporting(it.first, now); }));
 }
 
 std::size_t FleetView::size() const
--- a/packages/dispatch/src/fleetview_test.cpp
+++ b/packages/dispatch/src/fleetview_test.cpp
@@ -238,6 +238,22 @@
     CHECK(firstAmong(rest).size() == 1);
 }
 
+TEST_CASE("a daemon that started again is heard after a silence, however late the last report of its former run came")
+{
+    VirtualClock clock;
+    FleetView view {HostName("a")};
+    view.setMembers({HostName("b")}, clock.now());
+    auto former = reportOf("b", 5, 0, 3);
+    former.uptime = 5s; // it lay in a buffer for half a minute while this daemon was stopped
+    CHECK(view.addReport(former, clock.now()));
+    clock.advance(FleetView::silenceTimeout + 1ms);
+    auto restarted = reportOf("b", 1, 0, 1);
+    restarted.incarnation = former.incarnation + 1;
+    restarted.uptime = 25s;
+    CHECK(view.addReport(restarted, clock.now()));
+    CHECK(view.requestsAt(engine) == 1);
+}
+
 TEST_CASE("a daemon that starts again while its time of day is behind is heard at once")
 {
     VirtualClock clock;
--- a/packages/dispatch/src/peersurvey.cpp
+++ b/packages/dispatch/src/peersurvey.cpp
@@ -28,6 +28,12 @@
     return m_hasEnded;
 }
 
+bool PeerSurvey::mayProve(const FleetView &fleet, TimePoint now)
+{
+    m_waitingSince = m_waitingSince.value_or(now);
+    return isComplete(fleet, now) || (!m_startedAt && now - *m_waitingSince >= maxWait);
+}
+
 bool PeerSurvey::hasEnded() const
 {
     return m_hasEnded;
--- a/packages/dispatch/src/peersurvey_test.cpp
+++ b/packages/dispatch/src/peersurvey_test.cpp
@@ -57,6 +57,21 @@
     CHECK(survey.isComplete(fleet, clock.now()));
 }
 
+TEST_CASE("a daemon that can't read the list of daemons proves after a bounded time, and still asks")
+{
+    VirtualClock clock;
+    FleetView fleet {own};
+    PeerSurvey survey {own};
+    CHECK_FALSE(survey.mayProve(fleet, clock.now()));
+    clock.advance(PeerSurvey::maxWait - 1ms);
+    CHECK_FALSE(survey.mayProve(fleet, clock.now()));
+    clock.advance(1ms);
+    CHECK(survey.mayProve(fleet, clock.now()));
+    CHECK_FALSE(survey.hasEnded());
+    survey.membersListed(members, clock.now()); // what the peers hold counts once they can be asked
+    CHECK_FALSE(survey.mayProve(fleet, clock.now()));
+}
+
 TEST_CASE("a daemon without peers doesn't wait")
 {
     VirtualClock clock;
--- a/packages/dispatch/src/placement.cpp
+++ b/packages/dispatch/src/placement.cpp
@@ -91,12 +91,14 @@
                      const EngineDirectory &directory,
                      const EngineHealth &health,
                      const FleetView &fleet,
-                     EngineLimiter &limiter)
+                     EngineLimiter &limiter,
+                     const PromptSavings *savings)
         : m_topology(topology)
         , m_directory(directory)
         , m_health(health)
         , m_fleet(fleet)
         , m_limiter(limiter)
+        , m_savings(savings)
     {
     }
 
@@ -132,6 +134,8 @@
             placement.expected = std::chrono::duration_cast<Duration>(it.expected);
             placement.limit = std::chrono::duration_cast<Duration>(limit);
             placement.allowance = m_limiter.allowanceOf(*it.engine, now);
+            placement.heldTokens = it.saving.tokens;
+            placement.isForHeldPrompt = it.isForHeldPrompt;
             const bool isInTime = request.build || request.mayHaveRun || it.expected <= limit;
             if (it.load < alwaysAdmittedLoad || (isInTime && it.load < maxLoad)) {
                 placement.outcome = PlacementOutcome::Placed;
@@ -203,6 +207,8 @@
         double inProgress = 0;
         double load = 0;
         Seconds expected {};
+        PromptSaving saving;
+        bool isForHeldPrompt = false; ///< the saving makes it cheaper than the engine that would be the cheapest
     };
 
     static std::uint32_t countOf(const std::map<EngineName, std::uint32_t> &counts, const EngineName &engine)
@@ -265,6 +271,7 @@
             candidates.push_back(candidateOf(*it, load, now));
             costs.push_back(costOf(candidates.back(), now));
         }
+        takeOffSavings(request, candidates, costs, now);
         const auto chosenIndex = chooseEngine(costs, load.concurrentRequests, request.uniformHash);
         const auto cheapestIndex = chooseEngine(costs, 0, 0);
         std::vector<Candidate> choices {candidates[chosenIndex]};
@@ -274,6 +281,26 @@
         return choices;
     }
 
+    /// Takes off the costs what engines save because they hold the beginning of the prompt.
+    void takeOffSavings(const PlacementRequest &request,
+                        std::vector<Candidate> &candidates,
+                        std::vector<EngineCost> &costs,
+                        TimePoint now) const
+    {
+        if (m_savings == nullptr || request.prompt.empty() || !m_savings->isPossible(request.service)) {
+            return;
+        }
+        const auto cheapestIndex = chooseEngine(costs, 0, 0);
+        const auto least = costs[cheapestIndex].current;
+        for (std::size_t n = 0; n < candidates.size(); ++n) {
+            auto &it = candidates[n];
+            const EngineUse use {it.inProgress, static_cast<double>(countOf(m_ownRequests, it.engine->name))};
+            it.saving = m_savings->savingAt(*it.engine, request.prompt, use, m_model.slowness(it.engine->name), now);
+            costs[n].current -= it.saving.time;
+            it.isForHeldPrompt = n != cheapestIndex && costs[n].current < least;
+        }
+    }
+
     /// Assumes that each other daemon has as many requests as this one, of the same duration, and that their number has
     /// grown by as much since the last report, not counting growth that may be random. Reports are half an interval old
     /// on average.
@@ -397,6 +424,7 @@
     const EngineHealth &m_health;
     const FleetView &m_fleet;
     EngineLimiter &m_limiter;
+    const PromptSavings *m_savings; // null: not considered
     FirstBytesModel m_model;
     std::map<EngineName, std::uint32_t> m_ownRequests;
     std::map<EngineName, std::uint32_t> m_lastReported; // m_ownRequests at the time of the last report
@@ -412,9 +440,10 @@
                                              const EngineDirectory &directory,
                                              const EngineHealth &health,
                                              const FleetView &fleet,
-                                             EngineLimiter &limiter)
+                                             EngineLimiter &limiter,
+                                             const PromptSavings *savings)
 {
-    return std::make_unique<FirstBytesPlacer>(topology, directory, health, fleet, limiter);
+    return std::make_unique<FirstBytesPlacer>(topology, directory, health, fleet, limiter, savings);
 }
 
 } // namespace monsoonward
--- a/packages/dispatch/src/rollout.cpp
+++ b/packages/dispatch/src/rollout.cpp
@@ -222,11 +222,12 @@
         m_reason = !hearsFleet                       ? "hears too few gateways"
             : !canCarry                              ? "new engines have too few slots"
             : !isTriedEnough() && !m_hasAnotherMoved ? "not tried enough"
+            : lateBy > -(moveTime + writeMargin)     ? "too late to move the requests"
                                                      : "";
         if (m_reason.empty()) {
             m_phase = RolloutPhase::Moving;
             m_movingSince = now;
-        } else if (lateBy >= -writeMargin && hearsFleet) {
+        } else if (lateBy >= -writeMargin && (hearsFleet || lateBy >= Duration::zero())) {
             setBad(std::string(m_reason));
         }
     }
--- a/packages/dispatch/src/rollouts.cpp
+++ b/packages/dispatch/src/rollouts.cpp
@@ -30,11 +30,16 @@
 
 } // namespace
 
-Rollouts::Rollouts(const RolloutLimits &limits, HostName own, const EngineDirectory &directory, const FleetView &fleet)
+Rollouts::Rollouts(const RolloutLimits &limits,
+                   HostName own,
+                   const EngineDirectory &directory,
+                   const FleetView &fleet,
+                   Topology topology)
     : m_limits(limits)
     , m_own(std::move(own))
     , m_directory(directory)
     , m_fleet(fleet)
+    , m_topology(std::move(topology))
 {
 }
 
@@ -50,12 +55,7 @@
         if (it->second.order() == order) {
             return false;
         }
-        if (it->second.phase() != RolloutPhase::Completed) {
-            m_distrusted[order.service].insert(it->second.order().to);
-        }
-        m_rollouts.erase(it);
-        m_heard.erase(order.service);
-        m_completedAt.erase(order.service);
+        abandon(order.service);
     }
     m_distrusted[order.service].erase(order.to);
     const double slackPart = wasRunning ? 1 / static_cast<double>(m_fleet.size()) : 0;
@@ -64,6 +64,20 @@
     return true;
 }
 
+void Rollouts::abandon(const ServiceName &service)
+{
+    const auto it = m_rollouts.find(service);
+    if (it == m_rollouts.end()) {
+        return;
+    }
+    if (it->second.phase() != RolloutPhase::Completed) {
+        m_distrusted[service].insert(it->second.order().to);
+    }
+    m_rollouts.erase(it);
+    m_heard.erase(service);
+    m_completedAt.erase(service);
+}
+
 void Rollouts::orderRemoved(const ServiceName &service)
 {
     m_rollouts.erase(service);
@@ -155,17 +169,24 @@
 
 std::vector<EngineName> Rollouts::enginesLeftOut(const Rollout &rollout) const
 {
-    std::vector<std::pair<std::uint64_t, EngineName>> ranked;
+    // The way to another region would make answers late that are compared with those of near engines.
+    std::vector<std::pair<std::uint64_t, EngineName>> near;
+    std::vector<std::pair<std::uint64_t, EngineName>> far;
     for (const auto *it : m_directory.ofService(rollout.order().service)) {
         if (it->softwareVersion == rollout.order().to) {
-            ranked.emplace_back(hashOf(it->name.text(), rollout.order().id), it->name);
+            const bool isFar = m_topology.distanceTo(it->dataCentre) == Distance::OtherRegion;
+            (isFar ? far : near).emplace_back(hashOf(it->name.text(), rollout.order().id), it->name);
         }
     }
+    auto &ranked = near.empty() ? far : near;
     std::sort(ranked.begin(), ranked.end());
     std::vector<EngineName> names;
     for (auto n = rollout.trialEngines(ranked.size()); n < ranked.size(); ++n) {
         names.push_back(ranked[n].second);
     }
+    if (!near.empty()) {
+        std::transform(far.begin(), far.end(), std::back_inserter(names), [](const auto &it) { return it.second; });
+    }
     return names;
 }
 
--- a/packages/gateway/include/monsoonward/gateway/gatewaysettings.h
+++ b/packages/gateway/include/monsoonward/gateway/gatewaysettings.h
@@ -33,6 +33,8 @@
     RetryBudgetLimits retryBudget;
     RateLimitTolerance rateLimitTolerance;
     RolloutLimits rollouts;
+    // [placement]
+    Duration promptReuseWindow {}; ///< see HeldPrompts; 0: placement doesn't consider held prompts
     // [log]
     std::string logLevel;
     std::uint32_t logKilobytesPerSecond = 0;
@@ -52,6 +54,7 @@
                        retryBudget,
                        rateLimitTolerance,
                        rollouts,
+                       promptReuseWindow,
                        logLevel,
                        logKilobytesPerSecond)
 };
--- a/packages/gateway/src/exchange.cpp
+++ b/packages/gateway/src/exchange.cpp
@@ -126,6 +126,9 @@
     request.isResend = m_route->timeLimit > Duration::zero()
         && m_deadline - m_arrivedAt < m_route->timeLimit * minFirstSendPercent / 100;
     request.uniformHash = uniformOf(hashOf(requestId()));
+    if (m_core.promptSavings.isPossible(m_service)) {
+        request.prompt = prompt();
+    }
     return request;
 }
 
@@ -207,6 +210,7 @@
     m_lastVersion = engine.softwareVersion;
     m_sentAt = now;
     m_loadAtPlacement = placement.load;
+    sendPrompt(placement);
     m_allowanceAtPlacement = placement.allowance;
     m_hasLostConnection = false;
     m_timeToFirstBytes.reset();
--- a/packages/gateway/src/exchange.h
+++ b/packages/gateway/src/exchange.h
@@ -112,6 +112,9 @@
     std::string requestId() const;
     /// @return the parts of the prompt as the request states them
     std::string_view promptParts() const;
+    PromptBeginnings prompt() const;
+    /// Records which beginnings of the prompt the engine reads.
+    void sendPrompt(const Placement &placement);
 
     GatewayCore &m_core;
     const std::shared_ptr<const Request> m_requestOwner; // requests to engines refer to its body
@@ -130,6 +133,8 @@
     std::shared_ptr<EngineCall> m_call;
     TimePoint m_sentAt;
     double m_loadAtPlacement = 0; // load of the engine
+    double m_promptTokens = 0; // 0 if the request states none
+    double m_heldTokens = 0; // of the prompt, which the engine probably holds
     std::optional<EngineAllowance> m_allowanceAtPlacement; // of the engine
     std::vector<EngineName> m_triedEngines;
     StreamKey m_stream; // valid if m_streamBuild is set, or while the stream is looked up
@@ -150,6 +155,7 @@
     std::string m_responseBody; // of a response that is no stream
     MemoryShare m_responseShare; // of m_responseBody
     boost::asio::steady_timer m_memoryTimer; // while the response waits for memory
+    std::optional<TimePoint> m_heldBackSince; // when the response began to wait for memory
     bool m_isHeldBack = false; // the engine's response is read on when the caller has taken what it was sent
     TimePoint m_firstBytesAt;
     TimePoint m_lastEventAt;
--- a/packages/gateway/src/exchangeresponse.cpp
+++ b/packages/gateway/src/exchangeresponse.cpp
@@ -18,6 +18,7 @@
 {
 
 constexpr Duration memoryRetryInterval = std::chrono::milliseconds(10);
+constexpr Duration maxMemoryWait = std::chrono::milliseconds(500); // before a response is read on beyond the bound
 constexpr std::size_t maxBufferedBodyBytes = std::size_t {8} * 1024 * 1024; // body size of a response that is no stream
 
 } // namespace
@@ -49,6 +50,9 @@
 {
     const auto now = m_core.clock.now();
     m_core.placer->firstBytesReceived(m_call->engine(), m_loadAtPlacement, now - m_sentAt, now);
+    if (m_promptTokens > 0) {
+        m_core.promptSavings.firstBytesReceived(m_service, m_promptTokens - m_heldTokens, now - m_sentAt);
+    }
 }
 
 void Exchange::bodyReceived(std::string_view bytes)
@@ -94,7 +98,12 @@
 void Exchange::resumeWithMemory()
 {
     const auto size = m_responseBody.size();
-    if (size <= MemoryAccount::shortBytes || m_responseShare.hasRoomFor(size + MemoryAccount::shortBytes)) {
+    const auto now = m_core.clock.now();
+    m_heldBackSince = m_heldBackSince.value_or(now);
+    // Responses that all wait for each other would never end.
+    if (size <= MemoryAccount::shortBytes || m_responseShare.hasRoomFor(size + MemoryAccount::shortBytes)
+        || now - *m_heldBackSince >= maxMemoryWait) {
+        m_heldBackSince.reset();
         m_call->resume();
         return;
     }
@@ -242,9 +251,28 @@
     return viewOf(m_request[m_core.adapter.dialect().promptParts]);
 }
 
+PromptBeginnings Exchange::prompt() const
+{
+    const auto customer = m_customer == nullptr ? std::string_view() : m_customer->name.text();
+    return promptBeginnings(promptParts(), customer, viewOf(m_request[m_core.adapter.dialect().model]));
+}
+
+void Exchange::sendPrompt(const Placement &placement)
+{
+    if (!m_core.promptSavings.isPossible(m_service)) {
+        return;
+    }
+    const auto parts = prompt();
+    m_core.promptSavings.requestSent(placement.engine, parts, m_sentAt);
+    m_promptTokens = parts.empty() ? 0 : parts.back().tokens;
+    m_heldTokens = placement.heldTokens;
+    m_core.metrics.promptSent(m_service, m_promptTokens, m_heldTokens, placement.isForHeldPrompt);
+}
+
 void Exchange::recordEnd(RequestOutcome outcome, const std::string &reason, const std::string &detail)
 {
     m_timer.cancel();
+    m_memoryTimer.cancel();
     const auto now = m_core.clock.now();
     m_core.metrics.requestEnded(m_service, m_tier, outcome, reason, now - m_arrivedAt);
     if (!m_core.log.writesInfo()) {
@@ -280,6 +308,7 @@
          {"after_ms", milliseconds(now - m_arrivedAt)},
          {"left_ms", milliseconds(timeLeft())},
          {"load_percent", static_cast<std::int64_t>(m_loadAtPlacement * 100)},
+         {"held_tokens", static_cast<std::int64_t>(m_heldTokens)},
          {"revision", static_cast<std::int64_t>(m_configuration ? m_configuration->configuration->revision : 0)},
          {"proof_age_ms", proofAge ? milliseconds(*proofAge) : std::int64_t {-1}}});
 }
--- a/packages/gateway/src/gatewaycore.cpp
+++ b/packages/gateway/src/gatewaycore.cpp
@@ -29,12 +29,13 @@
     , peerSurvey(settings.host)
     , limitDivision(settings.topology, settings.host, fleet)
     , engineLimiter(engineLimits, limitDivision)
-    , placer(makeFirstBytesPlacer(settings.topology, engines, health, fleet, engineLimiter))
+    , promptSavings(settings.promptReuseWindow)
+    , placer(makeFirstBytesPlacer(settings.topology, engines, health, fleet, engineLimiter, &promptSavings))
     , connectionDivision(settings.host, fleet)
     , pool(io, clock, connectionDivision, continuity)
     , peers(io)
     , streams(io, clock, fleet, peers, metrics)
-    , rollouts(settings.rollouts, settings.host, engines, fleet)
+    , rollouts(settings.rollouts, settings.host, engines, fleet, settings.topology)
     , memory(memoryBound(settings))
 {
     pool.onExtraBytes = [this](const EngineName &engine) {
--- a/packages/gateway/src/gatewaycore.h
+++ b/packages/gateway/src/gatewaycore.h
@@ -61,6 +61,7 @@
     PeerSurvey peerSurvey;
     LimitDivision limitDivision;
     EngineLimiter engineLimiter;
+    PromptSavings promptSavings;
     std::unique_ptr<Placer> placer;
     ConnectionDivision connectionDivision;
     EnginePool pool;
--- a/packages/gateway/src/gatewaymetrics.cpp
+++ b/packages/gateway/src/gatewaymetrics.cpp
@@ -105,6 +105,16 @@
                                                             prometheus::BuildGauge(),
                                                             "monsoonward_gateway_centre_sum_age_seconds",
                                                             "Time since the sums of a data centre arrived");
+    prometheus::Family<prometheus::Counter> &promptTokens =
+        family(registry,
+               prometheus::BuildCounter(),
+               "monsoonward_gateway_prompt_tokens_total",
+               "Prompt tokens sent, and those that engines probably held");
+    prometheus::Family<prometheus::Counter> &heldPromptChoices =
+        family(registry,
+               prometheus::BuildCounter(),
+               "monsoonward_gateway_held_prompt_choices_total",
+               "Requests sent to an engine that is cheaper because it holds the beginning of the prompt");
     prometheus::Family<prometheus::Counter> &streamMessages =
         family(registry,
                prometheus::BuildCounter(),
@@ -146,6 +156,18 @@
         .Observe(seconds(duration));
 }
 
+void GatewayMetrics::promptSent(const ServiceName &service, double tokens, double heldTokens, bool isForHeldPrompt)
+{
+    if (tokens <= 0) {
+        return;
+    }
+    m_impl->promptTokens.Add({{"service", service.text()}, {"state", "sent"}}).Increment(tokens);
+    m_impl->promptTokens.Add({{"service", service.text()}, {"state", "held"}}).Increment(heldTokens);
+    if (isForHeldPrompt) {
+        m_impl->heldPromptChoices.Add({{"service", service.text()}}).Increment();
+    }
+}
+
 void GatewayMetrics::attemptEnded(const ServiceName &service, const std::string &end)
 {
     m_impl->attempts.Add({{"service", service.text()}, {"end", end}}).Increment();
--- a/packages/gateway/src/gatewaymetrics.h
+++ b/packages/gateway/src/gatewaymetrics.h
@@ -29,6 +29,11 @@
     void requestEnded(
         const ServiceName &service, Tier tier, RequestOutcome outcome, const std::string &reason, Duration duration);
     void firstBytesSent(const ServiceName &service, Tier tier, Duration duration);
+    /// A request with a prompt was sent to an engine.
+    /// @param tokens of the prompt
+    /// @param heldTokens of them, which the engine probably holds
+    /// @param isForHeldPrompt the engine was cheaper than another one because of them
+    void promptSent(const ServiceName &service, double tokens, double heldTokens, bool isForHeldPrompt);
     void attemptEnded(const ServiceName &service, const std::string &end);
     void storeCallEnded(const std::string &table, bool succeeded);
     /// An answer of the store stated an era that is no number.
--- a/packages/gateway/src/gatewayprocess.cpp
+++ b/packages/gateway/src/gatewayprocess.cpp
@@ -270,8 +270,8 @@
     bool isReady() const
     {
         const auto age = m_core.freshness.age(m_clock.now());
-        return !m_core.isStopping && m_core.activeConfiguration && m_changes.haveEnginesBeenListed() && age
-            && *age < maxReadyProofAge;
+        return !m_core.isStopping && m_core.activeConfiguration && m_changes.haveEnginesBeenListed()
+            && m_rollouts.knowsOrders() && age && *age < maxReadyProofAge;
     }
 
     StatusReply healthReply(const std::string &path) const
--- a/packages/gateway/src/gatewaysettings.cpp
+++ b/packages/gateway/src/gatewaysettings.cpp
@@ -290,6 +290,15 @@
          "Longest time for which a version gets requests after evidence that it is bad.",
          readDuration(
              seconds(1), std::chrono::hours(1), [](GatewaySettings &it, Duration n) { it.rollouts.rollbackTime = n; })},
+        {"placement",
+         "prompt-reuse-window",
+         "0 s",
+         "time",
+         "0 s to 1 h",
+         "Time after its last use during which an engine may still hold the beginning of a prompt. 0 s: placement "
+         "doesn't consider it.",
+         readDuration(
+             seconds(0), std::chrono::hours(1), [](GatewaySettings &it, Duration n) { it.promptReuseWindow = n; })},
         {"log", "level", "info", "", "info, warning or error", "Minimum severity that is logged.", readLevel},
         {"log",
          "kilobytes-per-second",
--- a/packages/gateway/src/loadreports.cpp
+++ b/packages/gateway/src/loadreports.cpp
@@ -137,6 +137,7 @@
     const auto loadOnlyInterval = std::min(fullInterval, intervalFor(m_localPeers.size(), localPeersAtMinLoadInterval));
     const bool isFullReportDue = now - m_lastFullReportAt + loadOnlyInterval / 2 >= fullInterval;
     m_core.fleet.expire(now);
+    m_core.peerSurvey.isComplete(m_core.fleet, now); // ends it in time, also while the configuration can't be read
     if (m_centreReports.isInUse()) {
         sendFullReport();
     } else {
--- a/packages/gateway/src/rolloutcontrol.cpp
+++ b/packages/gateway/src/rolloutcontrol.cpp
@@ -55,6 +55,9 @@
             former.erase(*service);
         }
     }
+    if (cause == ListCause::StoreRestored) {
+        return; // an order that the copy lacks is written again, or its roll-out ends at its time limit
+    }
     for (const auto &it : former) {
         m_orders.erase(it.first);
         m_core.rollouts.orderRemoved(it.first);
@@ -90,6 +93,9 @@
 
 void RolloutControl::ordersRead(const ReadTime &read)
 {
+    if (!m_areStatesListed) {
+        return; // no order is known as long as its state isn't
+    }
     for (auto &it : m_orders) {
         auto &order = it.second;
         if (order.orderedAtMs == 0 && read.storeTimeMs > 0) {
@@ -153,6 +159,11 @@
     }
 }
 
+bool RolloutControl::knowsOrders() const
+{
+    return m_areStatesListed || !m_core.rollouts.isEnabled();
+}
+
 void RolloutControl::setHosts(std::vector<HostName> hosts)
 {
     m_hosts = std::move(hosts);
@@ -231,6 +242,7 @@
                             const RolloutOrder &decoded,
                             const std::string &reason)
 {
+    m_core.rollouts.abandon(service);
     order.rejection = RolloutStatus {service, decoded.to, RolloutState::RolledBack, decoded.id, 0, reason};
     m_core.log.write(Event::RolloutOrderRejected,
                      Severity::Warning,
--- a/packages/gateway/src/rolloutcontrol.h
+++ b/packages/gateway/src/rolloutcontrol.h
@@ -28,6 +28,8 @@
     void statesChanged(const std::vector<TableRow> &rows);
     /// An engine is registered. To be called before it may get requests.
     void engineSeen(const EngineRecord &engine);
+    /// @return whether the state of each order is known, so that engines of ordered versions don't get ordinary load
+    bool knowsOrders() const;
     void setHosts(std::vector<HostName> hosts);
     /// This gateway found a version bad.
     void versionFoundBad(const ServiceName &service);
--- a/packages/gateway/src/storechanges.cpp
+++ b/packages/gateway/src/storechanges.cpp
@@ -45,6 +45,7 @@
         std::make_shared<const ServingConfiguration>(configuration), m_hashSeed);
     m_core.rateLimiter.configure(configuration, m_core.clock.now());
     m_core.connectionDivision.configure(configuration);
+    m_core.promptSavings.configure(configuration);
     m_core.log.write(Event::ConfigurationAdopted,
                      Severity::Info,
                      "configuration-adopted",
@@ -126,6 +127,7 @@
     if (!isKept) {
         m_core.health.forget(name);
         m_core.placer->forget(name);
+        m_core.promptSavings.forget(name);
     }
     m_core.log.write(Event::EngineGone,
                      Severity::Info,
--- a/packages/gateway/src/storewatch.cpp
+++ b/packages/gateway/src/storewatch.cpp
@@ -92,7 +92,7 @@
 
 void StoreWatch::recordPendingProof()
 {
-    if (!m_pendingProof || !m_core.peerSurvey.isComplete(m_core.fleet, m_core.clock.now())) {
+    if (!m_pendingProof || !m_core.peerSurvey.mayProve(m_core.fleet, m_core.clock.now())) {
         return;
     }
     if (isNewestRevision()) {
--- a/packages/values/src/memoryaccount.cpp
+++ b/packages/values/src/memoryaccount.cpp
@@ -123,7 +123,7 @@
 
 bool MemoryShare::hasRoomFor(std::size_t bytes) const
 {
-    return m_account == nullptr || m_account->m_held - m_bytes + bytes <= m_account->m_bound;
+    return m_account == nullptr || m_account->fits(bytes, m_bytes);
 }
 
 std::size_t MemoryShare::bytes() const
