Mend what formatter and linter found

Change: as said; no behaviour changes. Measured: clang-format passes; clang-tidy of the three files had no other finding.

--- a/packages/callers/include/monsoonward/callers/socketoptions.h
+++ b/packages/callers/include/monsoonward/callers/socketoptions.h
@@ -11,7 +11,8 @@
 /// regions, which leaves time to retransmit a lost packet.
 constexpr Duration serverTimeout = std::chrono::milliseconds(1500);
 
-/// Disables Nagle's algorithm and enables keep-alive probes and a user timeout, so that the kernel closes connections to unresponsive peers.
+/// Disables Nagle's algorithm and enables keep-alive probes and a user timeout, so that the kernel closes connections
+/// to unresponsive peers.
 /// @param ackTimeout how long sent data may stay unacknowledged, or the peer's receive window may stay closed
 void setSocketOptions(boost::asio::ip::tcp::socket &socket, Duration ackTimeout);
 
--- a/packages/callers/src/callerconnection.cpp
+++ b/packages/callers/src/callerconnection.cpp
@@ -274,12 +274,10 @@
     http::async_write_header(
         m_socket, *m_headSerializer, [self = shared_from_this()](const error_code &ec, std::size_t /*n*/) {
             self->m_isWriting = false;
-            if (ec) {
+            if (ec || (self->m_pendingBytes.empty() && self->m_isAbortPending)) {
                 self->close();
             } else if (!self->m_pendingBytes.empty()) {
                 self->sendBytes(std::exchange(self->m_pendingBytes, {}));
-            } else if (self->m_isAbortPending) {
-                self->close();
             }
         });
 }
--- a/packages/dispatch/src/centrefleet_test.cpp
+++ b/packages/dispatch/src/centrefleet_test.cpp
@@ -71,7 +71,7 @@
         return gateway;
     }
 
-    void restart(Gateway &gateway)
+    void restart(Gateway &gateway) const
     {
         const auto incarnation = gateway.incarnation + 1;
         gateway = start(gateway.host);
