--- a/packages/gateway/src/centrereports_test.cpp
+++ b/packages/gateway/src/centrereports_test.cpp
@@ -51,6 +51,7 @@
         }
         for (auto &it : all) {
             std::vector<HostName> hosts;
+            hosts.reserve(members.size());
             for (const auto &member : members) {
                 hosts.push_back(member.host);
             }
