--- a/packages/gateway/src/rolloutcodec.cpp
+++ b/packages/gateway/src/rolloutcodec.cpp
@@ -87,8 +87,11 @@
             [](const LoadReport &report) { return numbersOf(report.rollouts); },
             [](const NumberList &numbers, LoadReport &report) {
                 auto rollouts = rolloutReports(numbers);
-                report.rollouts = std::move(rollouts).value_or(std::vector<RolloutReport>());
-                return rollouts.has_value();
+                if (!rollouts) {
+                    return false;
+                }
+                report.rollouts = std::move(*rollouts);
+                return true;
             }};
 }
 
