--- a/packages/dispatch/include/monsoonward/dispatch/heldprompts.h
+++ b/packages/dispatch/include/monsoonward/dispatch/heldprompts.h
@@ -60,7 +60,7 @@
     expectedTokens(EngineRun run, const PromptBeginnings &prompt, const EngineMemory &memory, TimePoint now) const;
     /// @return mean number of tokens of the prompts sent; 0 before the first one
     double meanPromptTokens() const;
-    /// The run has ended, or its weights have changed.
+    /// The run has ended.
     void forget(EngineRun run);
     std::size_t size() const;
 
