Log what tells a slow read of the configuration from slow decoding

The log said "request timed out" for a store that is silent and for an answer that was cut off, nothing of how long decoding took, and nothing when a gateway knew from its peers that a newer configuration existed.

A time-out now says how much of the answer had arrived, the record of an adopted configuration its size and decoding time, and new events tell that the event loop was delayed (1014) and that the gateway was behind its peers (4009, 4010). No logic changes.

--- a/packages/gateway/src/gatewayprocess.cpp
+++ b/packages/gateway/src/gatewayprocess.cpp
@@ -35,6 +35,7 @@
 constexpr Duration shutdownMargin = std::chrono::milliseconds(400); // part of the grace period, for a clean exit
 constexpr Duration finalWriteTime = std::chrono::milliseconds(200); // for the responses to requests that are ended
 constexpr Duration shutdownTickInterval = std::chrono::milliseconds(50);
+constexpr Duration maxLoopDelay = std::chrono::milliseconds(300); // a later tick is logged
 constexpr Duration maxReadyProofAge =
     std::chrono::milliseconds(4000); // with an older proof, other gateways should serve the callers
 constexpr int exitStopped = 0;
@@ -322,9 +323,20 @@
 
     // ---- timers and signals
 
+    void noteLoopDelay(TimePoint now)
+    {
+        if (m_tickDueAt && now - *m_tickDueAt >= maxLoopDelay) {
+            m_log.write(Event::EventLoopDelayed,
+                        Severity::Warning,
+                        "event-loop-delayed",
+                        {{"delayed_ms", milliseconds(now - *m_tickDueAt)}});
+        }
+    }
+
     void tick()
     {
         const auto now = m_clock.now();
+        noteLoopDelay(now);
         for (const auto &it : m_core.engines.expire(now)) {
             m_changes.engineRemoved(it, "registration-did-not-return");
         }
@@ -340,7 +352,9 @@
         if (now - m_startedAt >= maxStartupDelay) {
             m_callers.startAccepting();
         }
-        m_tickTimer.expires_after(m_core.isStopping ? shutdownTickInterval : tickInterval);
+        const auto interval = m_core.isStopping ? shutdownTickInterval : tickInterval;
+        m_tickDueAt = m_clock.now() + interval;
+        m_tickTimer.expires_after(interval);
         m_tickTimer.async_wait([this](const error_code &ec) {
             if (!ec && !(m_core.isStopping && continueShutdown())) {
                 tick();
@@ -398,6 +412,7 @@
                     "stopping",
                     {{"open_requests", static_cast<std::int64_t>(m_core.openRequests)}});
         m_tickTimer.cancel();
+        m_tickDueAt.reset();
         tick();
     }
 
@@ -454,6 +469,7 @@
     std::set<std::string> m_unavailableTables; // tables whose last call failed
     bool m_hasLoggedMalformedEra = false;
     TimePoint m_startedAt;
+    std::optional<TimePoint> m_tickDueAt;
     TimePoint m_stoppingSince;
     bool m_isDeregistered = false;
     std::size_t m_endedRequests = 0; // by the end of the shutdown
--- a/packages/gateway/src/httpchannel.cpp
+++ b/packages/gateway/src/httpchannel.cpp
@@ -44,7 +44,7 @@
         m_timer.expires_after(timeout);
         m_timer.async_wait([self = shared_from_this(), call = m_callNumber](const error_code &ec) {
             if (!ec && call == self->m_callNumber) {
-                self->fail("request timed out");
+                self->fail(self->describeTimeout());
             }
         });
         if (m_socket.is_open() && isStillConnected()) {
@@ -75,6 +75,21 @@
         return isQuiet;
     }
 
+    /// Tells a server that is silent from a response that was cut off.
+    std::string describeTimeout() const
+    {
+        if (!m_isSent) {
+            return "timed out while connecting";
+        }
+        if (!m_parser || !m_parser->got_some()) {
+            return "timed out without a response";
+        }
+        const auto received = m_parser->get().body().size();
+        const auto total = m_parser->content_length();
+        return "timed out within a response, " + std::to_string(received)
+            + (total ? " of " + std::to_string(*total) : std::string()) + " bytes of its body received";
+    }
+
     void connect()
     {
         m_buffer.clear();
--- a/packages/gateway/src/storechanges.cpp
+++ b/packages/gateway/src/storechanges.cpp
@@ -20,11 +20,12 @@
         if (it.key != m_core.adapter.storeLayout().configurationKey) {
             continue;
         }
-        const auto decoded = it.value ? m_core.adapter.decodeConfiguration(*it.value)
-                                      : Result<ServingConfiguration>(Error {ErrorCode::NotFound, "row removed"});
+        const auto startedAt = m_core.clock.now();
+        auto decoded = it.value ? m_core.adapter.decodeConfiguration(*it.value)
+                                : Result<ServingConfiguration>(Error {ErrorCode::NotFound, "row removed"});
         if (decoded) {
             m_store.configurationRead(decoded.value().revision);
-            applyConfiguration(decoded.value());
+            applyConfiguration(std::move(decoded.value()), {it.value->size(), startedAt});
         } else {
             m_core.log.write(Event::ConfigurationRejected,
                              Severity::Error,
@@ -35,14 +36,15 @@
     }
 }
 
-void StoreChanges::applyConfiguration(const ServingConfiguration &configuration)
+void StoreChanges::applyConfiguration(ServingConfiguration decoded, const DecodingCost &cost)
 {
     const auto previousRevision = m_core.activeConfiguration ? m_core.activeConfiguration->configuration->revision : 0;
-    if (m_core.activeConfiguration && configuration.revision <= previousRevision) {
+    if (m_core.activeConfiguration && decoded.revision <= previousRevision) {
         return;
     }
     m_core.activeConfiguration = std::make_shared<const ActiveConfiguration>(
-        std::make_shared<const ServingConfiguration>(configuration), m_hashSeed);
+        std::make_shared<const ServingConfiguration>(std::move(decoded)), m_hashSeed);
+    const auto &configuration = *m_core.activeConfiguration->configuration;
     m_core.rateLimiter.configure(configuration, m_core.clock.now());
     m_core.connectionDivision.configure(configuration);
     m_core.promptSavings.configure(configuration);
@@ -53,6 +55,8 @@
                       {"former", static_cast<std::int64_t>(previousRevision)},
                       {"routes", static_cast<std::int64_t>(configuration.routes.size())},
                       {"customers", static_cast<std::int64_t>(configuration.customers.size())},
+                      {"bytes", static_cast<std::int64_t>(cost.bytes)},
+                      {"decode_ms", milliseconds(m_core.clock.now() - cost.startedAt)},
                       {"needs_keys", m_core.activeConfiguration->customers.requiresKey()}});
 }
 
--- a/packages/gateway/src/storechanges.h
+++ b/packages/gateway/src/storechanges.h
@@ -34,7 +34,14 @@
     void engineRemoved(const EngineName &name, std::string_view reason);
 
 private:
-    void applyConfiguration(const ServingConfiguration &configuration);
+    /// @brief What it takes to decode a configuration, for the log.
+    struct DecodingCost
+    {
+        std::size_t bytes = 0;
+        TimePoint startedAt;
+    };
+
+    void applyConfiguration(ServingConfiguration decoded, const DecodingCost &cost);
     std::optional<EngineRecord> decodeEngineRow(const TableRow &row);
     void engineChanged(const TableRow &row);
     void noteVersion(const EngineRecord &engine);
--- a/packages/gateway/src/storewatch.cpp
+++ b/packages/gateway/src/storewatch.cpp
@@ -196,9 +196,34 @@
     return othersHoldNewer || (isOld && !m_core.freshness.isSettling(now));
 }
 
+void StoreWatch::noteConfigurationBehind(TimePoint now)
+{
+    if (!m_core.activeConfiguration) {
+        return;
+    }
+    const auto active = m_core.activeConfiguration->configuration->revision;
+    const auto known = m_core.fleet.highestRevision(now);
+    if (known > active && !m_configurationBehindSince) {
+        m_configurationBehindSince = now;
+        m_core.log.write(
+            Event::ConfigurationBehind,
+            Severity::Warning,
+            "configuration-behind",
+            {{"revision", static_cast<std::int64_t>(active)}, {"known", static_cast<std::int64_t>(known)}});
+    } else if (known <= active && m_configurationBehindSince) {
+        m_core.log.write(Event::ConfigurationCaughtUp,
+                         Severity::Info,
+                         "configuration-caught-up",
+                         {{"revision", static_cast<std::int64_t>(active)},
+                          {"behind_ms", milliseconds(now - *m_configurationBehindSince)}});
+        m_configurationBehindSince.reset();
+    }
+}
+
 void StoreWatch::pollIfDue(TimePoint now)
 {
     recordPendingProof();
+    noteConfigurationBehind(now);
     if (isProofDue(now)) {
         m_configurationFeed->pollNow();
     }
--- a/packages/gateway/src/storewatch.h
+++ b/packages/gateway/src/storewatch.h
@@ -52,6 +52,8 @@
     void recordPendingProof();
     void recordOwnProof(const ReadTime &read);
     bool isProofDue(TimePoint now) const;
+    /// Logs when another gateway holds a newer configuration than this one, and when this one has caught up.
+    void noteConfigurationBehind(TimePoint now);
 
     GatewayCore &m_core;
     std::function<void()> m_reportProof;
@@ -67,6 +69,7 @@
     std::vector<HostName> m_regionHosts;
     std::optional<TimePoint> m_enginesBehindSince; // another gateway has seen a newer row since then
     std::optional<TimePoint> m_gatewaysBehindSince;
+    std::optional<TimePoint> m_configurationBehindSince;
 };
 
 } // namespace monsoonward
--- a/packages/values/include/monsoonward/values/eventlog.h
+++ b/packages/values/include/monsoonward/values/eventlog.h
@@ -22,6 +22,7 @@
     SettingsReloaded = 1011,
     SettingsRejected = 1012,
     LogRecordsDropped = 1013,
+    EventLoopDelayed = 1014,
     // 2000: request hand-over, membership, idempotency keys, suspected requests, leases
     PeerUp = 2001,
     PeerDown = 2002,
@@ -53,6 +54,8 @@
     PlanAborted = 4006,
     PlanLeaseTaken = 4007,
     OperatorDenied = 4008,
+    ConfigurationBehind = 4009,
+    ConfigurationCaughtUp = 4010,
     // 5000: external stores
     StoreUnavailable = 5001,
     StoreRecovered = 5002,
