--- a/packages/gateway/src/centrereports_test.cpp
+++ b/packages/gateway/src/centrereports_test.cpp
@@ -19,9 +19,14 @@
                 const GatewaySettings &settings)
         : core(io, clock, settings, adapter, log, metrics)
         , reports(core, 1, [this](const StoreKnowledge &it) { heard = newest(heard, it); })
+    {
+    }
+
+    /// @return whether the address of the settings could be bound
+    bool listen()
     {
         const auto receive = [this](const PeerSocket::Datagram &it) { reports.receive(it); };
-        REQUIRE(core.peers.start(settings.peerListen, receive));
+        return core.peers.start(core.settings.peerListen, receive).has_value();
     }
     GatewayMetrics metrics;
     GatewayCore core;
@@ -40,14 +45,13 @@
             settings.host = HostName("g" + std::to_string(n));
             settings.topology = {DataCentreName(n % 2 == 0 ? "a" : "b"),
                                  {{DataCentreName("a"), RegionName("r")}, {DataCentreName("b"), RegionName("r")}}};
-            settings.peerListen = freeLoopbackAddress();
             settings.reportSums = n + 1 == size && lastFormat == 0 ? SumsMode::Never : mode;
+            all.push_back(makeGateway(settings));
             members.push_back({settings.host,
-                               settings.peerListen,
+                               all.back()->core.settings.peerListen,
                                1,
                                settings.topology.ownDataCentre,
                                n + 1 == size ? lastFormat : centreReportFormat});
-            all.push_back(std::make_unique<TestGateway>(m_io, m_clock, m_adapter, m_log, settings));
         }
         for (auto &it : all) {
             std::vector<HostName> hosts;
@@ -75,6 +79,21 @@
     }
 
 private:
+    /// Tries several addresses: a port that is free for TCP, or was free a moment ago, may be in use.
+    std::unique_ptr<TestGateway> makeGateway(GatewaySettings settings)
+    {
+        constexpr unsigned maxTries = 20;
+        for (unsigned n = 0; n < maxTries; ++n) {
+            settings.peerListen = freeLoopbackAddress();
+            auto gateway = std::make_unique<TestGateway>(m_io, m_clock, m_adapter, m_log, settings);
+            if (gateway->listen()) {
+                return gateway;
+            }
+        }
+        FAIL("no address could be bound");
+        return nullptr;
+    }
+
     boost::asio::io_context m_io {1};
     BootClock m_clock;
     TestAdapter m_adapter;
