Read long answers of the store for as long as they go on arriving

Cause: a call of the store had 0.7 s for its whole answer, which suits short ones. A long answer on a slow or shared link was cut off and asked for again from its first byte; the repeated reads filled the links that made each of them too slow, and a poll for a proof that timed out ended the long poll that was receiving the same rows.

A call now has 0.7 s until its answer begins, and then for each further 4 KiB. Bytes that the event loop had no time to read count as arrived. While the long poll receives changes, no second poll asks for them, and one that fails doesn't end it.

--- a/packages/gateway/include/monsoonward/gateway/httpchannel.h
+++ b/packages/gateway/include/monsoonward/gateway/httpchannel.h
@@ -20,6 +20,15 @@
     std::string body;
 };
 
+/// @brief How long a call may wait. A response that goes on arriving has no time limit: one that is cut off would be
+/// asked for again from its first byte.
+struct CallTimes
+{
+    Duration begin {}; ///< until the first byte of the response
+    Duration progress {}; ///< then for each further HttpChannel::minProgressBytes, or the end
+    MONSOONWARD_FIELDS(begin, progress)
+};
+
 /// @brief HTTP/1.1 client that reads complete responses. It makes one call at a time over one persistent connection. A
 /// failed call closes the connection and is not retried.
 class HttpChannel
@@ -27,6 +36,7 @@
 public:
     using Callback = std::function<void(const Result<ChannelResponse> &)>;
     static constexpr std::size_t maxResponseBytes = std::size_t {16} * 1024 * 1024;
+    static constexpr std::size_t minProgressBytes = std::size_t {4} * 1024; ///< a slower server counts as silent
 
     HttpChannel(boost::asio::io_context &io, const Address &server);
     ~HttpChannel();
@@ -36,11 +46,16 @@
     /// @param body JSON, or empty for a request without body
     /// @param done called once, unless the channel is destroyed first. Errors: Unavailable if nothing was sent,
     /// otherwise Unknown.
-    void
-    call(const std::string &method, const std::string &path, const std::string &body, Duration timeout, Callback done);
+    void call(const std::string &method,
+              const std::string &path,
+              const std::string &body,
+              const CallTimes &times,
+              Callback done);
 
     /// Abandons the call in progress, if any: its callback is not called, and the connection is closed.
     void cancel();
+    /// @return whether the response to the call in progress has begun to arrive
+    bool isReceiving() const;
 
 private:
     class Impl;
--- a/packages/gateway/include/monsoonward/gateway/rowstore.h
+++ b/packages/gateway/include/monsoonward/gateway/rowstore.h
@@ -43,6 +43,8 @@
     virtual ~RowStore() = default;
     /// Abandons the call in progress, if any; its callback is not called.
     virtual void cancel() = 0;
+    /// @return whether the answer to the call in progress has begun to arrive
+    virtual bool isReceiving() const = 0;
     /// Reads a page of rows in key order, starting at key @p from. Errors: Unavailable, Invalid.
     virtual void list(const std::string &table, const std::string &from, PageCallback done) = 0;
     /// Long-polls for changes after @p version, for up to @p wait. Errors: NotFound if the store no longer has the
--- a/packages/gateway/src/gatewayfixture.h
+++ b/packages/gateway/src/gatewayfixture.h
@@ -89,6 +89,9 @@
     bool hangs = false; ///< after the bytes, waits until the gateway closes the connection
     bool resets = false; ///< ends the connection with a reset after the bytes
     std::string endless {}; ///< sent after the bytes again and again, until the gateway closes the connection
+    std::string slowPiece {}; ///< sent after the bytes, with a pause after each time
+    Duration slowPause {};
+    unsigned slowCount = 0; ///< how often slowPiece is sent
 };
 
 /// An engine whose responses the test scripts. Each connection has its own thread.
@@ -169,6 +172,10 @@
             const auto response = m_responder(request);
             error_code ec;
             asio::write(socket, asio::buffer(response.bytes), ec);
+            for (unsigned n = 0; n < response.slowCount && !ec; ++n) {
+                asio::write(socket, asio::buffer(response.slowPiece), ec);
+                pauseUnlessStopping(response.slowPause);
+            }
             if (response.hangs) {
                 char byte = 0;
                 socket.read_some(asio::buffer(&byte, 1), ec);
@@ -191,6 +198,14 @@
         }
     }
 
+    void pauseUnlessStopping(Duration length)
+    {
+        const auto end = std::chrono::steady_clock::now() + length;
+        while (!m_stopping && std::chrono::steady_clock::now() < end) {
+            std::this_thread::sleep_for(std::min<Duration>(length, std::chrono::milliseconds(10)));
+        }
+    }
+
     void writeEndless(tcp::socket &socket, const std::string &text)
     {
         constexpr std::size_t pieceBytes = 16384;
--- a/packages/gateway/src/gatewayprocess_test.cpp
+++ b/packages/gateway/src/gatewayprocess_test.cpp
@@ -33,6 +33,10 @@
         : m_io(io)
     {
     }
+    bool isReceiving() const override
+    {
+        return false;
+    }
     void cancel() override
     {
     }
--- a/packages/gateway/src/storewatch_test.cpp
+++ b/packages/gateway/src/storewatch_test.cpp
@@ -22,6 +22,10 @@
         , m_pages(pages)
     {
     }
+    bool isReceiving() const override
+    {
+        return false;
+    }
     void cancel() override
     {
     }
--- a/packages/gateway/src/tablefeed.cpp
+++ b/packages/gateway/src/tablefeed.cpp
@@ -215,6 +215,9 @@
     if (m_isProbing || !m_version || m_failures > 0) {
         return; // the whole table is being read, or the poll that follows a failure doesn't wait either
     }
+    if (m_store->isReceiving()) {
+        return; // this poll would ask for the same changes a second time
+    }
     m_isProbing = true;
     m_probeStore->follow(
         m_table,
@@ -233,6 +236,9 @@
     if (m_version != version || m_failures > 0) {
         return; // the long poll has been answered or has failed meanwhile
     }
+    if (!page && m_store->isReceiving()) {
+        return;
+    }
     if (!page) {
         m_store->cancel();
         onFailed(page.error());
--- a/packages/gateway/src/tablefeed.h
+++ b/packages/gateway/src/tablefeed.h
@@ -74,7 +74,8 @@
 
     void start();
     /// Asks for changes at once, while the long poll goes on: to renew the proof that nothing has changed, to find out
-    /// whether the long poll still works, or because another gateway has seen a change.
+    /// whether the long poll still works, or because another gateway has seen a change. Does nothing while changes are
+    /// arriving.
     void pollNow();
     /// @return the newest row version seen in the table; comparable within one era only
     std::uint64_t newestRowVersion() const;
--- a/packages/gateway/src/tablefeed_test.cpp
+++ b/packages/gateway/src/tablefeed_test.cpp
@@ -26,6 +26,10 @@
         calls.emplace_back("cancel");
         ++m_callNumber;
     }
+    bool isReceiving() const override
+    {
+        return isAnswerArriving;
+    }
     void list(const std::string & /*table*/, const std::string &from, PageCallback done) override
     {
         calls.push_back("list " + from);
@@ -46,6 +50,7 @@
 
     std::deque<Result<RowPage>> responses;
     std::vector<std::string> calls;
+    bool isAnswerArriving = false;
 
 private:
     void respond(PageCallback done)
@@ -259,3 +264,21 @@
     CHECK(recorder.events.back() == "failed");
     CHECK(store->calls.back() == "follow 9 0");
 }
+
+// Each of the two polls cut off the other's answer, so that a long one was never read.
+TEST_CASE_FIXTURE(Fixture, "a poll beside the long poll neither repeats nor ends an answer that is arriving")
+{
+    store->responses = {RowPage {{row}, 7, false}};
+    run();
+    probe->responses = {Error {ErrorCode::Unknown, "timed out"}};
+    feed->pollNow();
+    store->isAnswerArriving = true;
+    io.restart();
+    io.run_for(100ms);
+    feed->pollNow();
+    io.restart();
+    io.run_for(100ms);
+    CHECK(probe->calls == std::vector<std::string> {"follow 7 0"});
+    CHECK(store->calls == std::vector<std::string> {"list ", "follow 7 800"});
+    CHECK(recorder.events == std::vector<std::string> {"listed 1"});
+}
