Limit the time for which a gateway serves by a configuration that it knows to be old

The setting promises.configuration-change limits it: a gateway that hears from others of a newer configuration, or has been receiving one for 300 ms, refuses all requests as not run, with a time to return, once its last proof is older than that less 300 ms, and isn't ready. A gateway that knows of nothing newer, because the store is away, serves what needs no key as before.

--- a/packages/dispatch/include/monsoonward/dispatch/freshness.h
+++ b/packages/dispatch/include/monsoonward/dispatch/freshness.h
@@ -15,7 +15,10 @@
     /// If the proof is older, requests aren't refused as unknown or unauthorised: a new route or key may be refused so
     /// for at most this long.
     Duration maxAgeForDenials = std::chrono::milliseconds(2400);
-    MONSOONWARD_FIELDS(maxAgeForKeys, maxAgeForDenials)
+    /// If the proof is older and a newer configuration is known to exist, all requests are refused; 0: none for that
+    /// reason.
+    Duration maxAgeWhenBehind {};
+    MONSOONWARD_FIELDS(maxAgeForKeys, maxAgeForDenials, maxAgeWhenBehind)
 };
 
 /// @brief Tracks when the active configuration was last known to be the newest one. The clock must include the time
@@ -28,6 +31,8 @@
 public:
     /// Lost changes are written again within this time after a restore.
     static constexpr Duration restoreSettleTime = std::chrono::seconds(2);
+    /// Time to read a newer configuration once it is known to exist.
+    static constexpr Duration readingTime = std::chrono::milliseconds(300);
 
     explicit Freshness(const FreshnessLimits &limits);
 
@@ -35,10 +40,19 @@
     void recordProof(TimePoint callStart);
     /// The store was restored from a copy; this was noticed at @p now.
     void storeRestored(TimePoint now);
+    /// A newer configuration than the active one is known to exist. Has no effect if that is known already.
+    void newerExists(TimePoint now);
+    /// No newer configuration than the active one is known.
+    void newestAdopted();
+    /// @return since when a newer configuration is known to exist
+    std::optional<TimePoint> behindSince() const;
     /// @return whether the store was restored so recently that it proves nothing
     bool isSettling(TimePoint now) const;
     /// @return age of the last proof, or nothing before the first one
     std::optional<Duration> age(TimePoint now) const;
+    /// @return whether requests may be handled by the active configuration. They may while nothing newer is known,
+    /// however old the proof is: what needs no key is served while the store is away.
+    bool mayServe(TimePoint now) const;
     /// @return whether the configuration is fresh enough to accept the keys that it contains
     bool mayAcceptKeys(TimePoint now) const;
     /// @return whether the configuration is fresh enough to refuse routes and keys that it doesn't contain
@@ -48,6 +62,7 @@
     FreshnessLimits m_limits;
     std::optional<TimePoint> m_lastProofAt;
     std::optional<TimePoint> m_settledAt; // proofs from before don't count
+    std::optional<TimePoint> m_behindSince;
 };
 
 /// @param rank of this daemon among those that can tell each other what they have read, see FleetView::dutyRank()
--- a/packages/dispatch/src/freshness.cpp
+++ b/packages/dispatch/src/freshness.cpp
@@ -33,6 +33,30 @@
     return m_lastProofAt ? std::optional(now - *m_lastProofAt) : std::nullopt;
 }
 
+void Freshness::newerExists(TimePoint now)
+{
+    m_behindSince = m_behindSince.value_or(now);
+}
+
+void Freshness::newestAdopted()
+{
+    m_behindSince.reset();
+}
+
+std::optional<TimePoint> Freshness::behindSince() const
+{
+    return m_behindSince;
+}
+
+bool Freshness::mayServe(TimePoint now) const
+{
+    const bool isLimited = m_limits.maxAgeWhenBehind > Duration::zero();
+    if (!isLimited || !m_behindSince || now - *m_behindSince < readingTime) {
+        return true;
+    }
+    return m_lastProofAt && now - *m_lastProofAt < m_limits.maxAgeWhenBehind;
+}
+
 bool Freshness::mayAcceptKeys(TimePoint now) const
 {
     return m_lastProofAt && now - *m_lastProofAt < m_limits.maxAgeForKeys;
--- a/packages/dispatch/src/freshness_test.cpp
+++ b/packages/dispatch/src/freshness_test.cpp
@@ -65,3 +65,48 @@
     const FreshnessLimits strict {700ms, 2500ms};
     CHECK(proofAgeToRenew(strict, 1000, 1) < strict.maxAgeForKeys);
 }
+
+// Routes that need no key were served by a configuration of any age.
+TEST_CASE("a daemon that knows of a newer configuration serves by the old one for a limited time only")
+{
+    VirtualClock clock;
+    FreshnessLimits limits;
+    limits.maxAgeWhenBehind = 3700ms;
+    Freshness freshness(limits);
+    freshness.recordProof(clock.now());
+    clock.advance(10s); // the store is away
+    CHECK(freshness.mayServe(clock.now()));
+    freshness.newerExists(clock.now());
+    clock.advance(Freshness::readingTime - 1ms);
+    freshness.newerExists(clock.now());
+    CHECK(freshness.mayServe(clock.now()));
+    clock.advance(1ms);
+    CHECK_FALSE(freshness.mayServe(clock.now()));
+    freshness.newestAdopted();
+    CHECK(freshness.mayServe(clock.now()));
+    CHECK_FALSE(freshness.behindSince());
+}
+
+TEST_CASE("the time for which an old configuration serves counts from the last proof")
+{
+    VirtualClock clock;
+    FreshnessLimits limits;
+    limits.maxAgeWhenBehind = 3700ms;
+    Freshness freshness(limits);
+    freshness.recordProof(clock.now());
+    clock.advance(2s);
+    freshness.newerExists(clock.now());
+    clock.advance(1699ms);
+    CHECK(freshness.mayServe(clock.now()));
+    clock.advance(1ms);
+    CHECK_FALSE(freshness.mayServe(clock.now()));
+}
+
+TEST_CASE("without a limit, a daemon serves by an old configuration as before")
+{
+    VirtualClock clock;
+    Freshness freshness({4700ms, 2500ms});
+    freshness.newerExists(clock.now());
+    clock.advance(10s);
+    CHECK(freshness.mayServe(clock.now()));
+}
--- a/packages/gateway/src/exchange.cpp
+++ b/packages/gateway/src/exchange.cpp
@@ -164,10 +164,16 @@
     }
 }
 
+bool Exchange::isConfigurationFresh(TimePoint now) const
+{
+    const auto &freshness = m_core.freshness;
+    return freshness.mayServe(now) && (m_customer == nullptr || freshness.mayAcceptKeys(now));
+}
+
 void Exchange::attempt()
 {
     const auto now = m_core.clock.now();
-    if (m_customer != nullptr && !m_core.freshness.mayAcceptKeys(now)) {
+    if (!isConfigurationFresh(now)) {
         const auto age = m_core.freshness.age(now).value_or(Duration::zero());
         m_lastFailure = "stale-configuration, proof age ms " + std::to_string(milliseconds(age));
         if (m_mayHaveRun || m_responseStarted) {
@@ -227,7 +233,7 @@
     if (now >= m_deadline) {
         return "the time limit has passed while connecting";
     }
-    if (m_customer != nullptr && !m_core.freshness.mayAcceptKeys(now)) {
+    if (!isConfigurationFresh(now)) {
         return "the configuration became too old while connecting";
     }
     if (m_streamBuild && !isVersionCertain(m_call->engine().name)) {
--- a/packages/gateway/src/exchange.h
+++ b/packages/gateway/src/exchange.h
@@ -56,6 +56,8 @@
     std::optional<double> statedTokens() const;
     /// Ends the request if it has a trait that crashes engines.
     /// @return whether it was ended
+    /// @return whether the request may be handled by the active configuration
+    bool isConfigurationFresh(TimePoint now) const;
     bool refusedAsSuspect();
     std::vector<RequestTrait> traits() const;
     void recordCrash(const EngineRecord &engine);
--- a/packages/gateway/src/gatewayprocess.cpp
+++ b/packages/gateway/src/gatewayprocess.cpp
@@ -272,7 +272,7 @@
     {
         const auto age = m_core.freshness.age(m_clock.now());
         return !m_core.isStopping && m_core.activeConfiguration && m_changes.haveEnginesBeenListed()
-            && m_rollouts.knowsOrders() && age && *age < maxReadyProofAge;
+            && m_rollouts.knowsOrders() && age && *age < maxReadyProofAge && m_core.freshness.mayServe(m_clock.now());
     }
 
     StatusReply healthReply(const std::string &path) const
--- a/packages/gateway/src/gatewaysettings.cpp
+++ b/packages/gateway/src/gatewaysettings.cpp
@@ -11,7 +11,7 @@
 using Setting = SettingDefinition<GatewaySettings>;
 using Reader = std::function<Result<void>(const std::string &, GatewaySettings &)>;
 
-constexpr Duration revocationMargin = std::chrono::milliseconds(300); // time in transit of a request from its caller
+constexpr Duration transitMargin = std::chrono::milliseconds(300); // time in transit of a request from its caller
 
 Error invalidValue(const std::string &text)
 {
@@ -231,7 +231,21 @@
          "Longest time for which a revoked key is still accepted.",
          readDuration(seconds(1),
                       std::chrono::hours(1),
-                      [](GatewaySettings &it, Duration n) { it.freshness.maxAgeForKeys = n - revocationMargin; })},
+                      [](GatewaySettings &it, Duration n) { it.freshness.maxAgeForKeys = n - transitMargin; })},
+        {"promises",
+         "configuration-change",
+         "0 s",
+         "time",
+         "0 s to 1 h",
+         "Longest time for which a gateway that knows of a newer configuration handles requests by the old one; 0: no "
+         "limit.",
+         readDuration(Duration::zero(),
+                      std::chrono::hours(1),
+                      [](GatewaySettings &it, Duration n) {
+                          const bool isLimited = n > Duration::zero();
+                          it.freshness.maxAgeWhenBehind =
+                              isLimited ? std::max<Duration>(n - transitMargin, milliseconds(1)) : Duration::zero();
+                      })},
         {"promises",
          "retry-ratio",
          "0.2",
--- a/packages/gateway/src/storewatch.cpp
+++ b/packages/gateway/src/storewatch.cpp
@@ -86,6 +86,7 @@
     }
     if (table == layout.configurationTable) {
         m_pendingProof = read;
+        noteConfigurationBehind(m_core.clock.now());
     }
     recordPendingProof();
 }
@@ -196,6 +197,12 @@
     return othersHoldNewer || (isOld && !m_core.freshness.isSettling(now));
 }
 
+bool StoreWatch::areChangesArriving()
+{
+    const bool isReceiving = m_configurationFeed->isReceiving();
+    return std::exchange(m_wasReceiving, isReceiving) && isReceiving;
+}
+
 void StoreWatch::noteConfigurationBehind(TimePoint now)
 {
     if (!m_core.activeConfiguration) {
@@ -203,20 +210,22 @@
     }
     const auto active = m_core.activeConfiguration->configuration->revision;
     const auto known = m_core.fleet.highestRevision(now);
-    if (known > active && !m_configurationBehindSince) {
-        m_configurationBehindSince = now;
-        m_core.log.write(
-            Event::ConfigurationBehind,
-            Severity::Warning,
-            "configuration-behind",
-            {{"revision", static_cast<std::int64_t>(active)}, {"known", static_cast<std::int64_t>(known)}});
-    } else if (known <= active && m_configurationBehindSince) {
+    const bool isArriving = areChangesArriving();
+    const auto since = m_core.freshness.behindSince();
+    if ((known > active || isArriving) && !since) {
+        m_core.freshness.newerExists(now);
+        m_core.log.write(Event::ConfigurationBehind,
+                         Severity::Warning,
+                         "configuration-behind",
+                         {{"revision", static_cast<std::int64_t>(active)},
+                          {"known", static_cast<std::int64_t>(known)},
+                          {"arriving", isArriving}});
+    } else if (known <= active && !isArriving && since) {
+        m_core.freshness.newestAdopted();
         m_core.log.write(Event::ConfigurationCaughtUp,
                          Severity::Info,
                          "configuration-caught-up",
-                         {{"revision", static_cast<std::int64_t>(active)},
-                          {"behind_ms", milliseconds(now - *m_configurationBehindSince)}});
-        m_configurationBehindSince.reset();
+                         {{"revision", static_cast<std::int64_t>(active)}, {"behind_ms", milliseconds(now - *since)}});
     }
 }
 
--- a/packages/gateway/src/storewatch.h
+++ b/packages/gateway/src/storewatch.h
@@ -52,8 +52,11 @@
     void recordPendingProof();
     void recordOwnProof(const ReadTime &read);
     bool isProofDue(TimePoint now) const;
-    /// Logs when another gateway holds a newer configuration than this one, and when this one has caught up.
+    /// Finds out whether a newer configuration exists than the active one, and logs when that changes.
     void noteConfigurationBehind(TimePoint now);
+    /// @return whether an answer about changes of the configuration has been arriving since the last call. One without
+    /// changes is too short for that.
+    bool areChangesArriving();
 
     GatewayCore &m_core;
     std::function<void()> m_reportProof;
@@ -69,7 +72,7 @@
     std::vector<HostName> m_regionHosts;
     std::optional<TimePoint> m_enginesBehindSince; // another gateway has seen a newer row since then
     std::optional<TimePoint> m_gatewaysBehindSince;
-    std::optional<TimePoint> m_configurationBehindSince;
+    bool m_wasReceiving = false; // an answer about the configuration, at the last look
 };
 
 } // namespace monsoonward
--- a/packages/gateway/src/tablefeed.cpp
+++ b/packages/gateway/src/tablefeed.cpp
@@ -45,6 +45,11 @@
     continueReading();
 }
 
+bool TableFeed::isReceiving() const
+{
+    return m_version && (m_store->isReceiving() || m_probeStore->isReceiving());
+}
+
 std::uint64_t TableFeed::newestRowVersion() const
 {
     return m_newestRowVersion;
--- a/packages/gateway/src/tablefeed.h
+++ b/packages/gateway/src/tablefeed.h
@@ -77,6 +77,8 @@
     /// whether the long poll still works, or because another gateway has seen a change. Does nothing while changes are
     /// arriving.
     void pollNow();
+    /// @return whether an answer about changes has begun to arrive
+    bool isReceiving() const;
     /// @return the newest row version seen in the table; comparable within one era only
     std::uint64_t newestRowVersion() const;
     /// @return the version of the store up to which all changes of the table have been read
