After a silence, keep streams off engines whose registrations may have been missed

Versions counted as uncertain only after a call of the store had failed. A process that stood still has seen no call fail, and one that is cut off sees it up to 4 s later.

Now they are certain only while the daemon is in step: it has heard of the store, by itself or from a peer, within 2.5 s; after a longer silence, it has read registrations that the store held after the silence, for which it asks at once; and no peer has read a newer registration for 0.8 s. Otherwise, as in an outage, streams go on only at runs that it was connected to before.

--- a/packages/dispatch/include/monsoonward/dispatch/enginedirectory.h
+++ b/packages/dispatch/include/monsoonward/dispatch/enginedirectory.h
@@ -44,6 +44,11 @@
     static constexpr Duration registrationDelay = std::chrono::seconds(3);
     /// Engines that are gone are removed from a restored store within this time: three heartbeats and their detection.
     static constexpr Duration confirmationTime = std::chrono::seconds(6);
+    /// Without contact to the store for longer, a daemon may have missed registrations: it was cut off, or it was
+    /// paused.
+    static constexpr Duration maxSilence = std::chrono::milliseconds(2500);
+    /// A registration that another daemon has read arrives here within this time.
+    static constexpr Duration maxLag = std::chrono::milliseconds(800);
     /// Departed engines are remembered for this long; the copies that the store is restored from are seconds old.
     static constexpr Duration departureMemory = std::chrono::minutes(1);
 
@@ -53,6 +58,12 @@
     void storeReachable(TimePoint at);
     /// A call to the store failed.
     void storeFailed();
+    /// All registrations that the store held at @p at have been applied.
+    void registrationsRead(TimePoint at);
+    /// @param since another daemon has read a newer registration than this one since then; nothing if none has
+    void setBehind(std::optional<TimePoint> since);
+    /// @return whether registrations may have been missed during a silence, and have to be read again
+    bool mayHaveMissed() const;
     /// Applies a complete list of registrations.
     /// @return engines that were dropped
     std::vector<EngineName> replace(const std::vector<EngineRecord> &records, TimePoint now);
@@ -76,8 +87,8 @@
     /// @return whether the engine is known and may get new requests
     bool mayReceive(const EngineName &name) const;
     /// @param connectedSince since when one run of the engine has answered, see EngineContinuity
-    /// @return whether the engine that answers now has the version of its registration: the registration can be read,
-    /// or the run had been connected for the time that reading takes before it couldn't be read any more
+    /// @return whether the engine that answers now has the version of its registration: this daemon reads all
+    /// registrations in time, or the run had been connected for the time that reading takes before it no longer did
     bool isVersionCertain(std::optional<TimePoint> connectedSince, TimePoint now) const;
     /// @return streams that began at this time or later, at an engine whose version isn't certain, may have begun at
     /// another version; nothing if all registrations can be read
@@ -107,6 +118,9 @@
 
     static bool mayReceive(const Entry &entry);
     bool mayReregister(TimePoint now) const;
+    /// @return whether all registrations are read in time
+    bool isInStep(TimePoint now) const;
+    void recordContact(TimePoint at);
     /// @return until when the same run of the engine waits to be confirmed; to be called before put()
     std::optional<TimePoint> unconfirmedUntil(const EngineRecord &record) const;
     std::vector<EngineName> removeUnlisted(const std::vector<EngineRecord> &records, TimePoint now);
@@ -117,6 +131,9 @@
     bool m_storeUnavailable = false;
     std::optional<TimePoint> m_storeRecoveredAt;
     std::optional<TimePoint> m_lastReachableAt; // the last time at which all registrations could be read
+    std::optional<TimePoint> m_lastContactAt; // with the store, of this daemon or of one whose proof was taken over
+    std::optional<TimePoint> m_silenceEndedAt; // registrations from before it may be missing
+    std::optional<TimePoint> m_behindSince;
 };
 
 } // namespace monsoonward
--- a/packages/dispatch/src/enginecontinuity_test.cpp
+++ b/packages/dispatch/src/enginecontinuity_test.cpp
@@ -49,8 +49,10 @@
     directory.storeAnswered(clock.now());
     directory.put(engineOf(1));
     const auto connectedAt = clock.now();
-    clock.advance(EngineDirectory::registrationDelay);
-    directory.storeReachable(clock.now());
+    while (clock.now() < connectedAt + EngineDirectory::registrationDelay) {
+        clock.advance(1s);
+        directory.storeReachable(clock.now());
+    }
     CHECK(directory.isVersionCertain(std::nullopt, clock.now()));
     const auto reachableUntil = clock.now();
     directory.storeFailed();
@@ -67,6 +69,43 @@
     CHECK(directory.isVersionCertain(std::nullopt, clock.now()));
 }
 
+// A gateway that had stood still continued streams at engines that had started again meanwhile.
+TEST_CASE("after a silence, versions are certain again once registrations from after it have been read")
+{
+    VirtualClock clock;
+    EngineDirectory directory;
+    directory.storeAnswered(clock.now());
+    directory.put(engineOf(1));
+    clock.advance(EngineDirectory::maxSilence);
+    CHECK(directory.isVersionCertain(std::nullopt, clock.now()));
+    clock.advance(1ms);
+    CHECK_FALSE(directory.isVersionCertain(std::nullopt, clock.now())); // nothing tells it apart from a cut
+    directory.storeReachable(clock.now());
+    CHECK(directory.mayHaveMissed());
+    CHECK_FALSE(directory.isVersionCertain(std::nullopt, clock.now()));
+    directory.registrationsRead(clock.now() - 1ms); // an answer that waited in a buffer
+    CHECK_FALSE(directory.isVersionCertain(std::nullopt, clock.now()));
+    directory.registrationsRead(clock.now());
+    CHECK(directory.isVersionCertain(std::nullopt, clock.now()));
+    CHECK_FALSE(directory.mayHaveMissed());
+}
+
+TEST_CASE("versions aren't certain while another daemon has read a newer registration for some time")
+{
+    VirtualClock clock;
+    EngineDirectory directory;
+    directory.storeAnswered(clock.now());
+    directory.put(engineOf(1));
+    directory.setBehind(clock.now());
+    clock.advance(EngineDirectory::maxLag);
+    CHECK(directory.isVersionCertain(std::nullopt, clock.now()));
+    clock.advance(1ms);
+    directory.storeReachable(clock.now()); // another table can be read
+    CHECK_FALSE(directory.isVersionCertain(std::nullopt, clock.now()));
+    directory.setBehind(std::nullopt);
+    CHECK(directory.isVersionCertain(std::nullopt, clock.now()));
+}
+
 TEST_CASE("a store that came back from a copy has no certain versions until engines have registered again")
 {
     VirtualClock clock;
--- a/packages/dispatch/src/enginedirectory.cpp
+++ b/packages/dispatch/src/enginedirectory.cpp
@@ -12,16 +12,49 @@
     storeReachable(now);
 }
 
+void EngineDirectory::recordContact(TimePoint at)
+{
+    if (m_lastContactAt && at - *m_lastContactAt > maxSilence) {
+        m_silenceEndedAt = at;
+    }
+    m_lastContactAt = std::max(m_lastContactAt.value_or(at), at);
+}
+
+void EngineDirectory::registrationsRead(TimePoint at)
+{
+    if (m_silenceEndedAt && at >= *m_silenceEndedAt) {
+        m_silenceEndedAt.reset();
+    }
+}
+
+void EngineDirectory::setBehind(std::optional<TimePoint> since)
+{
+    m_behindSince = since;
+}
+
+bool EngineDirectory::mayHaveMissed() const
+{
+    return m_silenceEndedAt.has_value();
+}
+
+bool EngineDirectory::isInStep(TimePoint now) const
+{
+    const bool isSilent = m_lastContactAt && now - *m_lastContactAt > maxSilence;
+    const bool isBehind = m_behindSince && now - *m_behindSince > maxLag;
+    return !mayReregister(now) && !mayHaveMissed() && !isSilent && !isBehind;
+}
+
 void EngineDirectory::storeReachable(TimePoint at)
 {
-    if (!mayReregister(at) && (!m_lastReachableAt || at > *m_lastReachableAt)) {
+    recordContact(at);
+    if (isInStep(at) && (!m_lastReachableAt || at > *m_lastReachableAt)) {
         m_lastReachableAt = at;
     }
 }
 
 bool EngineDirectory::isVersionCertain(std::optional<TimePoint> connectedSince, TimePoint now) const
 {
-    return !mayReregister(now)
+    return isInStep(now)
         || (connectedSince && m_lastReachableAt && *connectedSince + registrationDelay <= *m_lastReachableAt);
 }
 
--- a/packages/gateway/src/storewatch.cpp
+++ b/packages/gateway/src/storewatch.cpp
@@ -13,8 +13,6 @@
     600); // the same for engines and gateways; an engine that leaves may get requests for this much longer
 constexpr Duration maxCallTimeToReport =
     std::chrono::milliseconds(500); // a proof is dated at the start of its call; an older one waits for the next report
-constexpr Duration maxTimeBehind =
-    std::chrono::milliseconds(800); // then a change that another gateway has seen should have arrived here, too
 
 /// Notes since when another gateway has @p seen a row of a version that this one hasn't @p read.
 void noteIfBehind(std::optional<TimePoint> &since, std::uint64_t seen, std::uint64_t read, TimePoint now)
@@ -81,6 +79,8 @@
     const auto &layout = m_core.adapter.storeLayout();
     if (table == layout.engineTable) {
         m_enginesBehindSince.reset();
+        m_core.engines.setBehind(std::nullopt);
+        m_core.engines.registrationsRead(localTime(read.storeTimeMs, m_core.clock.now()).value_or(read.startedAt));
     } else if (table == layout.gatewayTable) {
         m_gatewaysBehindSince.reset();
     }
@@ -172,6 +172,7 @@
     }
     const auto now = m_core.clock.now();
     noteIfBehind(m_enginesBehindSince, reported.engineVersion, m_engineFeed->readUpTo(), now);
+    m_core.engines.setBehind(m_enginesBehindSince);
     noteIfBehind(m_gatewaysBehindSince, reported.gatewayVersion, m_gatewayFeed->readUpTo(), now);
     // Most reports repeat a proof that is known here, so the costlier checks come last.
     if (reported.provenAtMs <= knowledge.provenAtMs || reported.revision != knowledge.revision || !isNewestRevision()) {
@@ -236,10 +237,11 @@
     if (isProofDue(now)) {
         m_configurationFeed->pollNow();
     }
-    if (m_enginesBehindSince && now - *m_enginesBehindSince >= maxTimeBehind) {
+    const bool isBehind = m_enginesBehindSince && now - *m_enginesBehindSince >= EngineDirectory::maxLag;
+    if (isBehind || m_core.engines.mayHaveMissed()) {
         m_engineFeed->pollNow();
     }
-    if (m_gatewaysBehindSince && now - *m_gatewaysBehindSince >= maxTimeBehind) {
+    if (m_gatewaysBehindSince && now - *m_gatewaysBehindSince >= EngineDirectory::maxLag) {
         m_gatewayFeed->pollNow();
     }
 }
--- a/packages/gateway/src/takeup_test.cpp
+++ b/packages/gateway/src/takeup_test.cpp
@@ -250,9 +250,12 @@
     m_core.engines.storeAnswered(m_clock.now());
     start();
     const auto ticket = m_core.continuity.connectionOpened(EngineName("a"), m_clock.now());
-    m_clock.jump(EngineDirectory::registrationDelay);
+    const auto connectedAt = m_clock.now();
+    while (m_clock.now() < connectedAt + EngineDirectory::registrationDelay) {
+        m_clock.jump(1s);
+        m_core.engines.storeReachable(m_clock.now());
+    }
     m_core.freshness.recordProof(m_clock.now());
-    m_core.engines.storeReachable(m_clock.now());
     m_core.engines.storeFailed();
     tell(record("gone", "v1"));
     CHECK(statusOf(exchange(request("/stream/", afterTwo))) == 200);
