Don't process requests whose callers have left before they were read

Cause: an overloaded process reads a request late, when the end of its connection waits behind it. That was looked for only after the request had been processed, and sent if a connection to an engine was open.

callerlistener_test failed before and passes now.

--- a/packages/callers/src/callerconnection.cpp
+++ b/packages/callers/src/callerconnection.cpp
@@ -200,7 +200,7 @@
     stopTimer();
     m_requestShare.setDisplaceable({});
     m_requestShare.hold(m_parser->get().body().capacity());
-    if (m_isPipelined && hasDisconnected()) {
+    if ((m_isPipelined && hasDisconnected()) || peekInput() == Input::Ended) {
         m_parser.reset();
         close();
         return;
--- a/packages/callers/src/callerconnection.h
+++ b/packages/callers/src/callerconnection.h
@@ -58,6 +58,13 @@
         Closing, ///< closed, or input is discarded until the caller closes
     };
 
+    /// @brief What the caller has sent beyond what was read.
+    enum class Input {
+        None, ///< nothing yet
+        Unread, ///< bytes; they hide the end of the connection
+        Ended, ///< the end of the connection
+    };
+
     void awaitRequest();
     void startIdleTimer();
     void readHeader();
@@ -75,6 +82,7 @@
     void respondWithError(unsigned status, const std::string &reason);
     void watchForDisconnect();
     void onReadable();
+    Input peekInput();
     /// Looks for the end of the connection while bytes that are not read yet hide it.
     void pollForDisconnect();
     /// @return whether the caller has closed the connection, whatever is still unread
--- a/packages/callers/src/callerconnectionbody.cpp
+++ b/packages/callers/src/callerconnectionbody.cpp
@@ -118,16 +118,28 @@
     if (!m_exchange || !m_socket.is_open()) {
         return;
     }
-    char byte = 0;
-    const auto n = ::recv(m_socket.native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
-    const bool hasDisconnected = n == 0 || (n < 0 && errno != EAGAIN && errno != EWOULDBLOCK && errno != EINTR);
-    if (hasDisconnected) {
+    switch (peekInput()) {
+    case Input::Ended:
         close();
-    } else if (n < 0) {
+        break;
+    case Input::None:
         watchForDisconnect();
-    } else {
+        break;
+    case Input::Unread:
         pollForDisconnect();
+        break;
+    }
+}
+
+CallerConnection::Input CallerConnection::peekInput()
+{
+    char byte = 0;
+    const auto n = ::recv(m_socket.native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+    if (n > 0) {
+        return Input::Unread;
     }
+    const bool isOpen = n < 0 && (errno == EAGAIN || errno == EWOULDBLOCK || errno == EINTR);
+    return isOpen ? Input::None : Input::Ended;
 }
 
 void CallerConnection::pollForDisconnect()
--- a/packages/callers/src/callerlistener_test.cpp
+++ b/packages/callers/src/callerlistener_test.cpp
@@ -275,6 +275,19 @@
     CHECK(fixture.connections() == 0);
 }
 
+// An overloaded process read requests late and passed them on, although their callers had left.
+TEST_CASE("a request whose caller has left before it is read is not processed")
+{
+    ListenerFixture fixture;
+    {
+        auto socket = fixture.connect();
+        boost::asio::write(socket, boost::asio::buffer(std::string("GET /silent HTTP/1.1\r\nHost: h\r\n\r\n")));
+    }
+    fixture.handlersWithin(std::chrono::milliseconds(100));
+    CHECK(fixture.service.exchanges == 0);
+    CHECK(fixture.connections() == 0);
+}
+
 TEST_CASE("a request with Expect: 100-continue gets the interim response before its body is read")
 {
     ListenerFixture fixture;
