--- a/review/lib2/testbed.py
+++ b/review/lib2/testbed.py
@@ -88,6 +88,7 @@
         self.rows = {}  # (table, key) -> (value, version)
         self.version = 0
         self.history = []  # (version, table, key, value or None)
+        self.era = 1
         self.changed = asyncio.Condition()
 
     async def start(self):
@@ -109,7 +110,7 @@
             body = await read_body(reader, headers)
             status, answer = await self.call(first.split(" ")[1], body)
             answer["now_ms"] = int(time.monotonic() * 1000)
-            writer.write(message(f"HTTP/1.1 {status} X", {"Content-Type": "application/json", "Store-Era": "1"},
+            writer.write(message(f"HTTP/1.1 {status} X", {"Content-Type": "application/json", "Store-Era": str(self.era)},
                                  json.dumps(answer).encode()))
             await writer.drain()
 
@@ -154,6 +155,50 @@
         return {**row, "value": base64.b64encode(entry[0]).decode()}
 
 
+class DrillStore(Store):
+    """A store that may be away for a moment and come back from a copy."""
+
+    def __init__(self):
+        super().__init__()
+        self.is_away = False
+        self.forgotten = 0  # changes up to this version are no longer in the history
+        self.writers = set()
+
+    def copy(self):
+        return dict(self.rows), self.version
+
+    def leave(self):
+        self.is_away = True
+        for it in list(self.writers):
+            it.transport.abort()
+
+    def come_back(self, copy=None):
+        if copy:
+            self.rows, self.version = dict(copy[0]), copy[1]
+            self.history = []
+            self.forgotten = self.version
+            self.era += 1
+        self.is_away = False
+
+    async def connection(self, reader, writer):
+        if self.is_away:
+            writer.transport.abort()
+            return
+        self.writers.add(writer)
+        try:
+            await super().connection(reader, writer)
+        finally:
+            self.writers.discard(writer)
+
+    async def call(self, target, body):
+        path, _, query = target.partition("?")
+        if path == "/rows-feed":
+            after = int(dict(it.partition("=")[::2] for it in query.split("&"))["after_rev"])
+            if not self.forgotten <= after <= self.version:
+                return 410, {}
+        return await super().call(target, body)
+
+
 def config(version, routes, services, tenants, idle_timeout_ms=15000):
     return json.dumps({
         "version": version, "routes": routes, "services": services, "tenants": tenants,
@@ -176,9 +221,10 @@
         self.born = int(time.time() * 1000)
         self.writers = set()
         self.state = "ready"
+        self.port = 0  # chosen at the first start, and kept
 
     async def start(self):
-        self.server, self.port = await serve(self.connection)
+        self.server, self.port = await serve(self.connection, port=self.port)
 
     def registration(self):
         return json.dumps({"service": self.service, "address": f"127.0.0.1:{self.port}", "zone": self.zone, "version": "v1",
