--- a/review/lib2/testbed.py
+++ b/review/lib2/testbed.py
@@ -121,7 +121,8 @@
             rows = [self.row(*it) for it in sorted(self.rows.items()) if it[0][0] == fields["table"]]
             return 200, {"rows": rows, "ver": self.version, "has_more": False}
         if path == "/rows-feed":
-            return 200, await self.feed(fields["table"], int(fields["after_rev"]), int(fields["wait_ms"]) / 1000)
+            answer = await self.feed(fields["table"], int(fields["after_rev"]), int(fields["wait_ms"]) / 1000)
+            return (200, answer) if answer else (410, {})
         if path == "/rows-tx":
             return await self.transaction(json.loads(body))
         return 404, {}
