review: case 12, a completed roll-out is rolled back after a restore of the store

An order that is written again after the store came back from a copy is rejected as in force, with the state rolled_back, on which the platform drains the only engines.

--- a/review/lib3/testbed.py
+++ b/review/lib3/testbed.py
@@ -215,13 +215,14 @@
 class Engine:
     """Answers requests; what it runs is kept in runs."""
 
-    def __init__(self, store, name, service, zone, port, record, slots=6, work=0.06, body=b"x" * 800):
+    def __init__(self, store, name, service, zone, port, record, slots=6, work=0.06, body=b"x" * 800,
+                 version="1"):
         self.store, self.name, self.service, self.zone, self.port = store, name, service, zone, port
         self.record, self.slots, self.work, self.body = record, slots, work, body
         self.runs = []
         self.state = "ready"
         self.born = int(time.time() * 1000)
-        self.version = "1"
+        self.version = version
         self.answer = self.answer_soundly  # replaced by cases
         self.writers = set()
 
