--- a/review/13/case.py
+++ b/review/13/case.py
@@ -1,117 +1,122 @@
-"""Callers with long headers keep their connections; the platform kills a process that exceeds its memory."""
+"""All engines of a service crash at the same moment and are back after 3 s."""
 import asyncio
+import collections
+import functools
 import pathlib
-import resource
-import signal
 import sys
+import time
 
 FOLDER = pathlib.Path(__file__).resolve().parent
 sys.path.insert(0, str(FOLDER.parent / "lib3"))
 import testbed  # noqa: E402
 
-CROWD = 3500 if testbed.TROUBLE else 300  # callers, one connection each
-AT_ONCE = 40  # of them that send at the same moment
-HEADER_BYTES = 15500  # of each request; max_header_bytes is 16,384
-MEMORY = 88  # MB, the smallest edge machine of the sheet
-WORKERS = 8  # callers whose requests are in progress all the while
-WORK_TIME = 1.5  # seconds that an engine works on such a request
-BODY_TIME = 1.0  # seconds in which the body of a caller's second request arrives
-CHECK_INTERVAL = 0.02  # seconds between two looks at the memory
-REQUEST = {"Host": "atelier.example", "X-Deadline-Ms": 3000, "Api-Key": "key-a"}
+BEFORE_CRASH = 6.0  # seconds of load
+DOWN_TIME = 3.0  # seconds until the engines are back
+AFTER_RETURN = 75.0  # seconds of load
+INTERVAL = 0.05  # seconds between two requests of a kind
+EVENTS, EVENT_INTERVAL = 9, 0.03  # of a stream; seconds
+SHARED_PART = "5c1e07a2:60"  # of all prompts: "60 shared + 2,890 tokens in"
+KINDS = ("repeat-check", "stock-lookup")
+
+
+async def stream(engine, start, headers, body, head, reader, writer):
+    """Answers as a model engine: an event every few milliseconds."""
+    engine.run(start, headers, body)
+    request = head["X-Request-Id"]
+    first = int(headers.get("last-event-id", "0")) + 1
+    fields = {**head, "X-Server-Seal": f"seal.{request}", "Content-Type": "text/event-stream",
+              "Transfer-Encoding": "chunked"}
+    writer.write(testbed.message("HTTP/1.1 200 OK", fields, length=False))
+    for n in range(first, EVENTS + 1):
+        await asyncio.sleep(EVENT_INTERVAL)
+        event = f"id: {n}\ndata: {request}.{n}\n\n".encode()
+        writer.write(f"{len(event):x}\r\n".encode() + event + b"\r\n")
+        await writer.drain()
+        if reader.at_eof():
+            raise testbed.Closed("the caller has left")
+    writer.write(b"0\r\n\r\n")
+
+
+class Load:
+    def __init__(self, bed):
+        self.bed = bed
+        self.ends = {kind: collections.Counter() for kind in KINDS}
+        self.late = {kind: collections.Counter() for kind in KINDS}  # of requests sent after the engines' return
+        self.returned_at = None
+
+    async def play(self):
+        for n in range(10 ** 6):
+            for kind in KINDS:
+                asyncio.create_task(self.ask(kind, self.bed.gateways[n % 2], n))
+            await asyncio.sleep(INTERVAL)
+
+    async def ask(self, kind, gateway, n):
+        request = self.bed.new_id()
+        headers = {"Host": "atelier.example", "X-Request-Id": request, "X-Deadline-Ms": 4000, "Api-Key": "key-a"}
+        is_late = self.returned_at is not None
+        try:
+            if kind == "repeat-check":
+                headers |= {"X-Model": "m", "X-Token-Count": "2950,80",
+                            "X-Prefix-Hash": f"{SHARED_PART},{n + 1:08x}:2890"}
+                call = testbed.call(gateway.front, "POST", "/repeat/1", headers, f"pattern {n}".encode())
+            else:
+                call = testbed.call(gateway.front, "GET", f"/stock/{n}", headers)
+            end = (await asyncio.wait_for(call, 4)).status
+        except (OSError, testbed.Closed, asyncio.TimeoutError) as error:
+            end = type(error).__name__
+        self.ends[kind][end] += 1
+        if is_late:
+            self.late[kind][end] += 1
+        self.bed.record(f"{request} ({kind}) to {gateway.name}: {end}")
 
 
-def raise_descriptor_limit():
-    """Within this process and its children, up to what the system permits them."""
-    most = resource.getrlimit(resource.RLIMIT_NOFILE)[1]
-    if most < 2 * testbed.LIMITS["max_fds"]:
-        raise RuntimeError(f"this process may open {most} files at the most")
-    resource.setrlimit(resource.RLIMIT_NOFILE, (2 * testbed.LIMITS["max_fds"], most))
+def share(counter):
+    return counter[200] / max(1, sum(counter.values()))
 
 
-async def come(bed, gateway, kept, turn, served):
-    """One of the crowd: sends a request with a long header, gets its answer and keeps its connection."""
-    async with turn:
-        try:
-            channel = await asyncio.wait_for(testbed.Channel.open(gateway.front), 1)
-            kept.append(channel)
-            headers = {**REQUEST, "X-Request-Id": bed.new_id()}
-            headers["X-Trace"] = "t" * (HEADER_BYTES - len(testbed.message("GET /stock/1 HTTP/1.1", headers)))
-            channel.send("GET", "/stock/1", headers)
-            served.append((await asyncio.wait_for(channel.receive(), 3)).status)
-        except (OSError, testbed.Closed, asyncio.TimeoutError) as error:
-            served.append(type(error).__name__)
-
-
-async def come_again(bed, channel):
-    """One of the crowd uses its connection again; the body follows the header within a second."""
-    headers = {**REQUEST, "X-Request-Id": bed.new_id()}
-    headers["X-Trace"] = "t" * (HEADER_BYTES - 40 - len(testbed.message("POST /stock/1 HTTP/1.1", headers)))
-    sent = testbed.message("POST /stock/1 HTTP/1.1", headers, b"n" * 600)
-    try:
-        channel.writer.write(sent[:-300])
-        await asyncio.sleep(BODY_TIME)
-        channel.writer.write(sent[-300:])
-        await asyncio.wait_for(channel.receive(), 3)
-    except (OSError, testbed.Closed, asyncio.TimeoutError):
-        pass
-
-
-async def work(bed, gateway, lost, answered):
-    """A caller that sends one request after the other on a kept connection."""
-    channel = await testbed.Channel.open(gateway.front)
-    while True:
-        request = bed.new_id()
-        try:
-            channel.send("POST", "/booking/1", {**REQUEST, "X-Request-Id": request}, b"roller 7")
-            answered.append((await asyncio.wait_for(channel.receive(), 3)).status)
-            await asyncio.sleep(0.1)
-        except (OSError, testbed.Closed, asyncio.TimeoutError):
-            lost.append(request)
-            bed.record(f"{request}: the connection has ended without an answer")
-            return
-
-
-async def watch_memory(bed, gateway, peak):
-    """The platform: kills the process when it exceeds its memory."""
-    while True:
-        used = gateway.memory_mb()
-        peak[0] = max(peak[0], used)
-        if used > MEMORY:
-            bed.record(f"the process holds {used:.1f} MB of {MEMORY} MB and is killed")
-            gateway.signal(signal.SIGKILL)
-            return
-        await asyncio.sleep(CHECK_INTERVAL)
+async def add_engines(bed, life):
+    for n in range(3):
+        engine = await bed.add_engine(f"i-{life}-{n}", "atelier-model", slots=5)
+        engine.answer = functools.partial(stream, engine)
 
 
 async def scene(bed):
-    raise_descriptor_limit()
     await bed.configure(testbed.config(
-        1, [testbed.route("/stock/", "guichet", "safe", 3000, 300),
-            testbed.route("/booking/", "counter", "unsafe", 3000, 2500, attempts=1)],
-        [{"name": "printer-a", "api_keys": ["key-a"]}], [testbed.service("guichet"), testbed.service("counter")]))
+        1, [testbed.route("/repeat/", "atelier-model", "streaming", 4000, 600, attempts=2, resumable=True, sticky=True),
+            testbed.route("/stock/", "guichet", "safe", 3000, 300)],
+        [{"name": "printer-a", "api_keys": ["key-a"]}],
+        [testbed.service("atelier-model", 360), testbed.service("guichet")]))
     for n in range(3):
-        await bed.add_engine(f"i-guichet-{n}", "guichet", work=0.005)
-        await bed.add_engine(f"i-counter-{n}", "counter", work=WORK_TIME)
-    gateway = await bed.add_gateway("edge-laita-1", limits={**testbed.LIMITS, "memory_mb": MEMORY})
+        await bed.add_engine(f"i-guichet-{n}", "guichet", work=0.02)
+    await add_engines(bed, "first")
+    for n in range(2):
+        await bed.add_gateway(f"edge-laita-{n + 1}")
     await bed.await_ready()
-    lost, answered, peak, kept, served = [], [], [0.0], [], []
-    workers = [asyncio.create_task(work(bed, gateway, lost, answered)) for _ in range(WORKERS)]
-    watching = asyncio.create_task(watch_memory(bed, gateway, peak))
-    turn = asyncio.Semaphore(AT_ONCE)
-    await asyncio.gather(*(come(bed, gateway, kept, turn, served) for _ in range(CROWD)))
-    if gateway.process.returncode is None:
-        bed.record(f"{len(kept)} connections are kept, the process holds {peak[0]:.1f} MB")
-    await asyncio.gather(*(come_again(bed, it) for it in kept))
-    await asyncio.sleep(WORK_TIME * 2)
-    for it in (*workers, watching):
-        it.cancel()
-    ran = {request for engine in bed.engines for _, request, *_ in engine.runs}
-    cut = [it for it in lost if it in ran]
-    bed.record(f"{served.count(200)} of {CROWD} callers were served, {len(kept)} connections were kept; peak {peak[0]:.1f} MB; "
-               f"bookings answered {len(answered)}, lost {len(cut)}")
-    if len(cut) > 3:
-        return (f"the process exceeded {MEMORY} MB ({peak[0]:.1f}) with {len(kept)} kept connections; {len(cut)} requests that had "
-                f"been passed on to sound engines have no answer")
+    load = Load(bed)
+    playing = asyncio.create_task(load.play())
+    await asyncio.sleep(BEFORE_CRASH)
+    if testbed.TROUBLE:
+        crashed = [it for it in bed.engines if it.service == "atelier-model"]
+        bed.record("all engines of atelier-model crash")
+        for it in crashed:
+            it.end()
+        await asyncio.sleep(DOWN_TIME)
+        await add_engines(bed, "second")
+        for it in crashed:  # their entries go after three ping intervals
+            await bed.store.put("servers", it.name, None)
+        bed.record("three engines of atelier-model are back")
+    load.returned_at = time.monotonic()
+    await asyncio.sleep(AFTER_RETURN)
+    playing.cancel()
+    everything = sum(load.ends.values(), collections.Counter())
+    for kind in KINDS:
+        bed.record(f"{kind}: {dict(load.ends[kind])}; since the return: {dict(load.late[kind])}")
+    ran = sum(len(it.runs) for it in bed.engines if it.name.startswith("i-second"))
+    streams = load.ends["repeat-check"]
+    if share(streams) < share(everything) / 4:
+        late = load.late["repeat-check"]
+        return (f"repeat-check is served {share(streams):.2f}, all requests {share(everything):.2f}; in the {AFTER_RETURN:.0f} s "
+                f"after the engines' return {late[200]} of {sum(late.values())} are served ({dict(late)}), {ran} sent to them")
     return None
 
 
