--- a/review/11/case.py
+++ b/review/11/case.py
@@ -57,6 +57,7 @@
     request = bed.new_id()
     channel = await testbed.Channel.open(gateway.front)
     got = []
+    bed.record(f"{request} is sent to {gateway.name}")
     try:
         channel.send("POST", "/drafts/1", {
             "Host": "atelier.example", "X-Request-Id": request, "X-Deadline-Ms": 15000, "Api-Key": "key-a", "X-Model": "m",
@@ -119,4 +120,4 @@
     return None
 
 
-testbed.main(FOLDER, scene)
+testbed.main(FOLDER / "record.txt", scene)
--- a/review/13/case.py
+++ b/review/13/case.py
@@ -54,6 +54,7 @@
         request = self.bed.new_id()
         headers = {"Host": "atelier.example", "X-Request-Id": request, "X-Deadline-Ms": 4000, "Api-Key": "key-a"}
         is_late = self.returned_at is not None
+        self.bed.record(f"{request} ({kind}) is sent to {gateway.name}")
         try:
             if kind == "repeat-check":
                 headers |= {"X-Model": "m", "X-Token-Count": "2950,80",
@@ -120,4 +121,4 @@
     return None
 
 
-testbed.main(FOLDER, scene)
+testbed.main(FOLDER / "record.txt", scene)
--- a/review/lib3/testbed.py
+++ b/review/lib3/testbed.py
@@ -26,10 +26,10 @@
 
 
 class Record:
-    """Writes what was sent, answered and run to record.txt."""
+    """Writes what was sent, answered and run to a file."""
 
-    def __init__(self, folder):
-        self.file = open(pathlib.Path(folder) / "record.txt", "w", encoding="utf-8")
+    def __init__(self, file):
+        self.file = open(file, "w", encoding="utf-8")
         self.start = time.monotonic()
 
     def __call__(self, text):
@@ -373,8 +373,8 @@
 class Testbed:
     """Made for one run of a case; close() ends all that it started."""
 
-    def __init__(self, folder, zones=None):
-        self.record = Record(folder)
+    def __init__(self, record, zones=None):
+        self.record = Record(record)
         self.folder = pathlib.Path(tempfile.mkdtemp(prefix="review-"))
         self.zones = zones or {"laita": "cornouaille", "isole": "cornouaille", "lannion": "tregor"}
         self.gateways, self.engines = [], []
@@ -438,10 +438,13 @@
     return {"name": name, "health_path": "/healthz", "max_conns": max_conns, "slots": 6}
 
 
-def main(folder, scene):
-    """Runs scene(testbed), which returns why the rule was broken, or nothing. Exits as run.sh has to."""
+def main(record, scene):
+    """Runs scene(testbed), which returns why the rule was broken, or nothing. Exits as run.sh has to.
+
+    record: the file for what was sent, answered and run
+    """
     async def play():
-        bed = Testbed(folder)
+        bed = Testbed(record)
         asyncio.get_running_loop().add_signal_handler(signal.SIGTERM, asyncio.current_task().cancel)
         try:
             await bed.start_store()
