--- a/packages/dispatch/include/monsoonward/dispatch/crashsuspects.h
+++ b/packages/dispatch/include/monsoonward/dispatch/crashsuspects.h
@@ -57,6 +57,14 @@
     MONSOONWARD_FIELDS(isCulprit, newestCrashAt, unexplained, group, groupSize)
 };
 
+/// @brief The crashes at which a trait was in progress, for the log.
+struct CrashEvidence
+{
+    std::size_t crashes = 0; ///< since a request with the trait completed; without refuted ones
+    Duration within {}; ///< from the first to the last of them
+    MONSOONWARD_FIELDS(crashes, within)
+};
+
 /// @brief Finds the traits of requests that crash each engine that begins to answer them, so that such requests are
 /// refused. A crash also breaks sound requests: a trait is refused if it was in progress at several crashes that no
 /// other trait explains, and none of its requests completed afterwards. Gateways that exchange reports reach the same
@@ -104,6 +112,7 @@
     /// @return traits whose refusal ended early since the last call, because a request with them completed or because
     /// their crashes are explained otherwise
     std::vector<RequestTrait> takeNewlyCleared(TimePoint now);
+    CrashEvidence evidenceOn(RequestTrait trait) const;
     /// @return a report for the other gateways when this one observed a change, and then once per reportInterval while
     /// there is anything to tell
     std::optional<CrashReport> reportIfDue(TimePoint now);
--- a/packages/dispatch/include/monsoonward/dispatch/enginedirectory.h
+++ b/packages/dispatch/include/monsoonward/dispatch/enginedirectory.h
@@ -60,6 +60,8 @@
     void storeFailed();
     /// All registrations that the store held at @p at have been applied.
     void registrationsRead(TimePoint at);
+    /// @return the latest time of which that is known; not while engines may have to register again
+    std::optional<TimePoint> readAsOf() const;
     /// @param since another daemon has read a newer registration than this one since then; nothing if none has
     void setBehind(std::optional<TimePoint> since);
     /// @return whether registrations may have been missed during a silence, and have to be read again
@@ -134,6 +136,7 @@
     std::optional<TimePoint> m_lastContactAt; // with the store, of this daemon or of one whose proof was taken over
     std::optional<TimePoint> m_silenceEndedAt; // registrations from before it may be missing
     std::optional<TimePoint> m_behindSince;
+    std::optional<TimePoint> m_readAsOf;
 };
 
 } // namespace monsoonward
--- a/packages/dispatch/src/crashsuspects.cpp
+++ b/packages/dispatch/src/crashsuspects.cpp
@@ -136,6 +136,22 @@
     return std::exchange(m_newlyCleared, {});
 }
 
+CrashEvidence CrashSuspects::evidenceOn(RequestTrait trait) const
+{
+    const auto suspect = m_suspects.find(trait);
+    if (suspect == m_suspects.end()) {
+        return {};
+    }
+    std::vector<TimePoint> times;
+    for (const auto &[run, observation] : suspect->second.crashes) {
+        if (suspect->second.isLive(observation)) {
+            times.push_back(observation.time);
+        }
+    }
+    const auto [first, last] = std::minmax_element(times.begin(), times.end());
+    return {times.size(), times.empty() ? Duration::zero() : *last - *first};
+}
+
 std::size_t CrashSuspects::refusedCount(TimePoint now) const
 {
     const auto &verdicts = attribution(now).verdicts;
--- a/packages/dispatch/src/enginedirectory.cpp
+++ b/packages/dispatch/src/enginedirectory.cpp
@@ -25,6 +25,14 @@
     if (m_silenceEndedAt && at >= *m_silenceEndedAt) {
         m_silenceEndedAt.reset();
     }
+    if (!mayReregister(at)) {
+        m_readAsOf = std::max(at, m_readAsOf.value_or(at));
+    }
+}
+
+std::optional<TimePoint> EngineDirectory::readAsOf() const
+{
+    return m_readAsOf;
 }
 
 void EngineDirectory::setBehind(std::optional<TimePoint> since)
--- a/packages/gateway/src/enginecall.cpp
+++ b/packages/gateway/src/enginecall.cpp
@@ -413,4 +413,9 @@
     return m_engine;
 }
 
+std::optional<TimePoint> EngineCall::connectedSince() const
+{
+    return m_connection && m_connection->ticket ? std::optional(*m_connection->ticket) : std::nullopt;
+}
+
 } // namespace monsoonward
--- a/packages/gateway/src/exchange.cpp
+++ b/packages/gateway/src/exchange.cpp
@@ -38,6 +38,12 @@
     return "broken";
 }
 
+/// @return milliseconds since then, for the log; -1 if it isn't known
+std::int64_t ageOf(std::optional<TimePoint> time, TimePoint now)
+{
+    return time ? milliseconds(now - *time) : std::int64_t {-1};
+}
+
 /// @return why a request that was not placed is refused
 std::string_view reasonOf(PlacementOutcome outcome)
 {
@@ -335,6 +341,7 @@
     const auto self = shared_from_this();
     const auto engineRecord = m_call->engine();
     const auto &engine = engineRecord.name;
+    const auto connectedSince = m_call->connectedSince();
     m_call.reset();
     auto finalOutcome = outcome;
     auto finalReason = reason;
@@ -375,6 +382,8 @@
                       {"events", static_cast<std::int64_t>(m_eventSplitter.eventCount())},
                       {"connection_lost", m_hasLostConnection},
                       {"parts", m_hasLostConnection ? promptParts() : std::string_view()},
+                      {"registrations_age_ms", ageOf(m_core.engines.readAsOf(), now)},
+                      {"connected_ms", ageOf(connectedSince, now)},
                       {"after_ms", milliseconds(now - m_sentAt)}});
     m_hasLostConnection = m_hasLostConnection && finalOutcome == AttemptOutcome::Broken;
     if (m_hasLostConnection) {
--- a/packages/gateway/src/gatewayprocess.cpp
+++ b/packages/gateway/src/gatewayprocess.cpp
@@ -312,8 +312,14 @@
             return;
         }
         suspects.expire(now);
-        const auto write = [this](Event event, Severity severity, std::string_view what, RequestTrait trait) {
-            m_log.write(event, severity, what, {{"trait", std::to_string(trait)}});
+        const auto write = [&](Event event, Severity severity, std::string_view what, RequestTrait trait) {
+            const auto evidence = suspects.evidenceOn(trait);
+            m_log.write(event,
+                        severity,
+                        what,
+                        {{"trait", std::to_string(trait)},
+                         {"crashes", static_cast<std::int64_t>(evidence.crashes)},
+                         {"within_ms", milliseconds(evidence.within)}});
         };
         for (const auto it : suspects.takeNewlyRefused(now)) {
             write(Event::SuspectRecorded, Severity::Warning, "crash-suspect-refused", it);
