Confirm which version wrote a stream by registrations read after it began

Cause: any answer of the store, about any table and at any peer, counted as a proof that the registrations of engines were current, and a retry relied on what had been read at any time. Logs at the retry: the registrations were 5.6 s old, the connection to the new run 0.6 s.

Change: each answer states the version of the whole store, so it proves the registrations current up to that version only, and otherwise has them read; shared proofs carry the version. A stream is told to other gateways, and goes on, only when registrations from after the connection to its engine name the same run. Before it goes on elsewhere they are read anew, unless all engines of its version have been connected for long enough. One short call serves all streams that wait, for at most 0.3 s.

--- a/packages/dispatch/include/monsoonward/dispatch/enginedirectory.h
+++ b/packages/dispatch/include/monsoonward/dispatch/enginedirectory.h
@@ -49,20 +49,24 @@
     static constexpr Duration maxSilence = std::chrono::milliseconds(2500);
     /// A registration that another daemon has read arrives here within this time.
     static constexpr Duration maxLag = std::chrono::milliseconds(800);
+    /// What was read longer ago doesn't tell at which engine a stream may go on.
+    static constexpr Duration maxReadingAge = std::chrono::seconds(1);
     /// Departed engines are remembered for this long; the copies that the store is restored from are seconds old.
     static constexpr Duration departureMemory = std::chrono::minutes(1);
 
-    /// A call to the store succeeded.
+    /// A call for the registrations succeeded.
     void storeAnswered(TimePoint now);
-    /// A call for another table succeeded, here or at a peer whose proof was taken over, that began at @p at.
+    /// A call for another table that began at @p at, here or at a peer whose proof was taken over, has shown that the
+    /// store holds no newer registrations than those applied.
     void storeReachable(TimePoint at);
     /// A call to the store failed.
     void storeFailed();
     /// All registrations that the store held at @p at have been applied.
     void registrationsRead(TimePoint at);
-    /// @return the latest time of which that is known; not while engines may have to register again
+    /// @return the latest time of which it is known that all registrations from before it have been applied
     std::optional<TimePoint> readAsOf() const;
-    /// @param since another daemon has read a newer registration than this one since then; nothing if none has
+    /// @param since the store may hold a newer registration than this daemon has read, since then; nothing if it
+    /// doesn't
     void setBehind(std::optional<TimePoint> since);
     /// @return whether registrations may have been missed during a silence, and have to be read again
     bool mayHaveMissed() const;
@@ -92,6 +96,12 @@
     /// @return whether the engine that answers now has the version of its registration: this daemon reads all
     /// registrations in time, or the run had been connected for the time that reading takes before it no longer did
     bool isVersionCertain(std::optional<TimePoint> connectedSince, TimePoint now) const;
+    /// @return whether that follows from the connection alone, see isVersionCertain()
+    bool isRunProven(std::optional<TimePoint> connectedSince) const;
+    /// @return whether the registrations were read within maxReadingAge
+    bool isCurrent(TimePoint now) const;
+    /// @return whether registrations that were read at @p by or later name the same run of the engine as @p engine
+    bool isRunRegistered(const EngineRecord &engine, TimePoint by) const;
     /// @return streams that began at this time or later, at an engine whose version isn't certain, may have begun at
     /// another version; nothing if all registrations can be read
     std::optional<TimePoint> uncertainSince(TimePoint now) const;
@@ -123,6 +133,7 @@
     /// @return whether all registrations are read in time
     bool isInStep(TimePoint now) const;
     void recordContact(TimePoint at);
+    void recordReading(TimePoint at);
     /// @return until when the same run of the engine waits to be confirmed; to be called before put()
     std::optional<TimePoint> unconfirmedUntil(const EngineRecord &record) const;
     std::vector<EngineName> removeUnlisted(const std::vector<EngineRecord> &records, TimePoint now);
@@ -132,11 +143,10 @@
     std::map<EngineName, Departure> m_departed;
     bool m_storeUnavailable = false;
     std::optional<TimePoint> m_storeRecoveredAt;
-    std::optional<TimePoint> m_lastReachableAt; // the last time at which all registrations could be read
+    std::optional<TimePoint> m_readAsOf;
     std::optional<TimePoint> m_lastContactAt; // with the store, of this daemon or of one whose proof was taken over
     std::optional<TimePoint> m_silenceEndedAt; // registrations from before it may be missing
     std::optional<TimePoint> m_behindSince;
-    std::optional<TimePoint> m_readAsOf;
 };
 
 } // namespace monsoonward
--- a/packages/dispatch/include/monsoonward/dispatch/storeknowledge.h
+++ b/packages/dispatch/include/monsoonward/dispatch/storeknowledge.h
@@ -20,7 +20,8 @@
     std::int64_t provenAtMs = 0; ///< store time at which the revision was known to be the newest one; 0 if never
     std::uint64_t engineVersion = 0; ///< the newest row version seen in the table of engines
     std::uint64_t gatewayVersion = 0; ///< the newest row version seen in the table of gateways
-    MONSOONWARD_FIELDS(era, revision, provenAtMs, engineVersion, gatewayVersion)
+    std::uint64_t provenVersion = 0; ///< version of the whole store at provenAtMs; 0 if not stated
+    MONSOONWARD_FIELDS(era, revision, provenAtMs, engineVersion, gatewayVersion, provenVersion)
 };
 
 /// @brief How an answer's era relates to the eras seen before.
--- a/packages/dispatch/include/monsoonward/dispatch/streamdirectory.h
+++ b/packages/dispatch/include/monsoonward/dispatch/streamdirectory.h
@@ -101,8 +101,9 @@
     std::vector<StreamPeer> begin(const StreamKey &stream, const EngineRecord &engine, Duration left, TimePoint now);
     /// An engine registered with another build under the name that it had.
     /// @param former its registration before
+    /// @param readAsOf when that was last known to be the newest one
     /// @return number of streams that may have begun at the new build already, and are doubtful now
-    std::size_t buildChanged(const EngineRecord &former, TimePoint now);
+    std::size_t buildChanged(const EngineRecord &former, TimePoint readAsOf, TimePoint now);
     /// An engine may have started again with another build at @p since or later.
     /// @return number of streams that began there since, and are doubtful now
     std::size_t doubt(const EngineRecord &engine, TimePoint since, TimePoint now);
--- a/packages/dispatch/src/enginecontinuity_test.cpp
+++ b/packages/dispatch/src/enginecontinuity_test.cpp
@@ -35,7 +35,7 @@
     CHECK_FALSE(continuity.connectedSince(name));
     first = continuity.connectionOpened(name, clock.now());
     second = continuity.connectionOpened(name, clock.now());
-    continuity.connectionEnded(name);
+    continuity.connectionEnded(name, clock.now());
     CHECK_FALSE(continuity.connectedSince(name)); // the others may end later
     const auto third = continuity.connectionOpened(name, clock.now());
     CHECK(continuity.connectedSince(name) == clock.now());
@@ -117,3 +117,56 @@
     clock.advance(EngineDirectory::reregistrationTimeout);
     CHECK(directory.isVersionCertain(std::nullopt, clock.now()));
 }
+
+// An engine that resets a single connection counted as one that may have started again.
+TEST_CASE("bytes on a connection that was open before show that the same run goes on")
+{
+    VirtualClock clock;
+    EngineContinuity continuity;
+    const auto first = continuity.connectionOpened(name, clock.now());
+    const auto startedAt = clock.now();
+    clock.advance(1s);
+    continuity.connectionEnded(name, clock.now());
+    continuity.bytesReceived(name, first, clock.now() + EngineContinuity::deliveryTime - 1ms);
+    CHECK_FALSE(continuity.connectedSince(name)); // they may have been sent before
+    CHECK(continuity.mayHaveStartedAgain(name, clock.now()));
+    const auto later = continuity.connectionOpened(name, clock.now());
+    continuity.bytesReceived(name, later, clock.now() + EngineContinuity::deliveryTime);
+    CHECK(continuity.mayHaveStartedAgain(name, clock.now()));
+    continuity.bytesReceived(name, first, clock.now() + EngineContinuity::deliveryTime);
+    CHECK(continuity.connectedSince(name) == startedAt);
+    CHECK_FALSE(continuity.mayHaveStartedAgain(name, clock.now()));
+}
+
+TEST_CASE("a run that follows the end of a connection is registered some time later, others at once")
+{
+    VirtualClock clock;
+    EngineContinuity continuity;
+    CHECK(continuity.connectionOpened(name, clock.now())->registeredBy == clock.now());
+    continuity.connectionEnded(name, clock.now());
+    const auto endedAt = clock.now();
+    clock.advance(1s);
+    CHECK(continuity.connectionOpened(name, clock.now())->registeredBy == endedAt + EngineDirectory::registrationDelay);
+    CHECK(continuity.mayHaveStartedAgain(name, endedAt + EngineDirectory::registrationDelay - 1ms));
+    CHECK_FALSE(continuity.mayHaveStartedAgain(name, endedAt + EngineDirectory::registrationDelay));
+    continuity.forget(name);
+    CHECK_FALSE(continuity.mayHaveStartedAgain(name, std::nullopt));
+}
+
+TEST_CASE("a run is registered once registrations from its time name it")
+{
+    VirtualClock clock;
+    EngineDirectory directory;
+    directory.storeAnswered(clock.now());
+    directory.put(engineOf(1));
+    CHECK_FALSE(directory.isRunRegistered(engineOf(1), clock.now()));
+    directory.registrationsRead(clock.now());
+    CHECK(directory.isRunRegistered(engineOf(1), clock.now()));
+    CHECK_FALSE(directory.isRunRegistered(engineOf(2), clock.now()));
+    CHECK_FALSE(directory.isRunRegistered(engineOf(1), clock.now() + 1ms));
+    auto changed = engineOf(1);
+    changed.softwareVersion = "v2";
+    CHECK_FALSE(directory.isRunRegistered(changed, clock.now()));
+    CHECK(directory.isCurrent(clock.now() + EngineDirectory::maxReadingAge));
+    CHECK_FALSE(directory.isCurrent(clock.now() + EngineDirectory::maxReadingAge + 1ms));
+}
--- a/packages/dispatch/src/enginedirectory.cpp
+++ b/packages/dispatch/src/enginedirectory.cpp
@@ -9,7 +9,7 @@
         m_storeUnavailable = false;
         m_storeRecoveredAt = now;
     }
-    storeReachable(now);
+    recordContact(now);
 }
 
 void EngineDirectory::recordContact(TimePoint at)
@@ -25,7 +25,12 @@
     if (m_silenceEndedAt && at >= *m_silenceEndedAt) {
         m_silenceEndedAt.reset();
     }
-    if (!mayReregister(at)) {
+    recordReading(at);
+}
+
+void EngineDirectory::recordReading(TimePoint at)
+{
+    if (isInStep(at)) {
         m_readAsOf = std::max(at, m_readAsOf.value_or(at));
     }
 }
@@ -55,15 +60,29 @@
 void EngineDirectory::storeReachable(TimePoint at)
 {
     recordContact(at);
-    if (isInStep(at) && (!m_lastReachableAt || at > *m_lastReachableAt)) {
-        m_lastReachableAt = at;
-    }
+    recordReading(at);
 }
 
 bool EngineDirectory::isVersionCertain(std::optional<TimePoint> connectedSince, TimePoint now) const
 {
-    return isInStep(now)
-        || (connectedSince && m_lastReachableAt && *connectedSince + registrationDelay <= *m_lastReachableAt);
+    return isInStep(now) || isRunProven(connectedSince);
+}
+
+bool EngineDirectory::isRunProven(std::optional<TimePoint> connectedSince) const
+{
+    return connectedSince && m_readAsOf && *connectedSince + registrationDelay <= *m_readAsOf;
+}
+
+bool EngineDirectory::isCurrent(TimePoint now) const
+{
+    return isInStep(now) && m_readAsOf && now - *m_readAsOf <= maxReadingAge;
+}
+
+bool EngineDirectory::isRunRegistered(const EngineRecord &engine, TimePoint by) const
+{
+    const auto *registered = find(engine.name);
+    return m_readAsOf && *m_readAsOf >= by && registered != nullptr && registered->incarnation == engine.incarnation
+        && registered->service == engine.service && registered->softwareVersion == engine.softwareVersion;
 }
 
 void EngineDirectory::storeFailed()
@@ -78,8 +97,7 @@
 
 std::optional<TimePoint> EngineDirectory::uncertainSince(TimePoint now) const
 {
-    return mayReregister(now) ? std::optional(m_lastReachableAt.value_or(TimePoint()) - registrationDelay)
-                              : std::nullopt;
+    return mayReregister(now) ? std::optional(m_readAsOf.value_or(TimePoint()) - registrationDelay) : std::nullopt;
 }
 
 std::vector<EngineName> EngineDirectory::replace(const std::vector<EngineRecord> &records, TimePoint now)
--- a/packages/dispatch/src/streamdirectory.cpp
+++ b/packages/dispatch/src/streamdirectory.cpp
@@ -75,9 +75,9 @@
     return holders;
 }
 
-std::size_t StreamDirectory::buildChanged(const EngineRecord &former, TimePoint now)
+std::size_t StreamDirectory::buildChanged(const EngineRecord &former, TimePoint readAsOf, TimePoint now)
 {
-    return doubt(former, now - EngineDirectory::registrationDelay, now);
+    return doubt(former, readAsOf - EngineDirectory::registrationDelay, now);
 }
 
 std::size_t StreamDirectory::doubt(const EngineRecord &engine, TimePoint since, TimePoint now)
--- a/packages/dispatch/src/streamdirectory_test.cpp
+++ b/packages/dispatch/src/streamdirectory_test.cpp
@@ -286,7 +286,7 @@
     fleet.now += EngineDirectory::registrationDelay + 1s;
     fleet[0].begin(key(2), engineOf("v1"), 20s, fleet.now);
     fleet.deliver();
-    CHECK(fleet[0].buildChanged(engineOf("v1"), fleet.now + 1s) == 1);
+    CHECK(fleet[0].buildChanged(engineOf("v1"), fleet.now + 1s, fleet.now + 1s) == 1);
     fleet.deliver();
     fleet.restart(0);
     CHECK(!fleet.find(0, key(1)).origin->isDoubtful);
--- a/packages/gateway/src/enginecall.cpp
+++ b/packages/gateway/src/enginecall.cpp
@@ -210,6 +210,7 @@
 
 void EngineCall::onHeaderRead(std::size_t bytes)
 {
+    m_pool.bytesReceived(m_engine.name, *m_connection);
     const auto &message = m_parser->get();
     const auto status = message.result_int();
     if (!httpstatus::isStatusOfAnswer(status)) {
@@ -307,6 +308,7 @@
         onReadFailed(ec);
         return;
     }
+    m_pool.bytesReceived(m_engine.name, *m_connection);
     const auto bytes = bytesRead + parseReceived(); // without a pass through the event loop for each chunk
     if (m_isDiscarding) {
         if (discard(bytes)) {
@@ -413,7 +415,7 @@
     return m_engine;
 }
 
-std::optional<TimePoint> EngineCall::connectedSince() const
+std::optional<ConnectedRun> EngineCall::connectedRun() const
 {
     return m_connection && m_connection->ticket ? std::optional(*m_connection->ticket) : std::nullopt;
 }
--- a/packages/gateway/src/enginecall.h
+++ b/packages/gateway/src/enginecall.h
@@ -77,8 +77,8 @@
     /// @return whether any part of the request may have reached the engine
     bool isSent() const;
     const EngineRecord &engine() const;
-    /// @return since when the run of the engine that answers has been connected; nothing while connecting
-    std::optional<TimePoint> connectedSince() const;
+    /// @return the run of the engine that answers; nothing while connecting
+    std::optional<ConnectedRun> connectedRun() const;
 
 private:
     using Parser = boost::beast::http::response_parser<boost::beast::http::buffer_body>;
--- a/packages/gateway/src/enginepool.cpp
+++ b/packages/gateway/src/enginepool.cpp
@@ -75,7 +75,12 @@
 
 void EnginePool::connectionEnded(const EngineName &engine)
 {
-    m_continuity.connectionEnded(engine);
+    m_continuity.connectionEnded(engine, m_clock.now());
+}
+
+void EnginePool::bytesReceived(const EngineName &engine, const EngineConnection &connection)
+{
+    m_continuity.bytesReceived(engine, connection.ticket, m_clock.now());
 }
 
 /// @return whether the engine has neither closed the connection nor sent anything on it
--- a/packages/gateway/src/enginepool.h
+++ b/packages/gateway/src/enginepool.h
@@ -63,6 +63,8 @@
     /// Records that the engine accepted the connection, or ended or refused one.
     void connectionOpened(const EngineName &engine, EngineConnection &connection);
     void connectionEnded(const EngineName &engine);
+    /// Records that the engine sent bytes.
+    void bytesReceived(const EngineName &engine, const EngineConnection &connection);
     /// Returns a connection without outstanding request or response to the pool.
     void release(const EngineRecord &engine, std::unique_ptr<EngineConnection> connection);
     /// Closes connections that have been idle for too long, those beyond this gateway's share, and those to engines
--- a/packages/gateway/src/exchange.cpp
+++ b/packages/gateway/src/exchange.cpp
@@ -341,7 +341,7 @@
     const auto self = shared_from_this();
     const auto engineRecord = m_call->engine();
     const auto &engine = engineRecord.name;
-    const auto connectedSince = m_call->connectedSince();
+    const auto run = m_call->connectedRun();
     m_call.reset();
     auto finalOutcome = outcome;
     auto finalReason = reason;
@@ -383,7 +383,7 @@
                       {"connection_lost", m_hasLostConnection},
                       {"parts", m_hasLostConnection ? promptParts() : std::string_view()},
                       {"registrations_age_ms", ageOf(m_core.engines.readAsOf(), now)},
-                      {"connected_ms", ageOf(connectedSince, now)},
+                      {"connected_ms", ageOf(run ? std::optional(run->since) : std::nullopt, now)},
                       {"after_ms", milliseconds(now - m_sentAt)}});
     m_hasLostConnection = m_hasLostConnection && finalOutcome == AttemptOutcome::Broken;
     if (m_hasLostConnection) {
@@ -392,6 +392,7 @@
     if (finalOutcome == AttemptOutcome::Failed || (finalOutcome == AttemptOutcome::Broken && !m_hasLostConnection)) {
         recordVersionAnswer(engineRecord, std::nullopt);
     }
+    m_areEnginesRead = m_areEnginesRead && finalOutcome == AttemptOutcome::NotSent;
     const auto state = attemptStateAfter(finalOutcome);
     m_mayHaveRun = m_mayHaveRun || finalOutcome == AttemptOutcome::Broken || finalOutcome == AttemptOutcome::Failed;
     if (finalOutcome == AttemptOutcome::NotSent) {
@@ -399,7 +400,17 @@
         recordTrial(false);
         m_core.engineLimiter.requestNotSent(engineRecord);
     }
-    const bool mayRetry = !m_hasLostConnection || m_core.crashSuspects.mayRetry(traits(), now);
+    const bool isResumable = m_responseStarted && m_route->repeatability == Repeatability::Resumable;
+    if (isResumable && !m_areEnginesRead && (!confirmWriter() || mustReadEngines())) {
+        readEngines([this, state] { continueAfter(state); });
+        return;
+    }
+    continueAfter(state);
+}
+
+void Exchange::continueAfter(const AttemptState &state)
+{
+    const bool mayRetry = !m_hasLostConnection || m_core.crashSuspects.mayRetry(traits(), m_core.clock.now());
     if (mayRetry && nextStep(state) == NextStep::TryAnother && retry(state)) {
         return;
     }
@@ -412,7 +423,7 @@
         m_lastFailure += ", no event ID to resume after";
         return false;
     }
-    if (m_responseStarted && isStreamDoubtful()) {
+    if (m_responseStarted && (!confirmWriter() || isStreamDoubtful())) {
         m_lastFailure += ", the version of its first event is not certain";
         return false;
     }
--- a/packages/gateway/src/exchange.h
+++ b/packages/gateway/src/exchange.h
@@ -74,10 +74,21 @@
     void refuseTakeUp(const std::string &reason, const std::string &detail);
     /// The first event has arrived: from now on only engines of this version may go on with the stream.
     void recordStreamStart();
+    /// Remembers which run writes the events, until confirmWriter().
+    void recordWriter();
+    /// Finds out whether the registrations show which version writes the events, and tells other gateways of the stream
+    /// when they do.
+    /// @return whether they do
+    bool confirmWriter();
     /// @return whether the engine that answers under the name has the version of its registration
     bool isVersionCertain(const EngineName &engine) const;
     /// @return engines of the service whose version isn't certain: a stream must not go on there
     std::vector<EngineName> uncertainEngines() const;
+    /// @return whether there are engines of the stream's build that another reading of the registrations may exclude
+    bool mustReadEngines() const;
+    /// Reads the registrations before a stream goes on at another engine.
+    /// @param goOn called if the caller is still there
+    void readEngines(std::function<void()> goOn);
     /// @return whether it isn't certain which version wrote the events that the caller has
     bool isStreamDoubtful() const;
     void attempt();
@@ -91,6 +102,8 @@
     std::shared_ptr<const EngineCall::Request> makeEngineRequest(const EngineRecord &engine, Duration timeout) const;
     PlacementRequest placementRequest() const;
     AttemptState attemptStateAfter(AttemptOutcome outcome) const;
+    /// Sends the request to another engine if that is allowed, and ends it otherwise.
+    void continueAfter(const AttemptState &state);
     bool retry(const AttemptState &state);
     void finishWith(NextStep step, const std::string &reason);
     void finishResponse();
@@ -142,6 +155,16 @@
     StreamKey m_stream; // valid if m_streamBuild is set, or while the stream is looked up
     std::optional<EngineBuild> m_streamBuild; // of the stream's first event; nothing before it
     bool m_isStreamDoubtful = false; // m_streamBuild isn't certain
+    /// A run of an engine that writes the stream's events.
+    struct Writer
+    {
+        EngineRecord engine;
+        TimePoint registeredBy; // registrations read at this time or later contain the run
+        bool isConfirmed = false; // they have the engine's build
+    };
+    std::optional<Writer> m_writer; // of the newest events
+    bool m_isStreamTold = false; // to other gateways
+    bool m_areEnginesRead = false; // since the last attempt ended
     std::string m_streamSource; // who knew the stream that the request takes up, for the log
     std::string m_streamHolders; // the gateways that were told where the stream began, for the log
     std::string m_lastVersion; // of the software of the engine tried last, for the log
--- a/packages/gateway/src/exchangeresponse.cpp
+++ b/packages/gateway/src/exchangeresponse.cpp
@@ -34,6 +34,7 @@
         if (!m_isStreaming) {
             m_eventSplitter.restart();
         }
+        recordWriter();
         return;
     }
     m_responseHead = head;
@@ -83,6 +84,8 @@
         m_timeToFirstBytes = m_core.clock.now() - m_sentAt;
         m_core.metrics.firstBytesSent(m_service, m_tier, m_core.clock.now() - m_arrivedAt);
         m_sink->startStream(m_responseHead.status, endToEndFields(m_responseHead.fields));
+    } else {
+        confirmWriter();
     }
     const auto now = m_core.clock.now();
     if (m_lastEventAt != TimePoint()) {
--- a/packages/gateway/src/exchangestream.cpp
+++ b/packages/gateway/src/exchangestream.cpp
@@ -70,7 +70,11 @@
     } else {
         m_core.metrics.takeUpEnded("known");
         m_streamBuild = finding.origin->build;
-        attempt();
+        if (mustReadEngines()) {
+            readEngines([this] { attempt(); });
+        } else {
+            attempt();
+        }
     }
 }
 
@@ -103,20 +107,42 @@
         m_stream = streamKey(requestId());
         m_streamBuild = buildOf(engine);
         const auto *registered = m_core.engines.find(engine.name);
-        m_isStreamDoubtful =
-            (registered != nullptr && buildOf(*registered) != *m_streamBuild) || !isVersionCertain(engine.name);
+        m_isStreamDoubtful = registered != nullptr && buildOf(*registered) != *m_streamBuild;
+    }
+    recordWriter();
+    if (!confirmWriter()) {
+        m_core.registrations->readSoon();
+    }
+}
+
+void Exchange::recordWriter()
+{
+    const auto run = m_call->connectedRun();
+    m_writer = {m_call->engine(), run ? run->registeredBy : m_core.clock.now()};
+}
+
+bool Exchange::confirmWriter()
+{
+    if (!m_writer || m_writer->isConfirmed) {
+        return m_writer.has_value();
     }
-    if (m_route->repeatability == Repeatability::Resumable && !m_isStreamDoubtful) {
-        m_streamHolders.clear();
-        for (const auto &it : m_core.streams.begin(m_stream, engine, m_callerDeadline - m_core.clock.now())) {
+    m_writer->isConfirmed = m_core.engines.isRunRegistered(m_writer->engine, m_writer->registeredBy);
+    if (m_writer->isConfirmed && !m_isStreamDoubtful && !m_isStreamTold
+        && m_route->repeatability == Repeatability::Resumable) {
+        m_isStreamTold = true;
+        for (const auto &it : m_core.streams.begin(m_stream, m_writer->engine, m_callerDeadline - m_core.clock.now())) {
             m_streamHolders += (m_streamHolders.empty() ? "" : ",") + it.host.text();
         }
     }
+    return m_writer->isConfirmed;
 }
 
 bool Exchange::isVersionCertain(const EngineName &engine) const
 {
-    return m_core.engines.isVersionCertain(m_core.continuity.connectedSince(engine), m_core.clock.now());
+    const auto &engines = m_core.engines;
+    const auto &continuity = m_core.continuity;
+    return engines.isRunProven(continuity.connectedSince(engine))
+        || (engines.isCurrent(m_core.clock.now()) && !continuity.mayHaveStartedAgain(engine, engines.readAsOf()));
 }
 
 std::vector<EngineName> Exchange::uncertainEngines() const
@@ -130,6 +156,24 @@
     return uncertain;
 }
 
+bool Exchange::mustReadEngines() const
+{
+    const auto engines = m_core.engines.ofService(m_service);
+    return std::any_of(engines.begin(), engines.end(), [&](const EngineRecord *it) {
+        return buildOf(*it) == m_streamBuild && !m_core.engines.isRunProven(m_core.continuity.connectedSince(it->name));
+    });
+}
+
+void Exchange::readEngines(std::function<void()> goOn)
+{
+    m_areEnginesRead = true;
+    m_core.registrations->readNow([weak = weak_from_this(), goOn = std::move(goOn)] {
+        if (const auto self = weak.lock(); self && self->m_sink != nullptr) {
+            goOn();
+        }
+    });
+}
+
 bool Exchange::isStreamDoubtful() const
 {
     const auto origin = m_streamBuild ? m_core.streams.findHere(m_stream) : std::nullopt;
--- a/packages/gateway/src/gatewaycore.h
+++ b/packages/gateway/src/gatewaycore.h
@@ -2,6 +2,7 @@
 
 #include "enginepool.h"
 #include "gatewaymetrics.h"
+#include "registrationreader.h"
 #include "sharedstreams.h"
 #include "structuredlog.h"
 
@@ -67,6 +68,7 @@
     EnginePool pool;
     PeerSocket peers;
     SharedStreams streams;
+    RegistrationReader *registrations = nullptr; ///< set before requests are accepted
     Rollouts rollouts;
     std::function<void(const ServiceName &)> onVersionBad; ///< called when this gateway finds a version bad
     StoreKnowledge knowledge; ///< what this gateway has read from the store, for its load reports
--- a/packages/gateway/src/gatewayfixture.h
+++ b/packages/gateway/src/gatewayfixture.h
@@ -338,6 +338,29 @@
     const std::function<void()> &m_afterPlacement;
 };
 
+/// Registrations that are always read as of now, unless the test makes the store unavailable.
+class CurrentRegistrations : public RegistrationReader
+{
+public:
+    explicit CurrentRegistrations(GatewayCore &core)
+        : m_core(core)
+    {
+        m_core.registrations = this;
+    }
+    void readSoon() override
+    {
+        m_core.engines.registrationsRead(m_core.clock.now());
+    }
+    void readNow(std::function<void()> done) override
+    {
+        readSoon();
+        asio::post(m_core.io, std::move(done));
+    }
+
+private:
+    GatewayCore &m_core;
+};
+
 /// A gateway without a store, with one customer and one route for each kind of repeatability.
 class GatewayFixture
 {
@@ -457,6 +480,7 @@
     GatewayMetrics m_metrics;
     StructuredLog m_log {LogLimits {"error", 1000, 1000}, HostName("g"), 1};
     GatewayCore m_core {m_io, m_clock, testSettings(), m_adapter, m_log, m_metrics};
+    CurrentRegistrations m_registrations {m_core};
     GatewayCallerService m_callers {m_core};
     std::optional<CallerListener> m_listener {
         std::in_place, m_io, m_core.clock, m_callers, m_core.settings.callerListen, maxConnections};
--- a/packages/gateway/src/gatewayprocess.cpp
+++ b/packages/gateway/src/gatewayprocess.cpp
@@ -159,8 +159,6 @@
         m_metrics.storeCallEnded(table, true);
         if (table == m_core.adapter.storeLayout().engineTable) {
             m_core.engines.storeAnswered(m_clock.now());
-        } else {
-            m_core.engines.storeReachable(m_clock.now());
         }
         if (m_unavailableTables.erase(table) != 0) {
             m_log.write(Event::StoreRecovered, Severity::Info, "store-recovered", {{"table", std::string_view(table)}});
@@ -173,7 +171,7 @@
         if (table == m_core.adapter.storeLayout().engineTable) {
             m_core.engines.storeFailed();
         }
-        m_store.pollAll(); // a long poll on a connection that went silent would notice an outage only at its end
+        m_store.callFailed(table);
         if (m_unavailableTables.insert(table).second) {
             const auto doubtful =
                 table == m_core.adapter.storeLayout().engineTable ? m_changes.doubtStreams() : std::size_t {0};
--- a/packages/gateway/src/reportcodec.cpp
+++ b/packages/gateway/src/reportcodec.cpp
@@ -31,6 +31,7 @@
 constexpr const char *provenField = "p";
 constexpr const char *engineVersionField = "ve";
 constexpr const char *gatewayVersionField = "vg";
+constexpr const char *provenVersionField = "vp";
 constexpr const char *uptimeField = "u"; // milliseconds
 constexpr auto maxMilliseconds =
     static_cast<std::uint64_t>(std::numeric_limits<std::int64_t>::max() / 1'000'000); // fits into Duration
@@ -49,6 +50,7 @@
                                          provenField,
                                          engineVersionField,
                                          gatewayVersionField,
+                                         provenVersionField,
                                          uptimeField};
 
 /// @return the entry with the field's name; nullptr if there is none
@@ -194,6 +196,8 @@
             m_report.knowledge.engineVersion = value;
         } else if (m_field == gatewayVersionField) {
             m_report.knowledge.gatewayVersion = value;
+        } else if (m_field == provenVersionField) {
+            m_report.knowledge.provenVersion = value;
         }
         return !m_isNumberList;
     }
@@ -280,6 +284,7 @@
     json[provenField] = knowledge.provenAtMs;
     json[engineVersionField] = knowledge.engineVersion;
     json[gatewayVersionField] = knowledge.gatewayVersion;
+    json[provenVersionField] = knowledge.provenVersion;
     json[uptimeField] = std::chrono::duration_cast<std::chrono::milliseconds>(report.uptime).count();
     for (const auto &it : report.leavingEngines) {
         json[leavingField].push_back(it.text());
--- a/packages/gateway/src/reportcodec_test.cpp
+++ b/packages/gateway/src/reportcodec_test.cpp
@@ -22,7 +22,7 @@
             false,
             false,
             {EngineName("e2")},
-            {2, 40, 123'456, 77, 78},
+            {2, 40, 123'456, 77, 78, 79},
             std::chrono::milliseconds(5000)};
 }
 
--- a/packages/gateway/src/sharedstreams.cpp
+++ b/packages/gateway/src/sharedstreams.cpp
@@ -50,9 +50,9 @@
     return told;
 }
 
-std::size_t SharedStreams::buildChanged(const EngineRecord &former)
+std::size_t SharedStreams::buildChanged(const EngineRecord &former, TimePoint readAsOf)
 {
-    const auto doubtful = m_directory.buildChanged(former, m_clock.now());
+    const auto doubtful = m_directory.buildChanged(former, readAsOf, m_clock.now());
     finishEvent();
     return doubtful;
 }
--- a/packages/gateway/src/sharedstreams.h
+++ b/packages/gateway/src/sharedstreams.h
@@ -28,8 +28,9 @@
     /// @return the gateways that were told
     std::vector<StreamPeer> begin(const StreamKey &stream, const EngineRecord &engine, Duration left);
     /// An engine registered with another build under its name.
+    /// @param readAsOf when the former registration was last known to be the newest one
     /// @return number of streams that are doubtful now
-    std::size_t buildChanged(const EngineRecord &former);
+    std::size_t buildChanged(const EngineRecord &former, TimePoint readAsOf);
     /// An engine may have started again with another build at @p since or later.
     /// @return number of streams that began there since, and are doubtful now
     std::size_t doubt(const EngineRecord &engine, TimePoint since);
--- a/packages/gateway/src/storechanges.cpp
+++ b/packages/gateway/src/storechanges.cpp
@@ -102,7 +102,8 @@
     if (former == nullptr || buildOf(*former) == buildOf(engine)) {
         return;
     }
-    const auto doubtful = m_core.streams.buildChanged(*former);
+    const auto now = m_core.clock.now();
+    const auto doubtful = m_core.streams.buildChanged(*former, m_core.engines.readAsOf().value_or(now));
     m_core.log.write(Event::EngineVersionChanged,
                      Severity::Warning,
                      "engine-version-changed",
@@ -129,6 +130,7 @@
 {
     const bool isKept = m_core.engines.find(name) != nullptr;
     if (!isKept) {
+        m_core.continuity.forget(name);
         m_core.health.forget(name);
         m_core.placer->forget(name);
         m_core.promptSavings.forget(name);
--- a/packages/gateway/src/storewatch.cpp
+++ b/packages/gateway/src/storewatch.cpp
@@ -1,5 +1,7 @@
 #include "storewatch.h"
 
+#include <boost/asio/post.hpp>
+
 #include <algorithm>
 
 namespace monsoonward
@@ -14,7 +16,10 @@
 constexpr Duration maxCallTimeToReport =
     std::chrono::milliseconds(500); // a proof is dated at the start of its call; an older one waits for the next report
 
-/// Notes since when another gateway has @p seen a row of a version that this one hasn't @p read.
+constexpr Duration maxReadingTime = std::chrono::milliseconds(300); // of the registrations, for a stream that waits
+constexpr unsigned maxReadings = 3; // for one stream
+
+/// Notes since when the store has been @p seen at a version up to which a table hasn't been @p read.
 void noteIfBehind(std::optional<TimePoint> &since, std::uint64_t seen, std::uint64_t read, TimePoint now)
 {
     if (seen > read && !since) {
@@ -28,7 +33,9 @@
     : m_core(core)
     , m_reportProof(std::move(reportProof))
     , m_spread(random.nextDouble())
+    , m_readerTimer(core.io)
 {
+    core.registrations = this;
     const auto &layout = core.adapter.storeLayout();
     m_configurationFeed = makeFeed(layout.configurationTable, configurationPollPause, handler);
     m_engineFeed = makeFeed(layout.engineTable, registrationPollPause, handler);
@@ -38,6 +45,11 @@
     }
 }
 
+StoreWatch::~StoreWatch()
+{
+    m_core.registrations = nullptr;
+}
+
 std::unique_ptr<TableFeed>
 StoreWatch::makeFeed(const std::string &table, Duration changeDelay, TableFeedHandler &handler)
 {
@@ -80,10 +92,12 @@
     if (table == layout.engineTable) {
         m_enginesBehindSince.reset();
         m_core.engines.setBehind(std::nullopt);
-        m_core.engines.registrationsRead(localTime(read.storeTimeMs, m_core.clock.now()).value_or(read.startedAt));
+        m_core.engines.registrationsRead(asOf(read));
+        continueReaders();
     } else if (table == layout.gatewayTable) {
         m_gatewaysBehindSince.reset();
     }
+    noteStoreVersion(read.storeVersion, asOf(read));
     if (table == layout.configurationTable) {
         m_pendingProof = read;
         noteConfigurationBehind(m_core.clock.now());
@@ -91,6 +105,26 @@
     recordPendingProof();
 }
 
+TimePoint StoreWatch::asOf(const ReadTime &read) const
+{
+    // A long poll is answered long after its start.
+    const auto shown = localTime(read.storeTimeMs, m_core.clock.now()).value_or(read.startedAt);
+    return std::clamp(shown, read.startedAt, read.answeredAt);
+}
+
+/// Every answer states the version of the whole store, so it tells of changes in all tables.
+void StoreWatch::noteStoreVersion(std::uint64_t version, TimePoint at)
+{
+    const auto now = m_core.clock.now();
+    if (version <= m_engineFeed->readUpTo()) {
+        m_core.engines.storeReachable(at);
+    } else {
+        noteIfBehind(m_enginesBehindSince, version, m_engineFeed->readUpTo(), now);
+        m_core.engines.setBehind(m_enginesBehindSince);
+    }
+    noteIfBehind(m_gatewaysBehindSince, version, m_gatewayFeed->readUpTo(), now);
+}
+
 void StoreWatch::recordPendingProof()
 {
     if (!m_pendingProof || !m_core.peerSurvey.mayProve(m_core.fleet, m_core.clock.now())) {
@@ -121,6 +155,7 @@
     const auto provenAtMs = read.storeTimeMs - milliseconds(callLength);
     if (provenAtMs > knowledge.provenAtMs) {
         knowledge.provenAtMs = provenAtMs;
+        knowledge.provenVersion = read.storeVersion;
         if (callLength < maxCallTimeToReport) {
             m_reportProof();
         }
@@ -135,9 +170,73 @@
     // From now on, reports that date proofs in the former era are not comparable.
     m_core.knowledge.era = m_eras.current();
     m_core.knowledge.provenAtMs = 0;
+    m_core.knowledge.provenVersion = 0;
     pollAll();
 }
 
+// ---- reading the registrations for those that wait for them
+
+void StoreWatch::readSoon()
+{
+    m_wantedAsOf = m_core.clock.now();
+}
+
+void StoreWatch::readNow(std::function<void()> done)
+{
+    if (m_readers.empty()) {
+        m_readings = 0;
+        m_readerTimer.expires_after(maxReadingTime);
+        m_readerTimer.async_wait([this](const boost::system::error_code &ec) {
+            if (!ec) {
+                finishReaders(std::exchange(m_readers, {}));
+            }
+        });
+    }
+    m_readers.push_back({m_core.clock.now(), std::move(done)});
+    if (!m_engineFeed->pollNow()) {
+        finishReaders(std::exchange(m_readers, {}));
+    }
+}
+
+void StoreWatch::continueReaders()
+{
+    if (m_readers.empty()) {
+        return;
+    }
+    const auto readAsOf = m_core.engines.readAsOf();
+    const auto firstUnread = std::stable_partition(m_readers.begin(), m_readers.end(), [&](const PendingReader &it) {
+        return readAsOf && *readAsOf >= it.askedAt;
+    });
+    std::vector<PendingReader> unread(std::make_move_iterator(firstUnread), std::make_move_iterator(m_readers.end()));
+    m_readers.erase(firstUnread, m_readers.end());
+    finishReaders(std::exchange(m_readers, std::move(unread)));
+    if (m_readers.empty()) {
+        m_readerTimer.cancel();
+        return;
+    }
+    ++m_readings;
+    if (m_readings >= maxReadings || !m_engineFeed->pollNow()) {
+        finishReaders(std::exchange(m_readers, {}));
+    }
+}
+
+void StoreWatch::callFailed(const std::string &table)
+{
+    if (table == m_core.adapter.storeLayout().engineTable) {
+        finishReaders(std::exchange(m_readers, {}));
+    }
+    pollAll(); // a long poll on a connection that went silent would notice an outage only at its end
+}
+
+void StoreWatch::finishReaders(std::vector<PendingReader> readers)
+{
+    for (auto &it : readers) {
+        boost::asio::post(m_core.io, std::move(it.done)); // they may read again
+    }
+}
+
+// ---- polls beside the long polls
+
 void StoreWatch::pollAll()
 {
     m_configurationFeed->pollNow();
@@ -181,8 +280,11 @@
     const auto provenAt = m_storeClock.earliest(knowledge.era, reported.provenAtMs, now);
     if (provenAt && *provenAt <= now) { // a proof from the future is an error of its sender
         m_core.freshness.recordProof(*provenAt);
-        m_core.engines.storeReachable(*provenAt);
+        if (reported.provenVersion > 0) {
+            noteStoreVersion(reported.provenVersion, *provenAt);
+        }
         knowledge.provenAtMs = reported.provenAtMs;
+        knowledge.provenVersion = reported.provenVersion;
     }
 }
 
@@ -238,7 +340,9 @@
         m_configurationFeed->pollNow();
     }
     const bool isBehind = m_enginesBehindSince && now - *m_enginesBehindSince >= EngineDirectory::maxLag;
-    if (isBehind || m_core.engines.mayHaveMissed()) {
+    const auto readAsOf = m_core.engines.readAsOf();
+    const bool isWanted = m_wantedAsOf && (!readAsOf || *readAsOf < *m_wantedAsOf);
+    if (isBehind || isWanted || m_core.engines.mayHaveMissed()) {
         m_engineFeed->pollNow();
     }
     if (m_gatewaysBehindSince && now - *m_gatewaysBehindSince >= EngineDirectory::maxLag) {
--- a/packages/gateway/src/storewatch.h
+++ b/packages/gateway/src/storewatch.h
@@ -10,7 +10,7 @@
 
 /// @brief Follows the store's tables and keeps the proof that the active configuration is current. Gateways share their
 /// proofs in load reports: few of them ask the store, and each asks for itself if it hears nothing in time.
-class StoreWatch
+class StoreWatch : public RegistrationReader
 {
 public:
     /// @param handler gets the rows and states of the tables; must outlive this
@@ -18,6 +18,7 @@
     StoreWatch(GatewayCore &core, TableFeedHandler &handler, Random &random, std::function<void()> reportProof);
     StoreWatch(const StoreWatch &) = delete;
     StoreWatch &operator=(const StoreWatch &) = delete;
+    ~StoreWatch() override;
 
     void start();
     /// Sets the other gateways of this region, which take turns in asking for proofs.
@@ -26,6 +27,8 @@
     void configurationRead(Revision revision);
     /// To be called when a table is up to date, after its rows have been applied.
     void upToDate(const std::string &table, const ReadTime &read);
+    /// A call for a table has failed.
+    void callFailed(const std::string &table);
     /// The store was restored from a copy.
     void storeRestored();
     /// Polls every table now, beside the long polls.
@@ -45,8 +48,25 @@
     /// @return number of gateways of the region that ask before this one
     std::size_t proofRank(TimePoint now) const;
 
+    void readSoon() override;
+    void readNow(std::function<void()> done) override;
+
 private:
     std::unique_ptr<TableFeed> makeFeed(const std::string &table, Duration changeDelay, TableFeedHandler &handler);
+    struct PendingReader
+    {
+        TimePoint askedAt;
+        std::function<void()> done;
+    };
+
+    /// @return the latest time for which it is certain that the answer tells of all changes from before it
+    TimePoint asOf(const ReadTime &read) const;
+    /// Notes which tables may have changed since they were read, as an answer of the store shows.
+    /// @param version of the whole store at @p at
+    void noteStoreVersion(std::uint64_t version, TimePoint at);
+    /// Calls the readers whose registrations were read, and reads again for the others.
+    void continueReaders();
+    void finishReaders(std::vector<PendingReader> readers);
     bool isNewestRevision() const;
     /// Takes the last answer about the configuration for a proof, if the peers have been asked and hold nothing newer.
     void recordPendingProof();
@@ -70,7 +90,11 @@
     Revision m_storedRevision = 0;
     std::optional<ReadTime> m_pendingProof; // an answer that came before the peers had been asked
     std::vector<HostName> m_regionHosts;
-    std::optional<TimePoint> m_enginesBehindSince; // another gateway has seen a newer row since then
+    std::vector<PendingReader> m_readers;
+    unsigned m_readings = 0; // since the oldest of m_readers asked
+    boost::asio::steady_timer m_readerTimer;
+    std::optional<TimePoint> m_wantedAsOf; // of the registrations
+    std::optional<TimePoint> m_enginesBehindSince; // the store may hold a newer row since then
     std::optional<TimePoint> m_gatewaysBehindSince;
     bool m_wasReceiving = false; // an answer about the configuration, at the last look
 };
--- a/packages/gateway/src/storewatch_test.cpp
+++ b/packages/gateway/src/storewatch_test.cpp
@@ -13,13 +13,16 @@
 namespace
 {
 
-/// Responds to reads of the configuration in the scripted order. Other calls never complete.
+using PagesByTable = std::map<std::string, std::deque<RowPage>>;
+
+/// Responds to reads of a table in the scripted order. Other calls never complete.
 class ScriptedStore : public RowStore
 {
 public:
-    ScriptedStore(boost::asio::io_context &io, std::deque<RowPage> &pages)
+    ScriptedStore(boost::asio::io_context &io, PagesByTable &pages, std::vector<std::string> &polls)
         : m_io(io)
         , m_pages(pages)
+        , m_polls(polls)
     {
     }
     bool isReceiving() const override
@@ -33,8 +36,11 @@
     {
         respond(table, std::move(done));
     }
-    void follow(const std::string &table, std::uint64_t /*version*/, Duration /*wait*/, PageCallback done) override
+    void follow(const std::string &table, std::uint64_t /*version*/, Duration wait, PageCallback done) override
     {
+        if (wait == Duration::zero()) {
+            m_polls.push_back(table);
+        }
         respond(table, std::move(done));
     }
     void write(const std::string & /*table*/,
@@ -47,15 +53,17 @@
 private:
     void respond(const std::string &table, PageCallback done)
     {
-        if (table != "configuration" || m_pages.empty()) {
+        auto &pages = m_pages[table];
+        if (pages.empty()) {
             return;
         }
-        boost::asio::post(m_io, [done = std::move(done), page = m_pages.front()] { done(page); });
-        m_pages.pop_front();
+        boost::asio::post(m_io, [done = std::move(done), page = pages.front()] { done(page); });
+        pages.pop_front();
     }
 
     boost::asio::io_context &m_io;
-    std::deque<RowPage> &m_pages;
+    PagesByTable &m_pages;
+    std::vector<std::string> &m_polls;
 };
 
 class ScriptedAdapter : public TestAdapter
@@ -63,14 +71,15 @@
 public:
     std::unique_ptr<RowStore> makeRowStore(boost::asio::io_context &io, const Address & /*store*/) const override
     {
-        return std::make_unique<ScriptedStore>(io, pages);
+        return std::make_unique<ScriptedStore>(io, pages, polls);
     }
-    mutable std::deque<RowPage> pages; // the stores that it makes take them
+    mutable PagesByTable pages; // the stores that it makes take them
+    mutable std::vector<std::string> polls; // tables of the calls that don't wait for changes
 };
 
-RowPage pageOf(StoreEra era, std::int64_t storeTimeMs)
+RowPage pageOf(StoreEra era, std::int64_t storeTimeMs, std::uint64_t version = 1)
 {
-    RowPage page {{}, 1, false};
+    RowPage page {{}, version, false};
     page.era = era;
     page.storeTimeMs = storeTimeMs;
     return page;
@@ -90,13 +99,26 @@
         core.peerSurvey.membersListed({}, clock.now());
     }
 
+    /// The gateway has started, and waits for changes.
+    void start()
+    {
+        watch.start();
+        run();
+        adapter.polls.clear();
+    }
+
+    std::ptrdiff_t enginePolls() const
+    {
+        return std::count(adapter.polls.begin(), adapter.polls.end(), "engines");
+    }
+
     /// The gateway has just started and read that there is another one.
     void startBeside(const HostName &peer)
     {
         core.peerSurvey = PeerSurvey(HostName("g"));
         core.peerSurvey.membersListed({peer}, clock.now());
         core.fleet.setMembers({peer}, clock.now());
-        adapter.pages = {pageOf(1, 5000)};
+        adapter.pages["configuration"] = {pageOf(1, 5000)};
         watch.start();
         run();
     }
@@ -161,12 +183,12 @@
 
 TEST_CASE_FIXTURE(Fixture, "a proof of another gateway counts from the time at which the store gave it")
 {
-    adapter.pages = {pageOf(1, 5000)};
+    adapter.pages["configuration"] = {pageOf(1, 5000)};
     const auto startedAt = clock.now();
     watch.start();
     run();
     CHECK(reports == 1);
-    CHECK(core.knowledge == StoreKnowledge {1, revision, 5000, 0, 0});
+    CHECK(core.knowledge == StoreKnowledge {1, revision, 5000, 0, 0, 1});
     clock.advance(3s);
     watch.learnFromPeer({1, revision, 7000, 0, 0}); // read 2 s after the store showed 5000
     REQUIRE(core.freshness.age(clock.now()));
@@ -177,7 +199,7 @@
 
 TEST_CASE_FIXTURE(Fixture, "proofs of another revision, of another era and from the future are not taken over")
 {
-    adapter.pages = {pageOf(1, 5000)};
+    adapter.pages["configuration"] = {pageOf(1, 5000)};
     watch.start();
     run();
     clock.advance(3s);
@@ -190,7 +212,7 @@
 
 TEST_CASE_FIXTURE(Fixture, "after a restore, a proof of the former era is not mixed with the store's new clock")
 {
-    adapter.pages = {pageOf(1, 50'000), pageOf(2, 100)};
+    adapter.pages["configuration"] = {pageOf(1, 50'000), pageOf(2, 100)};
     watch.start();
     run(); // the second answer tells of the restore; the table is listed anew, and that call never ends
     watch.learnFromPeer({1, revision, 51'000, 0, 0});
@@ -233,3 +255,78 @@
     watch.pollIfDue(clock.now());
     CHECK(core.freshness.age(clock.now()) == PeerSurvey::answerTimeout);
 }
+
+// Answers about other tables were taken for a proof that the registrations were current.
+TEST_CASE_FIXTURE(Fixture,
+                  "an answer about another table proves registrations up to its version, and tells of newer ones")
+{
+    adapter.pages = {{"configuration", {pageOf(1, 5000, 8)}}, {"engines", {pageOf(1, 5000, 8)}}};
+    start();
+    clock.advance(1s);
+    watch.upToDate("configuration", {clock.now(), clock.now(), 1, 6000, 8});
+    CHECK(core.engines.readAsOf() == clock.now());
+    clock.advance(1s);
+    const auto provenAt = clock.now() - 1s;
+    watch.upToDate("configuration", {clock.now(), clock.now(), 1, 7000, 9});
+    watch.pollIfDue(clock.now());
+    CHECK(core.engines.readAsOf() == provenAt);
+    CHECK(enginePolls() == 0);
+    clock.advance(EngineDirectory::maxLag);
+    adapter.pages["engines"] = {pageOf(1, 7900, 9)};
+    watch.pollIfDue(clock.now());
+    run();
+    CHECK(enginePolls() == 1);
+    CHECK(core.engines.readAsOf() == clock.now());
+}
+
+TEST_CASE_FIXTURE(Fixture, "the proof of another gateway tells of registrations too, unless it states no version")
+{
+    adapter.pages = {{"configuration", {pageOf(1, 5000, 8)}}, {"engines", {pageOf(1, 5000, 8)}}};
+    start();
+    const auto startedAt = clock.now();
+    clock.advance(1s);
+    watch.learnFromPeer({1, revision, 5500, 0, 0}); // of an earlier version of the program
+    CHECK(core.engines.readAsOf() == startedAt);
+    watch.learnFromPeer({1, revision, 6000, 0, 0, 8});
+    CHECK(*core.engines.readAsOf() > startedAt + 900ms);
+    CHECK(core.knowledge.provenVersion == 8);
+    const auto readAsOf = core.engines.readAsOf();
+    clock.advance(1s);
+    watch.learnFromPeer({1, revision, 7000, 0, 0, 9});
+    CHECK(core.engines.readAsOf() == readAsOf);
+    clock.advance(EngineDirectory::maxLag);
+    watch.pollIfDue(clock.now());
+    CHECK(enginePolls() == 1);
+}
+
+TEST_CASE_FIXTURE(Fixture, "registrations that are wanted now are read as of then, or given up after a bounded time")
+{
+    adapter.pages["engines"] = {pageOf(1, 5000, 8)};
+    start();
+    clock.advance(1s);
+    adapter.pages["engines"] = {pageOf(1, 6000, 8)};
+    unsigned done = 0;
+    const auto askedAt = clock.now();
+    watch.readNow([&] { ++done; });
+    watch.readNow([&] { ++done; });
+    run();
+    CHECK(done == 2);
+    CHECK(core.engines.readAsOf() == askedAt);
+    CHECK(enginePolls() == 1);
+    watch.readNow([&] { ++done; }); // no answer comes
+    run();
+    CHECK(done == 2);
+    io.restart();
+    io.run_for(400ms);
+    CHECK(done == 3);
+}
+
+TEST_CASE_FIXTURE(Fixture, "registrations that can't be read now are not waited for")
+{
+    watch.start(); // the whole table is being read
+    unsigned done = 0;
+    watch.readNow([&] { ++done; });
+    run();
+    CHECK(done == 1);
+    CHECK_FALSE(core.engines.readAsOf());
+}
--- a/packages/gateway/src/tablefeed.cpp
+++ b/packages/gateway/src/tablefeed.cpp
@@ -57,7 +57,7 @@
 
 std::uint64_t TableFeed::readUpTo() const
 {
-    return m_readUpTo;
+    return m_era.value_or(0) == m_eras.current() ? m_readUpTo : 0;
 }
 
 void TableFeed::continueReading()
@@ -101,7 +101,7 @@
 
 ReadTime TableFeed::readTime(const RowPage &page, TimePoint startedAt) const
 {
-    return {startedAt, m_clock.now(), m_era.value_or(0), page.storeTimeMs};
+    return {startedAt, m_clock.now(), m_era.value_or(0), page.storeTimeMs, page.version};
 }
 
 // ---- reading the whole table
@@ -215,13 +215,13 @@
     m_handler.upToDate(m_table, readTime(page, startedAt));
 }
 
-void TableFeed::pollNow()
+bool TableFeed::pollNow()
 {
-    if (m_isProbing || !m_version || m_failures > 0) {
-        return; // the whole table is being read, or the poll that follows a failure doesn't wait either
+    if (!m_version || m_failures > 0) {
+        return false; // the whole table is being read, or the poll that follows a failure doesn't wait either
     }
-    if (m_store->isReceiving()) {
-        return; // this poll would ask for the same changes a second time
+    if (m_isProbing || m_store->isReceiving()) {
+        return true; // this poll would ask for the same changes a second time
     }
     m_isProbing = true;
     m_probeStore->follow(
@@ -234,6 +234,7 @@
                 onProbed(page, version, startedAt);
             }
         });
+    return true;
 }
 
 void TableFeed::onProbed(const Result<RowPage> &page, std::uint64_t version, TimePoint startedAt)
--- a/packages/gateway/src/tablefeed.h
+++ b/packages/gateway/src/tablefeed.h
@@ -17,7 +17,8 @@
     TimePoint answeredAt;
     StoreEra era = 0;
     std::int64_t storeTimeMs = 0; ///< store time of the answer; 0 if not stated
-    MONSOONWARD_FIELDS(startedAt, answeredAt, era, storeTimeMs)
+    std::uint64_t storeVersion = 0; ///< version of the whole store when it answered
+    MONSOONWARD_FIELDS(startedAt, answeredAt, era, storeTimeMs, storeVersion)
 };
 
 /// @brief Why a whole table was read.
@@ -76,12 +77,13 @@
     /// Asks for changes at once, while the long poll goes on: to renew the proof that nothing has changed, to find out
     /// whether the long poll still works, or because another gateway has seen a change. Does nothing while changes are
     /// arriving.
-    void pollNow();
+    /// @return whether an answer is awaited; not while the table can't be read, or is read as a whole
+    bool pollNow();
     /// @return whether an answer about changes has begun to arrive
     bool isReceiving() const;
     /// @return the newest row version seen in the table; comparable within one era only
     std::uint64_t newestRowVersion() const;
-    /// @return the version of the store up to which all changes of the table have been read
+    /// @return the version of the store up to which all changes of the table have been read in the current era
     std::uint64_t readUpTo() const;
 
 private:
--- a/packages/gateway/src/takeup_test.cpp
+++ b/packages/gateway/src/takeup_test.cpp
@@ -193,7 +193,7 @@
         asio::post(m_io, [&] {
             auto engine = record("a", "v2");
             engine.incarnation = 2;
-            m_core.streams.buildChanged(*m_core.engines.find(engine.name));
+            m_core.streams.buildChanged(*m_core.engines.find(engine.name), m_clock.now());
             m_core.engines.put(engine);
             hasChanged = true;
         });
@@ -259,7 +259,7 @@
     m_core.engines.storeFailed();
     tell(record("gone", "v1"));
     CHECK(statusOf(exchange(request("/stream/", afterTwo))) == 200);
-    m_core.continuity.connectionEnded(EngineName("a"));
+    m_core.continuity.connectionEnded(EngineName("a"), m_clock.now());
     const auto response = exchange(request("/stream/", afterTwo));
     CHECK(statusOf(response) == 503);
     CHECK(header(response, "Monsoonward-Verdict") == "not-run");
