Let single requests test traits that are refused because of crashes

Cause: the part that all prompts share was in progress at three engine runs that ended, so it was taken for the culprit, and only a complete response clears a trait, which a refused one can't get. Logs: three crashes within 0 ms, all refusals crash-suspect, no attempt after the engines' return.

Change: single requests that haven't crashed engines repeatedly test a refused trait, 1 s after the newest crash if the trait completed shortly before the crashes and 10 s after it otherwise; each failed test doubles the pause, crashes within a second count as one. Completions are remembered for that. Requests that never completed and crashed engines are kept from them as before.

--- a/packages/dispatch/include/monsoonward/dispatch/crashsuspects.h
+++ b/packages/dispatch/include/monsoonward/dispatch/crashsuspects.h
@@ -5,6 +5,7 @@
 #include <map>
 #include <optional>
 #include <unordered_map>
+#include <unordered_set>
 #include <vector>
 
 namespace monsoonward
@@ -69,6 +70,10 @@
 /// refused. A crash also breaks sound requests: a trait is refused if it was in progress at several crashes that no
 /// other trait explains, and none of its requests completed afterwards. Gateways that exchange reports reach the same
 /// result; observations may arrive in any order, late and repeatedly.
+///
+/// Engines may also crash for another reason while requests with a trait are in progress at all of them, and then no
+/// request completes that would clear it. So requests that haven't crashed engines themselves test refused traits, one
+/// at a time: soon if the trait completed shortly before, and less often after each further crash.
 class CrashSuspects
 {
 public:
@@ -87,11 +92,21 @@
     static constexpr Duration confirmationTimeout = std::chrono::milliseconds(300);
     /// A run that answers within this time after an observation had not crashed; later it may have been started anew.
     static constexpr Duration refutationWindow = std::chrono::milliseconds(1500);
+    /// A refused trait is tested this long after its newest crash if its requests completed shortly before the crashes,
+    /// and after longTestPause otherwise; after twice that once a test has failed, and so on.
+    static constexpr Duration shortTestPause = std::chrono::seconds(1);
+    static constexpr Duration longTestPause = std::chrono::seconds(10);
+    /// A test that hasn't ended by then doesn't keep others from testing.
+    static constexpr Duration testTime = std::chrono::seconds(2);
     static constexpr Duration reportInterval = std::chrono::seconds(1);
     static constexpr std::size_t maxObservations = 4096;
     static constexpr std::size_t maxReported = 64; ///< crashes in a report, and as many sound traits
 
-    /// @return whether nothing is known; the other functions need not be called then until a crash is observed
+    /// @param spread 0 to 1, different for each gateway: so that they don't test at the same time
+    explicit CrashSuspects(double spread = 0);
+
+    /// @return whether nothing is known; the other functions, except requestCompleted(), need not be called then until
+    /// a crash is observed
     bool isEmpty() const;
     /// A request with these traits was in progress when its connection to the run ended.
     void crashObserved(const std::vector<RequestTrait> &traits, EngineRun run, TimePoint now);
@@ -104,6 +119,17 @@
     /// @return the time until the longest refusal among the traits ends; nothing if a request with these traits isn't
     /// refused
     std::optional<Duration> refusedFor(const std::vector<RequestTrait> &traits, TimePoint now) const;
+    /// @param traits of a refused request; the first one stands for the request as a whole
+    /// @return the time until it may test its refused traits; nothing if it may not, since it has been in progress at
+    /// several crashes itself and never completed, or since tests of it have failed
+    std::optional<Duration> testableIn(const std::vector<RequestTrait> &traits, TimePoint now) const;
+    /// @return the time until a refused request with these traits may be served: until their next test if they completed
+    /// shortly before the crashes, and until the refusal ends otherwise
+    Duration comesBackIn(const std::vector<RequestTrait> &traits, TimePoint now) const;
+    /// A request that tests its refused traits is sent.
+    void testStarted(const std::vector<RequestTrait> &traits, TimePoint now);
+    /// It couldn't be sent.
+    void testNotSent(const std::vector<RequestTrait> &traits, TimePoint now);
     /// @return whether a request that was broken off may be sent to another engine: false if one of the traits has two
     /// or more crashes that no other trait explains, whether they count already or not
     bool mayRetry(const std::vector<RequestTrait> &traits, TimePoint now) const;
@@ -128,6 +154,13 @@
     static constexpr Duration completionLifetime = refusalTime + observationLifetime;
     static constexpr Duration soundTellTime = std::chrono::seconds(3); // so that a lost report doesn't matter
 
+    // Completions are remembered of this number of traits at least, those of shared traits for as long as requests with
+    // them complete often.
+    static constexpr std::size_t minCompletionsKept = 2048;
+    static constexpr std::size_t maxTestDoublings = 8;
+    static constexpr std::size_t maxCrashesOfTester = 1; // of one that never completed
+    static constexpr std::size_t maxTestsOfRequest = 3; // that failed
+
     struct Observation
     {
         TimePoint time;
@@ -142,7 +175,9 @@
         std::optional<TimePoint> completedAt;
         TimePoint lastCrashAt; // also of dropped observations
         TimePoint soundToldUntil;
+        TimePoint testedUntil;
         bool isRefused = false;
+        bool hadCompleted = false; // shortly before its first crash here
         bool isKept = false; // is refused or was, until relapseTime has passed
     };
     struct Attribution
@@ -156,6 +191,13 @@
 
     const Attribution &attribution(TimePoint now) const;
     const CrashVerdict *verdictOn(RequestTrait trait, TimePoint now) const;
+    std::vector<TimePoint> liveCrashes(const Suspect &suspect) const;
+    std::size_t failedTests(const Suspect &suspect) const;
+    TimePoint testableAt(const Suspect &suspect) const;
+    bool mayTest(const Suspect &whole) const;
+    void setTestedUntil(const std::vector<RequestTrait> &traits, TimePoint until, TimePoint now);
+    void rememberCompletion(RequestTrait trait);
+    bool hasCompleted(RequestTrait trait) const;
     bool isRefusalOver(RequestTrait trait, TimePoint now) const;
     void settle(TimePoint now);
     void markChanged();
@@ -166,7 +208,10 @@
     void dropExcess();
     CrashReport makeReport(TimePoint now) const;
 
+    double m_spread;
     Suspects m_suspects;
+    std::unordered_set<RequestTrait> m_completed; // the newest ones
+    std::unordered_set<RequestTrait> m_formerlyCompleted;
     std::unordered_map<EngineRun, TimePoint> m_refutable; // newest observation by run, while it may be refuted
     mutable Attribution m_attribution;
     std::vector<RequestTrait> m_newlyRefused;
--- a/packages/dispatch/src/crashreports.cpp
+++ b/packages/dispatch/src/crashreports.cpp
@@ -72,6 +72,7 @@
     }
     const auto time = now - age;
     auto &suspect = m_suspects[crash.trait];
+    suspect.hadCompleted = suspect.hadCompleted || (suspect.crashes.empty() && hasCompleted(crash.trait));
     auto &observation = suspect.crashes.emplace(crash.run, Observation {time}).first->second;
     const bool isNews = !isKnown || time < observation.time || (crash.isConfirmed && !observation.isConfirmed)
         || (crash.isRefuted && !observation.isRefuted) || (crash.isOfRefused && !suspect.isKept);
@@ -112,6 +113,7 @@
         markChanged();
     }
     suspect.completedAt = time;
+    suspect.hadCompleted = true;
 }
 
 /// A run that was alive after an observation had not crashed before it either, whichever traits were in progress.
--- a/packages/dispatch/src/crashsuspects.cpp
+++ b/packages/dispatch/src/crashsuspects.cpp
@@ -14,6 +14,11 @@
     return !observation.isRefuted && (!completedAt || observation.time > *completedAt);
 }
 
+CrashSuspects::CrashSuspects(double spread)
+    : m_spread(spread)
+{
+}
+
 bool CrashSuspects::isEmpty() const
 {
     return m_suspects.empty();
@@ -22,7 +27,9 @@
 void CrashSuspects::crashObserved(const std::vector<RequestTrait> &traits, EngineRun run, TimePoint now)
 {
     for (const auto trait : traits) {
-        auto &suspect = m_suspects[trait];
+        const auto [found, isNew] = m_suspects.try_emplace(trait);
+        auto &suspect = found->second;
+        suspect.hadCompleted = suspect.hadCompleted || (isNew && hasCompleted(trait));
         if (suspect.crashes.emplace(run, Observation {now}).second) {
             suspect.lastCrashAt = now;
             m_refutable[run] = now;
@@ -71,6 +78,7 @@
 void CrashSuspects::requestCompleted(const std::vector<RequestTrait> &traits, TimePoint now)
 {
     for (const auto trait : traits) {
+        rememberCompletion(trait);
         const auto found = m_suspects.find(trait);
         if (found == m_suspects.end()) {
             continue;
@@ -85,6 +93,7 @@
             markChanged();
         }
         suspect.completedAt = std::max(now, suspect.completedAt.value_or(now));
+        suspect.hadCompleted = true;
     }
 }
 
@@ -139,17 +148,8 @@
 CrashEvidence CrashSuspects::evidenceOn(RequestTrait trait) const
 {
     const auto suspect = m_suspects.find(trait);
-    if (suspect == m_suspects.end()) {
-        return {};
-    }
-    std::vector<TimePoint> times;
-    for (const auto &[run, observation] : suspect->second.crashes) {
-        if (suspect->second.isLive(observation)) {
-            times.push_back(observation.time);
-        }
-    }
-    const auto [first, last] = std::minmax_element(times.begin(), times.end());
-    return {times.size(), times.empty() ? Duration::zero() : *last - *first};
+    const auto times = suspect == m_suspects.end() ? std::vector<TimePoint>() : liveCrashes(suspect->second);
+    return {times.size(), times.empty() ? Duration::zero() : times.back() - times.front()};
 }
 
 std::size_t CrashSuspects::refusedCount(TimePoint now) const
--- a/packages/gateway/src/exchange.cpp
+++ b/packages/gateway/src/exchange.cpp
@@ -149,15 +149,19 @@
     if (suspects.isEmpty()) {
         return false;
     }
-    const auto left = suspects.refusedFor(traits(), m_core.clock.now());
-    if (!left) {
+    const auto now = m_core.clock.now();
+    const auto left = suspects.refusedFor(traits(), now);
+    const auto testableIn = left ? suspects.testableIn(traits(), now) : std::nullopt;
+    m_isCrashTest = m_isCrashTest || testableIn == Duration::zero();
+    if (!left || m_isCrashTest) {
         return false;
     }
     const std::string reason = "crash-suspect";
     if (m_mayHaveRun || m_responseStarted) {
         finishWith(m_responseStarted ? NextStep::Abort : NextStep::Fail, reason);
     } else {
-        refuse(unavailable, reason, *left, "parts " + std::string(promptParts()));
+        const auto retryAfter = suspects.comesBackIn(traits(), now) + defaultRetryAfter;
+        refuse(unavailable, reason, retryAfter, "parts " + std::string(promptParts()));
     }
     return true;
 }
@@ -227,6 +231,14 @@
     m_hasLostConnection = false;
     m_timeToFirstBytes.reset();
     recordTrial(true);
+    if (m_isCrashTest) {
+        m_core.crashSuspects.testStarted(traits(), now);
+        m_core.log.write(
+            Event::SuspectTested,
+            Severity::Info,
+            "crash-suspect-tested",
+            {{"request", requestId()}, {"engine", std::string_view(engine.name.text())}, {"parts", promptParts()}});
+    }
     ++m_attempts;
     m_call = std::make_shared<EngineCall>(
         m_core.pool, m_core.adapter.dialect(), engine, makeEngineRequest(engine, timeLeft()), *this);
@@ -357,7 +369,7 @@
     if (finalOutcome == AttemptOutcome::Complete) {
         m_core.health.recordSuccess(engine);
         recordVersionAnswer(engineRecord, m_timeToFirstBytes.value_or(now - m_sentAt));
-        if (m_responseHead.status < firstRedirect && !m_core.crashSuspects.isEmpty()) {
+        if (m_responseHead.status < firstRedirect) {
             m_core.crashSuspects.requestCompleted(traits(), now);
         }
         finishResponse();
@@ -398,6 +410,9 @@
     if (finalOutcome == AttemptOutcome::NotSent) {
         --m_attempts;
         recordTrial(false);
+        if (m_isCrashTest) {
+            m_core.crashSuspects.testNotSent(traits(), now);
+        }
         m_core.engineLimiter.requestNotSent(engineRecord);
     }
     const bool isResumable = m_responseStarted && m_route->repeatability == Repeatability::Resumable;
--- a/packages/gateway/src/exchange.h
+++ b/packages/gateway/src/exchange.h
@@ -169,6 +169,7 @@
     std::string m_streamHolders; // the gateways that were told where the stream began, for the log
     std::string m_lastVersion; // of the software of the engine tried last, for the log
     std::uint32_t m_attempts = 0;
+    bool m_isCrashTest = false; // it tests traits that are refused because of crashes
     bool m_isTrial = false; // the last placement is a trial of a new version
     std::optional<Duration> m_timeToFirstBytes; // of the last attempt, if it began a stream
     bool m_mayHaveRun = false;
--- a/packages/gateway/src/gatewaycore.cpp
+++ b/packages/gateway/src/gatewaycore.cpp
@@ -25,6 +25,7 @@
     , freshness(settings.freshness)
     , rateLimiter(settings.rateLimitTolerance, hashOf(settings.host.text()))
     , retryBudget(settings.retryBudget, clock.now())
+    , crashSuspects(uniformOf(hashOf(settings.host.text())))
     , fleet(settings.host)
     , peerSurvey(settings.host)
     , limitDivision(settings.topology, settings.host, fleet)
