Test that answers cut within their head are never complete

Other operators saw a 200 with an empty or short body when an engine stopped within its answer's head. Answers of the store that end within their head, at each byte, are errors.

--- a/packages/gateway/src/httpchannel_test.cpp
+++ b/packages/gateway/src/httpchannel_test.cpp
@@ -172,3 +172,23 @@
     REQUIRE_FALSE(*result);
     CHECK(result->error().message == "timed out without a response");
 }
+
+// A list of rows that is cut within its head must not count as an empty one.
+TEST_CASE("a response of the store that ends within its head or body is none")
+{
+    const std::string whole =
+        "HTTP/1.1 200 OK\r\nContent-Type: application/json\r\nContent-Length: 13\r\n\r\n{\"rows\":[1]}\n";
+    std::size_t length = 0;
+    ScriptedEngine store([&](const std::string &) {
+        ScriptedResponse response;
+        response.bytes = whole.substr(0, length);
+        response.closesConnection = true;
+        return response;
+    });
+    for (length = 0; length <= whole.size(); ++length) {
+        CAPTURE(length);
+        const auto result = callOnce(store.address());
+        REQUIRE(result);
+        CHECK(bool(*result) == (length == whole.size()));
+    }
+}
