Keep the end of a roll-out whose order is written again after a restore

Cause: orders are told apart by the version of their row. After the store came back from a copy, the same order had another one and no state, so gateways that knew how it had ended took it for a new order. Log: rollout-order-rejected, "all engines have that version".

Change: an order for the same version and time limit in a later era of the store takes over the end that is known.

--- a/packages/gateway/src/rolloutcontrol.cpp
+++ b/packages/gateway/src/rolloutcontrol.cpp
@@ -206,11 +206,13 @@
     taken.id = order.row.version;
     const auto state = m_states.find(service);
     const bool isStored = state != m_states.end() && state->second.status.orderId == taken.id;
+    const auto end = isStored ? std::optional(state->second.status) : formerEnd(taken);
+    m_takenIn[service] = m_store.era();
     auto orderedAt = order.seenAt;
     if (isStored) {
         order.orderedAtMs = state->second.status.orderedAtMs;
         orderedAt = m_store.localTime(order.orderedAtMs, now).value_or(orderedAt);
-    } else {
+    } else if (!end) {
         const auto &services = m_core.activeConfiguration->configuration->services;
         const auto engines = m_core.engines.ofService(service);
         const bool isKnown =
@@ -224,8 +226,8 @@
         }
     }
     m_core.rollouts.orderRead(taken, orderedAt, drainTimeOf(service), order.wasRunning);
-    if (isStored) {
-        m_core.rollouts.statusRead(state->second.status, now);
+    if (end) {
+        m_core.rollouts.statusRead(*end, now);
     }
     m_core.log.write(Event::RolloutOrdered,
                      Severity::Info,
@@ -234,9 +236,23 @@
                       {"to", std::string_view(taken.to)},
                       {"limit_ms", milliseconds(taken.timeLimit)},
                       {"age_ms", milliseconds(now - orderedAt)},
+                      {"ended_before", !isStored && end.has_value()},
                       {"row_version", static_cast<std::int64_t>(taken.id)}});
 }
 
+std::optional<RolloutStatus> RolloutControl::formerEnd(const RolloutOrder &order)
+{
+    const auto *rollout = m_core.rollouts.find(order.service);
+    const auto takenIn = m_takenIn.find(order.service);
+    const bool isSame = rollout != nullptr && takenIn != m_takenIn.end() && takenIn->second != m_store.era()
+        && rollout->order().to == order.to && rollout->order().timeLimit == order.timeLimit;
+    if (!isSame || (rollout->phase() != RolloutPhase::Completed && rollout->phase() != RolloutPhase::RolledBack)) {
+        return std::nullopt;
+    }
+    const auto state = rollout->phase() == RolloutPhase::Completed ? RolloutState::Completed : RolloutState::RolledBack;
+    return RolloutStatus {order.service, order.to, state, order.id, 0, rollout->reason()};
+}
+
 void RolloutControl::reject(const ServiceName &service,
                             Order &order,
                             const RolloutOrder &decoded,
--- a/packages/gateway/src/rolloutcontrol.h
+++ b/packages/gateway/src/rolloutcontrol.h
@@ -57,6 +57,8 @@
     void stateRow(const TableRow &row);
     void takeOrders(TimePoint now);
     void take(const ServiceName &service, Order &order, TimePoint now);
+    /// @return how the roll-out of the same order ended in a former era of the store, from which the state is lost
+    std::optional<RolloutStatus> formerEnd(const RolloutOrder &order);
     void reject(const ServiceName &service, Order &order, const RolloutOrder &decoded, const std::string &reason);
     Duration drainTimeOf(const ServiceName &service) const;
     std::optional<RolloutStatus> dueState(const ServiceName &service, const Order &order, TimePoint now);
@@ -68,6 +70,7 @@
     std::unique_ptr<RowStore> m_rows;
     std::map<ServiceName, Order> m_orders;
     std::map<ServiceName, State> m_states;
+    std::map<ServiceName, StoreEra> m_takenIn; // era of the order taken last
     std::map<ServiceName, RolloutPhase> m_phases; // as logged last
     std::map<ServiceName, std::pair<RolloutState, TimePoint>> m_dueSince;
     std::vector<HostName> m_hosts;
