Begin the time to return of registrations with the store's recovery, not the gateway's own

Cause: engines whose registration is missing are kept for 2 s after the store's recovery, since theirs may have expired with the store. The recovery of the gateway's own calls was taken for that of the store.

Change: proofs of peers that came during the gateway's outage show since when the store is available.

--- a/packages/dispatch/include/monsoonward/dispatch/enginedirectory.h
+++ b/packages/dispatch/include/monsoonward/dispatch/enginedirectory.h
@@ -59,8 +59,11 @@
     /// A call for another table that began at @p at, here or at a peer whose proof was taken over, has shown that the
     /// store holds no newer registrations than those applied.
     void storeReachable(TimePoint at);
-    /// A call to the store failed.
-    void storeFailed();
+    /// A call for the registrations failed.
+    void storeFailed(TimePoint now);
+    /// Another daemon's call that began at @p at was answered, also while those of this one fail: then the store is
+    /// available, and a registration that is missing after its time to return is gone.
+    void storeAnsweredPeer(TimePoint at);
     /// All registrations that the store held at @p at have been applied.
     void registrationsRead(TimePoint at);
     /// @return the latest time of which it is known that all registrations from before it have been applied
@@ -142,6 +145,9 @@
     std::map<EngineName, Entry> m_engines;
     std::map<EngineName, Departure> m_departed;
     bool m_storeUnavailable = false;
+    TimePoint m_unavailableSince; // for this daemon
+    std::optional<TimePoint> m_answersPeersSince; // after that, without a longer silence
+    TimePoint m_answeredPeerAt;
     std::optional<TimePoint> m_storeRecoveredAt;
     std::optional<TimePoint> m_readAsOf;
     std::optional<TimePoint> m_lastContactAt; // with the store, of this daemon or of one whose proof was taken over
--- a/packages/dispatch/src/enginecontinuity_test.cpp
+++ b/packages/dispatch/src/enginecontinuity_test.cpp
@@ -55,7 +55,7 @@
     }
     CHECK(directory.isVersionCertain(std::nullopt, clock.now()));
     const auto reachableUntil = clock.now();
-    directory.storeFailed();
+    directory.storeFailed(clock.now());
     directory.storeReachable(clock.now()); // another table can be read
     clock.advance(1s);
     CHECK(directory.isVersionCertain(connectedAt, clock.now()));
--- a/packages/dispatch/src/enginedirectory.cpp
+++ b/packages/dispatch/src/enginedirectory.cpp
@@ -7,7 +7,8 @@
 {
     if (m_storeUnavailable) {
         m_storeUnavailable = false;
-        m_storeRecoveredAt = now;
+        const bool isKnownBefore = m_answersPeersSince && now - m_answeredPeerAt <= maxSilence;
+        m_storeRecoveredAt = isKnownBefore ? *m_answersPeersSince : now;
     }
     recordContact(now);
 }
@@ -85,11 +86,26 @@
         && registered->service == engine.service && registered->softwareVersion == engine.softwareVersion;
 }
 
-void EngineDirectory::storeFailed()
+void EngineDirectory::storeFailed(TimePoint now)
 {
+    if (!m_storeUnavailable) {
+        m_unavailableSince = now;
+        m_answersPeersSince.reset();
+    }
     m_storeUnavailable = true;
 }
 
+void EngineDirectory::storeAnsweredPeer(TimePoint at)
+{
+    if (!m_storeUnavailable || at <= m_unavailableSince) {
+        return;
+    }
+    if (!m_answersPeersSince || at - m_answeredPeerAt > maxSilence) {
+        m_answersPeersSince = at;
+    }
+    m_answeredPeerAt = at;
+}
+
 bool EngineDirectory::mayReregister(TimePoint now) const
 {
     return m_storeUnavailable || (m_storeRecoveredAt && now - *m_storeRecoveredAt < reregistrationTimeout);
--- a/packages/dispatch/src/enginedirectory_test.cpp
+++ b/packages/dispatch/src/enginedirectory_test.cpp
@@ -42,7 +42,7 @@
     VirtualClock clock;
     EngineDirectory directory;
     directory.replace({engine("a"), engine("b"), engine("leaving", true)}, clock.now());
-    directory.storeFailed();
+    directory.storeFailed(clock.now());
     clock.advance(9s);
     directory.storeAnswered(clock.now());
     CHECK(directory.replace({}, clock.now()) == std::vector<EngineName> {EngineName("leaving")});
@@ -132,3 +132,57 @@
     directory.put(gone);
     CHECK(directory.mayReceive(gone.name));
 }
+
+// A daemon that was cut off from the store kept engines that had left meanwhile for 2 s from its own recovery.
+TEST_CASE("engines that left while only this daemon was cut off from the store are dropped at once")
+{
+    VirtualClock clock;
+    EngineDirectory directory;
+    directory.storeAnswered(clock.now());
+    directory.replace({engine("a"), engine("b")}, clock.now());
+    directory.storeFailed(clock.now());
+    for (unsigned n = 0; n < 4; ++n) {
+        clock.advance(1s);
+        directory.storeFailed(clock.now());
+        directory.storeAnsweredPeer(clock.now());
+    }
+    clock.advance(500ms);
+    directory.storeAnswered(clock.now());
+    directory.remove(EngineName("a"), clock.now());
+    CHECK(directory.find(EngineName("a")) == nullptr);
+}
+
+TEST_CASE("engines are kept after an outage that ended shortly before, as peers have told")
+{
+    VirtualClock clock;
+    EngineDirectory directory;
+    directory.storeAnswered(clock.now());
+    directory.replace({engine("a")}, clock.now());
+    directory.storeAnsweredPeer(clock.now());
+    directory.storeFailed(clock.now());
+    clock.advance(9s); // peers have nothing to tell
+    directory.storeAnsweredPeer(clock.now());
+    clock.advance(1s);
+    directory.storeAnswered(clock.now());
+    directory.remove(EngineName("a"), clock.now());
+    CHECK(directory.find(EngineName("a")) != nullptr);
+    clock.advance(1100ms);
+    CHECK(directory.expire(clock.now()) == std::vector<EngineName> {EngineName("a")});
+}
+
+TEST_CASE("a peer's answer from before the outage doesn't shorten the time to return")
+{
+    VirtualClock clock;
+    EngineDirectory directory;
+    directory.storeAnswered(clock.now());
+    directory.replace({engine("a")}, clock.now());
+    for (unsigned n = 0; n < 5; ++n) {
+        directory.storeAnsweredPeer(clock.now());
+        clock.advance(1s);
+    }
+    directory.storeFailed(clock.now());
+    clock.advance(1s);
+    directory.storeAnswered(clock.now());
+    directory.remove(EngineName("a"), clock.now());
+    CHECK(directory.find(EngineName("a")) != nullptr);
+}
--- a/packages/gateway/src/gatewayprocess.cpp
+++ b/packages/gateway/src/gatewayprocess.cpp
@@ -169,7 +169,7 @@
     {
         m_metrics.storeCallEnded(table, false);
         if (table == m_core.adapter.storeLayout().engineTable) {
-            m_core.engines.storeFailed();
+            m_core.engines.storeFailed(m_clock.now());
         }
         m_store.callFailed(table);
         if (m_unavailableTables.insert(table).second) {
--- a/packages/gateway/src/storewatch.cpp
+++ b/packages/gateway/src/storewatch.cpp
@@ -280,6 +280,7 @@
     const auto provenAt = m_storeClock.earliest(knowledge.era, reported.provenAtMs, now);
     if (provenAt && *provenAt <= now) { // a proof from the future is an error of its sender
         m_core.freshness.recordProof(*provenAt);
+        m_core.engines.storeAnsweredPeer(*provenAt);
         if (reported.provenVersion > 0) {
             noteStoreVersion(reported.provenVersion, *provenAt);
         }
--- a/packages/gateway/src/takeup_test.cpp
+++ b/packages/gateway/src/takeup_test.cpp
@@ -229,7 +229,7 @@
     add("a", "v1", cut);
     add("b", "v1", m_second);
     m_core.engines.storeAnswered(m_clock.now());
-    m_core.engines.storeFailed();
+    m_core.engines.storeFailed(m_clock.now());
     allowRetries();
     start();
     for (unsigned n = 0; n < 10; ++n) {
@@ -256,7 +256,7 @@
         m_core.engines.storeReachable(m_clock.now());
     }
     m_core.freshness.recordProof(m_clock.now());
-    m_core.engines.storeFailed();
+    m_core.engines.storeFailed(m_clock.now());
     tell(record("gone", "v1"));
     CHECK(statusOf(exchange(request("/stream/", afterTwo))) == 200);
     m_core.continuity.connectionEnded(EngineName("a"), m_clock.now());
