Don't read the registrations for versions of the store that belong to other tables

Change: rows of other tables, which each gateway reads anyway, tell which versions are not those of registrations. Only a version that no row explains has the registrations read. Polls for streams at new connections come once in 2.5 s at most, as proofs arrive meanwhile.

--- a/packages/gateway/src/gatewayprocess.cpp
+++ b/packages/gateway/src/gatewayprocess.cpp
@@ -128,6 +128,7 @@
         } else {
             m_changes.enginesListed(rows, cause);
         }
+        m_store.rowsRead(table, rows);
     }
 
     void rowsChanged(const std::string &table, const std::vector<TableRow> &rows) override
@@ -143,6 +144,7 @@
         } else {
             m_changes.enginesChanged(rows);
         }
+        m_store.rowsRead(table, rows);
     }
 
     void upToDate(const std::string &table, const ReadTime &read) override
--- a/packages/gateway/src/storewatch.cpp
+++ b/packages/gateway/src/storewatch.cpp
@@ -18,6 +18,9 @@
 
 constexpr Duration maxReadingTime = std::chrono::milliseconds(300); // of the registrations, for a stream that waits
 constexpr unsigned maxReadings = 3; // for one stream
+constexpr std::size_t maxOtherVersions = 4096;
+constexpr Duration minWantedPause =
+    std::chrono::milliseconds(2500); // between polls for readSoon(); proofs come meanwhile
 
 /// Notes since when the store has been @p seen at a version up to which a table hasn't been @p read.
 void noteIfBehind(std::optional<TimePoint> &since, std::uint64_t seen, std::uint64_t read, TimePoint now)
@@ -91,6 +94,7 @@
     const auto &layout = m_core.adapter.storeLayout();
     if (table == layout.engineTable) {
         m_enginesBehindSince.reset();
+        m_unreadVersion.reset();
         m_core.engines.setBehind(std::nullopt);
         m_core.engines.registrationsRead(asOf(read));
         continueReaders();
@@ -112,17 +116,60 @@
     return std::clamp(shown, read.startedAt, read.answeredAt);
 }
 
+void StoreWatch::rowsRead(const std::string &table, const std::vector<TableRow> &rows)
+{
+    const auto readUpTo = m_engineFeed->readUpTo();
+    if (table == m_core.adapter.storeLayout().engineTable) {
+        m_otherVersions.erase(m_otherVersions.begin(), m_otherVersions.upper_bound(readUpTo));
+    } else {
+        for (const auto &it : rows) {
+            if (it.version > readUpTo) {
+                m_otherVersions.insert(it.version);
+            }
+        }
+    }
+    if (m_otherVersions.size() > maxOtherVersions) {
+        m_otherVersions.clear(); // the registrations are read instead
+    }
+    if (m_unreadVersion && areRegistrationsReadUpTo(m_unreadVersion->first)) {
+        const auto [version, at] = *m_unreadVersion;
+        noteStoreVersion(version, at);
+    }
+}
+
+bool StoreWatch::areRegistrationsReadUpTo(std::uint64_t version) const
+{
+    const auto readUpTo = m_engineFeed->readUpTo();
+    if (version <= readUpTo) {
+        return true;
+    }
+    const auto begin = m_otherVersions.upper_bound(readUpTo);
+    const auto end = m_otherVersions.upper_bound(version);
+    return static_cast<std::uint64_t>(std::distance(begin, end)) == version - readUpTo;
+}
+
 /// Every answer states the version of the whole store, so it tells of changes in all tables.
 void StoreWatch::noteStoreVersion(std::uint64_t version, TimePoint at)
 {
-    const auto now = m_core.clock.now();
-    if (version <= m_engineFeed->readUpTo()) {
-        m_core.engines.storeReachable(at);
-    } else {
-        noteIfBehind(m_enginesBehindSince, version, m_engineFeed->readUpTo(), now);
+    if (areRegistrationsReadUpTo(version)) {
+        if (!m_unreadVersion || m_unreadVersion->first <= version) {
+            m_unreadVersion.reset();
+            m_enginesBehindSince.reset();
+        }
         m_core.engines.setBehind(m_enginesBehindSince);
+        m_core.engines.storeReachable(at);
+        return;
+    }
+    noteUnread(version, at);
+}
+
+void StoreWatch::noteUnread(std::uint64_t version, TimePoint at)
+{
+    if (!m_unreadVersion || m_unreadVersion->first < version) {
+        m_unreadVersion = {version, at};
     }
-    noteIfBehind(m_gatewaysBehindSince, version, m_gatewayFeed->readUpTo(), now);
+    m_enginesBehindSince = m_enginesBehindSince.value_or(m_core.clock.now());
+    m_core.engines.setBehind(m_enginesBehindSince);
 }
 
 void StoreWatch::recordPendingProof()
@@ -167,6 +214,8 @@
     m_core.freshness.storeRestored(m_core.clock.now());
     m_storedRevision = 0;
     m_pendingProof.reset();
+    m_otherVersions.clear();
+    m_unreadVersion.reset();
     // From now on, reports that date proofs in the former era are not comparable.
     m_core.knowledge.era = m_eras.current();
     m_core.knowledge.provenAtMs = 0;
@@ -270,8 +319,9 @@
         return;
     }
     const auto now = m_core.clock.now();
-    noteIfBehind(m_enginesBehindSince, reported.engineVersion, m_engineFeed->readUpTo(), now);
-    m_core.engines.setBehind(m_enginesBehindSince);
+    if (reported.engineVersion > m_engineFeed->readUpTo()) {
+        noteUnread(reported.engineVersion, now);
+    }
     noteIfBehind(m_gatewaysBehindSince, reported.gatewayVersion, m_gatewayFeed->readUpTo(), now);
     // Most reports repeat a proof that is known here, so the costlier checks come last.
     if (reported.provenAtMs <= knowledge.provenAtMs || reported.revision != knowledge.revision || !isNewestRevision()) {
@@ -342,7 +392,11 @@
     }
     const bool isBehind = m_enginesBehindSince && now - *m_enginesBehindSince >= EngineDirectory::maxLag;
     const auto readAsOf = m_core.engines.readAsOf();
-    const bool isWanted = m_wantedAsOf && (!readAsOf || *readAsOf < *m_wantedAsOf);
+    const bool isWanted = m_wantedAsOf && (!readAsOf || *readAsOf < *m_wantedAsOf)
+        && (!m_wantedPollAt || now - *m_wantedPollAt >= minWantedPause);
+    if (isWanted) {
+        m_wantedPollAt = now;
+    }
     if (isBehind || isWanted || m_core.engines.mayHaveMissed()) {
         m_engineFeed->pollNow();
     }
--- a/packages/gateway/src/storewatch.h
+++ b/packages/gateway/src/storewatch.h
@@ -4,6 +4,7 @@
 #include "tablefeed.h"
 
 #include <functional>
+#include <set>
 
 namespace monsoonward
 {
@@ -25,6 +26,8 @@
     void setRegionHosts(std::vector<HostName> hosts);
     /// The store's configuration was read. It may be older than the active one after a restore.
     void configurationRead(Revision revision);
+    /// Rows of a table were read. To be called before upToDate().
+    void rowsRead(const std::string &table, const std::vector<TableRow> &rows);
     /// To be called when a table is up to date, after its rows have been applied.
     void upToDate(const std::string &table, const ReadTime &read);
     /// A call for a table has failed.
@@ -61,9 +64,12 @@
 
     /// @return the latest time for which it is certain that the answer tells of all changes from before it
     TimePoint asOf(const ReadTime &read) const;
-    /// Notes which tables may have changed since they were read, as an answer of the store shows.
+    /// Notes whether the registrations may have changed since they were read, as an answer of the store shows.
     /// @param version of the whole store at @p at
     void noteStoreVersion(std::uint64_t version, TimePoint at);
+    void noteUnread(std::uint64_t version, TimePoint at);
+    /// @return whether all versions up to this one are known to be those of other tables, or have been read
+    bool areRegistrationsReadUpTo(std::uint64_t version) const;
     /// Calls the readers whose registrations were read, and reads again for the others.
     void continueReaders();
     void finishReaders(std::vector<PendingReader> readers);
@@ -94,6 +100,9 @@
     unsigned m_readings = 0; // since the oldest of m_readers asked
     boost::asio::steady_timer m_readerTimer;
     std::optional<TimePoint> m_wantedAsOf; // of the registrations
+    std::optional<TimePoint> m_wantedPollAt; // the last poll for that
+    std::set<std::uint64_t> m_otherVersions; // at which rows of other tables changed since the registrations were read
+    std::optional<std::pair<std::uint64_t, TimePoint>> m_unreadVersion; // the newest one of the store, and its time
     std::optional<TimePoint> m_enginesBehindSince; // the store may hold a newer row since then
     std::optional<TimePoint> m_gatewaysBehindSince;
     bool m_wasReceiving = false; // an answer about the configuration, at the last look
--- a/packages/gateway/src/storewatch_test.cpp
+++ b/packages/gateway/src/storewatch_test.cpp
@@ -279,6 +279,24 @@
     CHECK(core.engines.readAsOf() == clock.now());
 }
 
+// Each change of another table had every gateway of a large fleet read the registrations.
+TEST_CASE_FIXTURE(Fixture, "versions at which other tables changed don't have the registrations read")
+{
+    adapter.pages = {{"configuration", {pageOf(1, 5000, 8)}}, {"engines", {pageOf(1, 5000, 8)}}};
+    start();
+    clock.advance(1s);
+    watch.rowsRead("configuration", {{"k", "v", 9}, {"k", "v", 11}});
+    watch.upToDate("configuration", {clock.now(), clock.now(), 1, 6000, 11});
+    const auto provenAt = clock.now();
+    CHECK(core.engines.readAsOf() != provenAt); // 10 isn't known
+    clock.advance(100ms);
+    watch.rowsRead("gateways", {{"g", std::nullopt, 10}});
+    CHECK(core.engines.readAsOf() == provenAt);
+    clock.advance(EngineDirectory::maxLag);
+    watch.pollIfDue(clock.now());
+    CHECK(enginePolls() == 0);
+}
+
 TEST_CASE_FIXTURE(Fixture, "the proof of another gateway tells of registrations too, unless it states no version")
 {
     adapter.pages = {{"configuration", {pageOf(1, 5000, 8)}}, {"engines", {pageOf(1, 5000, 8)}}};
