Tell other gateways of streams at once again, and that they are doubtful if the version isn't confirmed

Change: a stream is told with its first event if the registrations are in step, as before; it still goes on only when a reading from after its connection confirms the version, and those that were told hear that it is doubtful otherwise.

--- a/packages/gateway/src/exchange.cpp
+++ b/packages/gateway/src/exchange.cpp
@@ -425,6 +425,13 @@
 
 void Exchange::continueAfter(const AttemptState &state)
 {
+    if (m_responseStarted && m_route->repeatability == Repeatability::Resumable) {
+        if (confirmWriter()) {
+            tellStream();
+        } else {
+            doubtStream();
+        }
+    }
     const bool mayRetry = !m_hasLostConnection || m_core.crashSuspects.mayRetry(traits(), m_core.clock.now());
     if (mayRetry && nextStep(state) == NextStep::TryAnother && retry(state)) {
         return;
--- a/packages/gateway/src/exchange.h
+++ b/packages/gateway/src/exchange.h
@@ -76,10 +76,13 @@
     void recordStreamStart();
     /// Remembers which run writes the events, until confirmWriter().
     void recordWriter();
-    /// Finds out whether the registrations show which version writes the events, and tells other gateways of the stream
-    /// when they do.
+    /// Finds out whether the registrations show which version writes the events.
     /// @return whether they do
     bool confirmWriter();
+    /// Tells other gateways at which version the stream began, unless they know.
+    void tellStream();
+    /// Tells them that it isn't certain.
+    void doubtStream();
     /// @return whether the engine that answers under the name has the version of its registration
     bool isVersionCertain(const EngineName &engine) const;
     /// @return engines of the service whose version isn't certain: a stream must not go on there
--- a/packages/gateway/src/exchangeresponse.cpp
+++ b/packages/gateway/src/exchangeresponse.cpp
@@ -84,8 +84,6 @@
         m_timeToFirstBytes = m_core.clock.now() - m_sentAt;
         m_core.metrics.firstBytesSent(m_service, m_tier, m_core.clock.now() - m_arrivedAt);
         m_sink->startStream(m_responseHead.status, endToEndFields(m_responseHead.fields));
-    } else {
-        confirmWriter();
     }
     const auto now = m_core.clock.now();
     if (m_lastEventAt != TimePoint()) {
--- a/packages/gateway/src/exchangestream.cpp
+++ b/packages/gateway/src/exchangestream.cpp
@@ -110,8 +110,11 @@
         m_isStreamDoubtful = registered != nullptr && buildOf(*registered) != *m_streamBuild;
     }
     recordWriter();
-    if (!confirmWriter()) {
-        m_core.registrations->readSoon();
+    const auto &name = engine.name;
+    const bool isLikely = m_core.engines.isVersionCertain(m_core.continuity.connectedSince(name), m_core.clock.now())
+        && !m_core.continuity.mayHaveStartedAgain(name, m_core.engines.readAsOf());
+    if (confirmWriter() || isLikely) {
+        tellStream();
     }
 }
 
@@ -127,16 +130,27 @@
         return m_writer.has_value();
     }
     m_writer->isConfirmed = m_core.engines.isRunRegistered(m_writer->engine, m_writer->registeredBy);
-    if (m_writer->isConfirmed && !m_isStreamDoubtful && !m_isStreamTold
-        && m_route->repeatability == Repeatability::Resumable) {
-        m_isStreamTold = true;
-        for (const auto &it : m_core.streams.begin(m_stream, m_writer->engine, m_callerDeadline - m_core.clock.now())) {
-            m_streamHolders += (m_streamHolders.empty() ? "" : ",") + it.host.text();
-        }
-    }
     return m_writer->isConfirmed;
 }
 
+void Exchange::tellStream()
+{
+    if (m_isStreamTold || m_isStreamDoubtful || m_route->repeatability != Repeatability::Resumable) {
+        return;
+    }
+    m_isStreamTold = true;
+    for (const auto &it : m_core.streams.begin(m_stream, m_writer->engine, m_callerDeadline - m_core.clock.now())) {
+        m_streamHolders += (m_streamHolders.empty() ? "" : ",") + it.host.text();
+    }
+}
+
+void Exchange::doubtStream()
+{
+    if (m_isStreamTold) {
+        m_core.streams.doubt(m_writer->engine, m_firstBytesAt);
+    }
+}
+
 bool Exchange::isVersionCertain(const EngineName &engine) const
 {
     const auto &engines = m_core.engines;
--- a/packages/gateway/src/gatewayfixture.h
+++ b/packages/gateway/src/gatewayfixture.h
@@ -347,13 +347,9 @@
     {
         m_core.registrations = this;
     }
-    void readSoon() override
-    {
-        m_core.engines.registrationsRead(m_core.clock.now());
-    }
     void readNow(std::function<void()> done) override
     {
-        readSoon();
+        m_core.engines.registrationsRead(m_core.clock.now());
         asio::post(m_core.io, std::move(done));
     }
 
--- a/packages/gateway/src/registrationreader.h
+++ b/packages/gateway/src/registrationreader.h
@@ -11,8 +11,6 @@
 {
 public:
     virtual ~RegistrationReader() = default;
-    /// Has the registrations read as of now or later, without haste.
-    virtual void readSoon() = 0;
     /// Reads the registrations as of now.
     /// @param done called once, on the event loop, when they have been read, or can't be read in time
     virtual void readNow(std::function<void()> done) = 0;
--- a/packages/gateway/src/storewatch.cpp
+++ b/packages/gateway/src/storewatch.cpp
@@ -19,8 +19,6 @@
 constexpr Duration maxReadingTime = std::chrono::milliseconds(300); // of the registrations, for a stream that waits
 constexpr unsigned maxReadings = 3; // for one stream
 constexpr std::size_t maxOtherVersions = 4096;
-constexpr Duration minWantedPause =
-    std::chrono::milliseconds(2500); // between polls for readSoon(); proofs come meanwhile
 
 /// Notes since when the store has been @p seen at a version up to which a table hasn't been @p read.
 void noteIfBehind(std::optional<TimePoint> &since, std::uint64_t seen, std::uint64_t read, TimePoint now)
@@ -225,11 +223,6 @@
 
 // ---- reading the registrations for those that wait for them
 
-void StoreWatch::readSoon()
-{
-    m_wantedAsOf = m_core.clock.now();
-}
-
 void StoreWatch::readNow(std::function<void()> done)
 {
     if (m_readers.empty()) {
@@ -391,13 +384,7 @@
         m_configurationFeed->pollNow();
     }
     const bool isBehind = m_enginesBehindSince && now - *m_enginesBehindSince >= EngineDirectory::maxLag;
-    const auto readAsOf = m_core.engines.readAsOf();
-    const bool isWanted = m_wantedAsOf && (!readAsOf || *readAsOf < *m_wantedAsOf)
-        && (!m_wantedPollAt || now - *m_wantedPollAt >= minWantedPause);
-    if (isWanted) {
-        m_wantedPollAt = now;
-    }
-    if (isBehind || isWanted || m_core.engines.mayHaveMissed()) {
+    if (isBehind || m_core.engines.mayHaveMissed()) {
         m_engineFeed->pollNow();
     }
     if (m_gatewaysBehindSince && now - *m_gatewaysBehindSince >= EngineDirectory::maxLag) {
--- a/packages/gateway/src/storewatch.h
+++ b/packages/gateway/src/storewatch.h
@@ -51,7 +51,6 @@
     /// @return number of gateways of the region that ask before this one
     std::size_t proofRank(TimePoint now) const;
 
-    void readSoon() override;
     void readNow(std::function<void()> done) override;
 
 private:
@@ -99,8 +98,6 @@
     std::vector<PendingReader> m_readers;
     unsigned m_readings = 0; // since the oldest of m_readers asked
     boost::asio::steady_timer m_readerTimer;
-    std::optional<TimePoint> m_wantedAsOf; // of the registrations
-    std::optional<TimePoint> m_wantedPollAt; // the last poll for that
     std::set<std::uint64_t> m_otherVersions; // at which rows of other tables changed since the registrations were read
     std::optional<std::pair<std::uint64_t, TimePoint>> m_unreadVersion; // the newest one of the store, and its time
     std::optional<TimePoint> m_enginesBehindSince; // the store may hold a newer row since then
