--- a/packages/dispatch/include/monsoonward/dispatch/crashsuspects.h
+++ b/packages/dispatch/include/monsoonward/dispatch/crashsuspects.h
@@ -123,8 +123,8 @@
     /// @return the time until it may test its refused traits; nothing if it may not, since it has been in progress at
     /// several crashes itself and never completed, or since tests of it have failed
     std::optional<Duration> testableIn(const std::vector<RequestTrait> &traits, TimePoint now) const;
-    /// @return the time until a refused request with these traits may be served: until their next test if they completed
-    /// shortly before the crashes, and until the refusal ends otherwise
+    /// @return the time until a refused request with these traits may be served: until their next test if they
+    /// completed shortly before the crashes, and until the refusal ends otherwise
     Duration comesBackIn(const std::vector<RequestTrait> &traits, TimePoint now) const;
     /// A request that tests its refused traits is sent.
     void testStarted(const std::vector<RequestTrait> &traits, TimePoint now);
