Read the change as a newcomer: probes of refused traits, one name a thing, reasons of endings

Renamed what read like tests of the project: CrashSuspects probes refused traits (crashprobes.cpp, event 2204 crash-suspect-probed). Types stand before the functions that use them, two doc comments that had slipped are at their functions, and a stream that ends since its version isn't certain says how old the registrations were.

No check changed.

--- a/packages/dispatch/include/monsoonward/dispatch/crashsuspects.h
+++ b/packages/dispatch/include/monsoonward/dispatch/crashsuspects.h
@@ -72,8 +72,8 @@
 /// result; observations may arrive in any order, late and repeatedly.
 ///
 /// Engines may also crash for another reason while requests with a trait are in progress at all of them, and then no
-/// request completes that would clear it. So requests that haven't crashed engines themselves test refused traits, one
-/// at a time: soon if the trait completed shortly before, and less often after each further crash.
+/// request completes that would clear it. So refused traits are probed: one request at a time that hasn't crashed
+/// engines itself is let through, soon if the trait completed shortly before, and less often after each further crash.
 class CrashSuspects
 {
 public:
@@ -92,17 +92,17 @@
     static constexpr Duration confirmationTimeout = std::chrono::milliseconds(300);
     /// A run that answers within this time after an observation had not crashed; later it may have been started anew.
     static constexpr Duration refutationWindow = std::chrono::milliseconds(1500);
-    /// A refused trait is tested this long after its newest crash if its requests completed shortly before the crashes,
-    /// and after longTestPause otherwise; after twice that once a test has failed, and so on.
-    static constexpr Duration shortTestPause = std::chrono::seconds(1);
-    static constexpr Duration longTestPause = std::chrono::seconds(10);
-    /// A test that hasn't ended by then doesn't keep others from testing.
-    static constexpr Duration testTime = std::chrono::seconds(2);
+    /// A refused trait is probed this long after its newest crash if its requests completed shortly before the crashes,
+    /// and after longProbePause otherwise. Each failed probe doubles the pause.
+    static constexpr Duration shortProbePause = std::chrono::seconds(1);
+    static constexpr Duration longProbePause = std::chrono::seconds(10);
+    /// A probe without a result blocks the next one for this long.
+    static constexpr Duration probeTimeout = std::chrono::seconds(2);
     static constexpr Duration reportInterval = std::chrono::seconds(1);
     static constexpr std::size_t maxObservations = 4096;
     static constexpr std::size_t maxReported = 64; ///< crashes in a report, and as many sound traits
 
-    /// @param spread 0 to 1, different for each gateway: so that they don't test at the same time
+    /// @param spread 0 to 1, different for each gateway, so that they don't probe at the same time
     explicit CrashSuspects(double spread = 0);
 
     /// @return whether nothing is known; the other functions, except requestCompleted(), need not be called then until
@@ -120,16 +120,16 @@
     /// refused
     std::optional<Duration> refusedFor(const std::vector<RequestTrait> &traits, TimePoint now) const;
     /// @param traits of a refused request; the first one stands for the request as a whole
-    /// @return the time until it may test its refused traits; nothing if it may not, since it has been in progress at
-    /// several crashes itself and never completed, or since tests of it have failed
-    std::optional<Duration> testableIn(const std::vector<RequestTrait> &traits, TimePoint now) const;
-    /// @return the time until a refused request with these traits may be served: until their next test if they
+    /// @return the time until it may probe its refused traits; nothing if it may not, since it has been in progress at
+    /// several crashes itself and never completed, or since several probes with it have failed
+    std::optional<Duration> probeAllowedIn(const std::vector<RequestTrait> &traits, TimePoint now) const;
+    /// @return the time until a refused request with these traits may be served: until their next probe if they
     /// completed shortly before the crashes, and until the refusal ends otherwise
-    Duration comesBackIn(const std::vector<RequestTrait> &traits, TimePoint now) const;
-    /// A request that tests its refused traits is sent.
-    void testStarted(const std::vector<RequestTrait> &traits, TimePoint now);
+    Duration retryIn(const std::vector<RequestTrait> &traits, TimePoint now) const;
+    /// A request that probes its refused traits is sent.
+    void probeStarted(const std::vector<RequestTrait> &traits, TimePoint now);
     /// It couldn't be sent.
-    void testNotSent(const std::vector<RequestTrait> &traits, TimePoint now);
+    void probeNotSent(const std::vector<RequestTrait> &traits, TimePoint now);
     /// @return whether a request that was broken off may be sent to another engine: false if one of the traits has two
     /// or more crashes that no other trait explains, whether they count already or not
     bool mayRetry(const std::vector<RequestTrait> &traits, TimePoint now) const;
@@ -138,6 +138,7 @@
     /// @return traits whose refusal ended early since the last call, because a request with them completed or because
     /// their crashes are explained otherwise
     std::vector<RequestTrait> takeNewlyCleared(TimePoint now);
+    /// @return the crashes that count against the trait, whether it is refused or not
     CrashEvidence evidenceOn(RequestTrait trait) const;
     /// @return a report for the other gateways when this one observed a change, and then once per reportInterval while
     /// there is anything to tell
@@ -154,12 +155,12 @@
     static constexpr Duration completionLifetime = refusalTime + observationLifetime;
     static constexpr Duration soundTellTime = std::chrono::seconds(3); // so that a lost report doesn't matter
 
-    // Completions are remembered of this number of traits at least, those of shared traits for as long as requests with
-    // them complete often.
+    // Number of traits whose completions are remembered at least. A trait of many requests is among the newest ones as
+    // long as such requests complete.
     static constexpr std::size_t minCompletionsKept = 2048;
-    static constexpr std::size_t maxTestDoublings = 8;
-    static constexpr std::size_t maxCrashesOfTester = 1; // of one that never completed
-    static constexpr std::size_t maxTestsOfRequest = 3; // that failed
+    static constexpr std::size_t maxProbeDoublings = 8;
+    static constexpr std::size_t maxCrashesOfProbe = 1; // of one that never completed
+    static constexpr std::size_t maxFailedProbesOfRequest = 3; // that failed
 
     struct Observation
     {
@@ -175,7 +176,7 @@
         std::optional<TimePoint> completedAt;
         TimePoint lastCrashAt; // also of dropped observations
         TimePoint soundToldUntil;
-        TimePoint testedUntil;
+        TimePoint probedUntil;
         bool isRefused = false;
         bool hadCompleted = false; // shortly before its first crash here
         bool isKept = false; // is refused or was, until relapseTime has passed
@@ -192,10 +193,10 @@
     const Attribution &attribution(TimePoint now) const;
     const CrashVerdict *verdictOn(RequestTrait trait, TimePoint now) const;
     std::vector<TimePoint> liveCrashes(const Suspect &suspect) const;
-    std::size_t failedTests(const Suspect &suspect) const;
-    TimePoint testableAt(const Suspect &suspect) const;
-    bool mayTest(const Suspect &whole) const;
-    void setTestedUntil(const std::vector<RequestTrait> &traits, TimePoint until, TimePoint now);
+    std::size_t failedProbes(const Suspect &suspect) const;
+    TimePoint probeAllowedAt(const Suspect &suspect) const;
+    bool mayProbe(const Suspect &whole) const;
+    void setProbedUntil(const std::vector<RequestTrait> &traits, TimePoint until, TimePoint now);
     void rememberCompletion(RequestTrait trait);
     bool hasCompleted(RequestTrait trait) const;
     bool isRefusalOver(RequestTrait trait, TimePoint now) const;
--- a/packages/dispatch/src/crashtests.cpp
+++ b/packages/dispatch/src/crashprobes.cpp
@@ -1,4 +1,4 @@
-// How CrashSuspects lets requests test whether a refused trait crashes engines.
+// How CrashSuspects lets single requests find out whether a refused trait still crashes engines.
 #include "monsoonward/dispatch/crashsuspects.h"
 
 #include <algorithm>
@@ -6,49 +6,49 @@
 namespace monsoonward
 {
 
-std::optional<Duration> CrashSuspects::testableIn(const std::vector<RequestTrait> &traits, TimePoint now) const
+std::optional<Duration> CrashSuspects::probeAllowedIn(const std::vector<RequestTrait> &traits, TimePoint now) const
 {
     const auto whole = traits.empty() ? m_suspects.end() : m_suspects.find(traits.front());
-    if (whole != m_suspects.end() && !mayTest(whole->second)) {
+    if (whole != m_suspects.end() && !mayProbe(whole->second)) {
         return std::nullopt;
     }
     auto at = now;
     for (const auto trait : traits) {
         const auto *verdict = verdictOn(trait, now);
         if (verdict != nullptr && verdict->isCulprit) {
-            at = std::max(at, testableAt(m_suspects.at(trait)));
+            at = std::max(at, probeAllowedAt(m_suspects.at(trait)));
         }
     }
     return at - now;
 }
 
-Duration CrashSuspects::comesBackIn(const std::vector<RequestTrait> &traits, TimePoint now) const
+Duration CrashSuspects::retryIn(const std::vector<RequestTrait> &traits, TimePoint now) const
 {
     const auto left = refusedFor(traits, now).value_or(Duration::zero());
-    const auto testable = testableIn(traits, now);
-    const bool isHopeful = std::all_of(traits.begin(), traits.end(), [&](RequestTrait trait) {
+    const auto allowedIn = probeAllowedIn(traits, now);
+    const bool hadAllCompleted = std::all_of(traits.begin(), traits.end(), [&](RequestTrait trait) {
         const auto *verdict = verdictOn(trait, now);
         return verdict == nullptr || !verdict->isCulprit || m_suspects.at(trait).hadCompleted;
     });
-    return testable && isHopeful ? std::min(left, *testable) : left;
+    return allowedIn && hadAllCompleted ? std::min(left, *allowedIn) : left;
 }
 
-void CrashSuspects::testStarted(const std::vector<RequestTrait> &traits, TimePoint now)
+void CrashSuspects::probeStarted(const std::vector<RequestTrait> &traits, TimePoint now)
 {
-    setTestedUntil(traits, now + testTime, now);
+    setProbedUntil(traits, now + probeTimeout, now);
 }
 
-void CrashSuspects::testNotSent(const std::vector<RequestTrait> &traits, TimePoint now)
+void CrashSuspects::probeNotSent(const std::vector<RequestTrait> &traits, TimePoint now)
 {
-    setTestedUntil(traits, now, now);
+    setProbedUntil(traits, now, now);
 }
 
-void CrashSuspects::setTestedUntil(const std::vector<RequestTrait> &traits, TimePoint until, TimePoint now)
+void CrashSuspects::setProbedUntil(const std::vector<RequestTrait> &traits, TimePoint until, TimePoint now)
 {
     for (const auto trait : traits) {
         const auto *verdict = verdictOn(trait, now);
         if (verdict != nullptr && verdict->isCulprit) {
-            m_suspects.at(trait).testedUntil = until;
+            m_suspects.at(trait).probedUntil = until;
         }
     }
 }
@@ -66,29 +66,30 @@
     return times;
 }
 
-std::size_t CrashSuspects::failedTests(const Suspect &suspect) const
+std::size_t CrashSuspects::failedProbes(const Suspect &suspect) const
 {
     // Engines that crash within a moment do so for one reason, whatever it is.
     const auto times = liveCrashes(suspect);
     std::size_t later = 0;
     for (std::size_t n = 1; n < times.size(); ++n) {
-        later += times[n] - times[n - 1] >= shortTestPause ? 1 : 0;
+        later += times[n] - times[n - 1] >= shortProbePause ? 1 : 0;
     }
     return later;
 }
 
-bool CrashSuspects::mayTest(const Suspect &whole) const
+bool CrashSuspects::mayProbe(const Suspect &whole) const
 {
-    return whole.hadCompleted ? failedTests(whole) < maxTestsOfRequest
-                              : liveCrashes(whole).size() <= maxCrashesOfTester;
+    return whole.hadCompleted ? failedProbes(whole) < maxFailedProbesOfRequest
+                              : liveCrashes(whole).size() <= maxCrashesOfProbe;
 }
 
-TimePoint CrashSuspects::testableAt(const Suspect &suspect) const
+TimePoint CrashSuspects::probeAllowedAt(const Suspect &suspect) const
 {
-    const auto doublings = std::min(failedTests(suspect), maxTestDoublings);
-    const Duration pause = (suspect.hadCompleted ? shortTestPause : longTestPause) * static_cast<int>(1U << doublings);
+    const auto doublings = std::min(failedProbes(suspect), maxProbeDoublings);
+    const Duration pause =
+        (suspect.hadCompleted ? shortProbePause : longProbePause) * static_cast<int>(1U << doublings);
     const auto spread = std::chrono::duration_cast<Duration>(pause * m_spread);
-    return std::max(suspect.testedUntil, suspect.lastCrashAt + std::min(pause + spread, refusalTime));
+    return std::max(suspect.probedUntil, suspect.lastCrashAt + std::min(pause + spread, refusalTime));
 }
 
 void CrashSuspects::rememberCompletion(RequestTrait trait)
--- a/packages/dispatch/src/crashtests_test.cpp
+++ b/packages/dispatch/src/crashprobes_test.cpp
@@ -28,9 +28,9 @@
             suspects.engineRefusedConnection(run, clock.now());
         }
     }
-    std::optional<Duration> testableIn(const Traits &traits) const
+    std::optional<Duration> probeAllowedIn(const Traits &traits) const
     {
-        return suspects.testableIn(traits, clock.now());
+        return suspects.probeAllowedIn(traits, clock.now());
     }
     bool isRefused(const Traits &traits) const
     {
@@ -45,57 +45,57 @@
 
 // All requests with a part were refused for minutes after engines had crashed for another reason.
 TEST_CASE_FIXTURE(Fixture,
-                  "a part that completed before is tested a second after the crashes, and cleared by a success")
+                  "a part that completed before is probed a second after the crashes, and cleared by a success")
 {
     suspects.requestCompleted(request(1), clock.now());
     crashAtOnce(1, 12);
     REQUIRE(isRefused(request(50)));
-    CHECK(testableIn(request(50)) == CrashSuspects::shortTestPause);
-    CHECK(suspects.comesBackIn(request(50), clock.now()) == CrashSuspects::shortTestPause);
-    clock.advance(CrashSuspects::shortTestPause);
-    REQUIRE(testableIn(request(50)) == Duration::zero());
-    suspects.testStarted(request(50), clock.now());
-    CHECK(testableIn(request(51)) == CrashSuspects::testTime); // one at a time
+    CHECK(probeAllowedIn(request(50)) == CrashSuspects::shortProbePause);
+    CHECK(suspects.retryIn(request(50), clock.now()) == CrashSuspects::shortProbePause);
+    clock.advance(CrashSuspects::shortProbePause);
+    REQUIRE(probeAllowedIn(request(50)) == Duration::zero());
+    suspects.probeStarted(request(50), clock.now());
+    CHECK(probeAllowedIn(request(51)) == CrashSuspects::probeTimeout); // one at a time
     suspects.requestCompleted(request(50), clock.now());
     CHECK_FALSE(isRefused(request(51)));
 }
 
-TEST_CASE_FIXTURE(Fixture, "a part that never completed is tested later")
+TEST_CASE_FIXTURE(Fixture, "a part that never completed is probed later")
 {
     crashAtOnce(1);
-    CHECK(testableIn(request(50)) == CrashSuspects::longTestPause);
-    CHECK(suspects.comesBackIn(request(50), clock.now()) == CrashSuspects::refusalTime);
+    CHECK(probeAllowedIn(request(50)) == CrashSuspects::longProbePause);
+    CHECK(suspects.retryIn(request(50), clock.now()) == CrashSuspects::refusalTime);
 }
 
-TEST_CASE_FIXTURE(Fixture, "each failed test doubles the pause until the next one")
+TEST_CASE_FIXTURE(Fixture, "each failed probe doubles the pause until the next one")
 {
     suspects.requestCompleted(request(1), clock.now());
     crashAtOnce(1);
-    auto pause = CrashSuspects::shortTestPause;
+    auto pause = CrashSuspects::shortProbePause;
     for (EngineRun run = 10; run < 16; ++run) {
-        CHECK(testableIn(request(50)) == pause);
+        CHECK(probeAllowedIn(request(50)) == pause);
         clock.advance(pause);
-        suspects.testStarted(request(run), clock.now());
+        suspects.probeStarted(request(run), clock.now());
         crashAtOnce(run, 1);
         pause *= 2;
     }
-    CHECK(testableIn(request(50)) == pause);
+    CHECK(probeAllowedIn(request(50)) == pause);
 }
 
-TEST_CASE_FIXTURE(Fixture, "a test that isn't sent or doesn't end keeps others from testing for a limited time")
+TEST_CASE_FIXTURE(Fixture, "a probe that isn't sent or doesn't end keeps others back for a limited time")
 {
     suspects.requestCompleted(request(1), clock.now());
     crashAtOnce(1);
     clock.advance(5s);
-    suspects.testStarted(request(50), clock.now());
-    suspects.testNotSent(request(50), clock.now());
-    CHECK(testableIn(request(51)) == Duration::zero());
-    suspects.testStarted(request(51), clock.now());
-    clock.advance(CrashSuspects::testTime);
-    CHECK(testableIn(request(52)) == Duration::zero());
+    suspects.probeStarted(request(50), clock.now());
+    suspects.probeNotSent(request(50), clock.now());
+    CHECK(probeAllowedIn(request(51)) == Duration::zero());
+    suspects.probeStarted(request(51), clock.now());
+    clock.advance(CrashSuspects::probeTimeout);
+    CHECK(probeAllowedIn(request(52)) == Duration::zero());
 }
 
-TEST_CASE_FIXTURE(Fixture, "a request that was in progress at several crashes and never completed tests nothing")
+TEST_CASE_FIXTURE(Fixture, "a request that was in progress at several crashes and never completed is no probe")
 {
     suspects.requestCompleted({part}, clock.now());
     for (EngineRun run = 1; run <= 3; ++run) {
@@ -104,11 +104,11 @@
         suspects.engineRefusedConnection(run, clock.now());
     }
     clock.advance(1min);
-    CHECK_FALSE(testableIn(request(5)));
-    CHECK(testableIn(request(1)) == Duration::zero()); // in progress at one crash
+    CHECK_FALSE(probeAllowedIn(request(5)));
+    CHECK(probeAllowedIn(request(1)) == Duration::zero()); // in progress at one crash
 }
 
-TEST_CASE_FIXTURE(Fixture, "an identical request that completed before tests itself a limited number of times")
+TEST_CASE_FIXTURE(Fixture, "an identical request that completed before is a probe a limited number of times")
 {
     const Traits identical {5};
     suspects.requestCompleted(identical, clock.now());
@@ -116,14 +116,14 @@
         suspects.crashObserved(identical, run, clock.now());
         suspects.engineRefusedConnection(run, clock.now());
     }
-    unsigned tests = 0;
-    for (EngineRun run = 4; testableIn(identical) && run < 20; ++run) {
-        clock.advance(*testableIn(identical));
-        suspects.testStarted(identical, clock.now());
+    unsigned probes = 0;
+    for (EngineRun run = 4; probeAllowedIn(identical) && run < 20; ++run) {
+        clock.advance(*probeAllowedIn(identical));
+        suspects.probeStarted(identical, clock.now());
         suspects.crashObserved(identical, run, clock.now());
-        ++tests;
+        ++probes;
     }
-    CHECK(tests == 3);
+    CHECK(probes == 3);
 }
 
 TEST_CASE_FIXTURE(Fixture, "a gateway that learns of the crashes from another one knows what completed here")
@@ -135,7 +135,7 @@
     }
     suspects.addReport(report, clock.now());
     REQUIRE(isRefused(request(50)));
-    CHECK(testableIn(request(50)) == CrashSuspects::shortTestPause);
+    CHECK(probeAllowedIn(request(50)) == CrashSuspects::shortProbePause);
 }
 
 TEST_CASE_FIXTURE(Fixture, "completions of parts that come often are remembered among many others")
@@ -144,5 +144,5 @@
         suspects.requestCompleted(request(n), clock.now());
     }
     crashAtOnce(1);
-    CHECK(testableIn(request(30000)) == CrashSuspects::shortTestPause);
+    CHECK(probeAllowedIn(request(30000)) == CrashSuspects::shortProbePause);
 }
--- a/packages/gateway/src/exchange.cpp
+++ b/packages/gateway/src/exchange.cpp
@@ -151,16 +151,16 @@
     }
     const auto now = m_core.clock.now();
     const auto left = suspects.refusedFor(traits(), now);
-    const auto testableIn = left ? suspects.testableIn(traits(), now) : std::nullopt;
-    m_isCrashTest = m_isCrashTest || testableIn == Duration::zero();
-    if (!left || m_isCrashTest) {
+    const auto probeAllowedIn = left ? suspects.probeAllowedIn(traits(), now) : std::nullopt;
+    m_isCrashProbe = m_isCrashProbe || probeAllowedIn == Duration::zero();
+    if (!left || m_isCrashProbe) {
         return false;
     }
     const std::string reason = "crash-suspect";
     if (m_mayHaveRun || m_responseStarted) {
         finishWith(m_responseStarted ? NextStep::Abort : NextStep::Fail, reason);
     } else {
-        const auto retryAfter = suspects.comesBackIn(traits(), now) + defaultRetryAfter;
+        const auto retryAfter = suspects.retryIn(traits(), now) + defaultRetryAfter;
         refuse(unavailable, reason, retryAfter, "parts " + std::string(promptParts()));
     }
     return true;
@@ -231,12 +231,12 @@
     m_hasLostConnection = false;
     m_timeToFirstBytes.reset();
     recordTrial(true);
-    if (m_isCrashTest) {
-        m_core.crashSuspects.testStarted(traits(), now);
+    if (m_isCrashProbe) {
+        m_core.crashSuspects.probeStarted(traits(), now);
         m_core.log.write(
-            Event::SuspectTested,
+            Event::SuspectProbed,
             Severity::Info,
-            "crash-suspect-tested",
+            "crash-suspect-probed",
             {{"request", requestId()}, {"engine", std::string_view(engine.name.text())}, {"parts", promptParts()}});
     }
     ++m_attempts;
@@ -410,8 +410,8 @@
     if (finalOutcome == AttemptOutcome::NotSent) {
         --m_attempts;
         recordTrial(false);
-        if (m_isCrashTest) {
-            m_core.crashSuspects.testNotSent(traits(), now);
+        if (m_isCrashProbe) {
+            m_core.crashSuspects.probeNotSent(traits(), now);
         }
         m_core.engineLimiter.requestNotSent(engineRecord);
     }
@@ -446,7 +446,8 @@
         return false;
     }
     if (m_responseStarted && (!confirmWriter() || isStreamDoubtful())) {
-        m_lastFailure += ", the version of its first event is not certain";
+        m_lastFailure += ", the version of its events is not certain, registrations age ms "
+            + std::to_string(ageOf(m_core.engines.readAsOf(), m_core.clock.now()));
         return false;
     }
     const auto now = m_core.clock.now();
--- a/packages/gateway/src/exchange.h
+++ b/packages/gateway/src/exchange.h
@@ -40,6 +40,14 @@
     void callEnded(AttemptOutcome outcome, const std::string &reason) override;
 
 private:
+    /// The run of an engine that writes a stream's events.
+    struct Writer
+    {
+        EngineRecord engine;
+        TimePoint registeredBy; // registrations read at this time or later contain the run
+        bool isConfirmed = false; // such registrations name the run
+    };
+
     /// By then a failed store call has been retried, or requests have ended.
     static constexpr Duration defaultRetryAfter = std::chrono::milliseconds(500);
 
@@ -54,10 +62,10 @@
     bool applyRateLimit();
     /// @return the tokens that the request states; nothing if it states none, or what can't be read
     std::optional<double> statedTokens() const;
-    /// Ends the request if it has a trait that crashes engines.
-    /// @return whether it was ended
     /// @return whether the request may be handled by the active configuration
     bool isConfigurationFresh(TimePoint now) const;
+    /// Ends the request if it has a trait that crashes engines, unless it may probe that.
+    /// @return whether it was ended
     bool refusedAsSuspect();
     std::vector<RequestTrait> traits() const;
     void recordCrash(const EngineRecord &engine);
@@ -74,14 +82,14 @@
     void refuseTakeUp(const std::string &reason, const std::string &detail);
     /// The first event has arrived: from now on only engines of this version may go on with the stream.
     void recordStreamStart();
-    /// Remembers which run writes the events, until confirmWriter().
+    /// Records the run of the engine that writes the events from now on.
     void recordWriter();
-    /// Finds out whether the registrations show which version writes the events.
-    /// @return whether they do
+    /// @return whether registrations that were read in time name the run that writes the events, so that its version is
+    /// certain
     bool confirmWriter();
     /// Tells other gateways at which version the stream began, unless they know.
     void tellStream();
-    /// Tells them that it isn't certain.
+    /// Tells the gateways that know the stream that its version isn't certain.
     void doubtStream();
     /// @return whether the engine that answers under the name has the version of its registration
     bool isVersionCertain(const EngineName &engine) const;
@@ -158,13 +166,6 @@
     StreamKey m_stream; // valid if m_streamBuild is set, or while the stream is looked up
     std::optional<EngineBuild> m_streamBuild; // of the stream's first event; nothing before it
     bool m_isStreamDoubtful = false; // m_streamBuild isn't certain
-    /// A run of an engine that writes the stream's events.
-    struct Writer
-    {
-        EngineRecord engine;
-        TimePoint registeredBy; // registrations read at this time or later contain the run
-        bool isConfirmed = false; // they have the engine's build
-    };
     std::optional<Writer> m_writer; // of the newest events
     bool m_isStreamTold = false; // to other gateways
     bool m_areEnginesRead = false; // since the last attempt ended
@@ -172,7 +173,7 @@
     std::string m_streamHolders; // the gateways that were told where the stream began, for the log
     std::string m_lastVersion; // of the software of the engine tried last, for the log
     std::uint32_t m_attempts = 0;
-    bool m_isCrashTest = false; // it tests traits that are refused because of crashes
+    bool m_isCrashProbe = false; // it probes traits that are refused because of crashes
     bool m_isTrial = false; // the last placement is a trial of a new version
     std::optional<Duration> m_timeToFirstBytes; // of the last attempt, if it began a stream
     bool m_mayHaveRun = false;
--- a/packages/gateway/src/exchangestream.cpp
+++ b/packages/gateway/src/exchangestream.cpp
@@ -111,9 +111,10 @@
     }
     recordWriter();
     const auto &name = engine.name;
-    const bool isLikely = m_core.engines.isVersionCertain(m_core.continuity.connectedSince(name), m_core.clock.now())
+    // If others were told only once the version is confirmed, the stream would be unknown if this gateway ended before.
+    const bool isInStep = m_core.engines.isVersionCertain(m_core.continuity.connectedSince(name), m_core.clock.now())
         && !m_core.continuity.mayHaveStartedAgain(name, m_core.engines.readAsOf());
-    if (confirmWriter() || isLikely) {
+    if (confirmWriter() || isInStep) {
         tellStream();
     }
 }
--- a/packages/gateway/src/storewatch.cpp
+++ b/packages/gateway/src/storewatch.cpp
@@ -17,8 +17,8 @@
     std::chrono::milliseconds(500); // a proof is dated at the start of its call; an older one waits for the next report
 
 constexpr Duration maxReadingTime = std::chrono::milliseconds(300); // of the registrations, for a stream that waits
-constexpr unsigned maxReadings = 3; // for one stream
-constexpr std::size_t maxOtherVersions = 4096;
+constexpr unsigned maxReadings = 3; // for those that wait at the same time
+constexpr std::size_t maxOtherVersions = 4096; // of rows of other tables, between two readings of the registrations
 
 /// Notes since when the store has been @p seen at a version up to which a table hasn't been @p read.
 void noteIfBehind(std::optional<TimePoint> &since, std::uint64_t seen, std::uint64_t read, TimePoint now)
--- a/packages/gateway/src/storewatch.h
+++ b/packages/gateway/src/storewatch.h
@@ -54,18 +54,19 @@
     void readNow(std::function<void()> done) override;
 
 private:
-    std::unique_ptr<TableFeed> makeFeed(const std::string &table, Duration changeDelay, TableFeedHandler &handler);
     struct PendingReader
     {
         TimePoint askedAt;
         std::function<void()> done;
     };
 
+    std::unique_ptr<TableFeed> makeFeed(const std::string &table, Duration changeDelay, TableFeedHandler &handler);
     /// @return the latest time for which it is certain that the answer tells of all changes from before it
     TimePoint asOf(const ReadTime &read) const;
     /// Notes whether the registrations may have changed since they were read, as an answer of the store shows.
     /// @param version of the whole store at @p at
     void noteStoreVersion(std::uint64_t version, TimePoint at);
+    /// Notes that the store has a version which may be that of a newer registration.
     void noteUnread(std::uint64_t version, TimePoint at);
     /// @return whether all versions up to this one are known to be those of other tables, or have been read
     bool areRegistrationsReadUpTo(std::uint64_t version) const;
--- a/packages/values/include/monsoonward/values/eventlog.h
+++ b/packages/values/include/monsoonward/values/eventlog.h
@@ -39,7 +39,7 @@
     SuspectRecorded = 2201,
     SuspectRefused = 2202,
     SuspectCleared = 2203,
-    SuspectTested = 2204,
+    SuspectProbed = 2204,
     LeaseAcquired = 2301,
     LeaseLost = 2302,
     OrderRefused = 2303,
